--- /dev/null
+++ b/Makefile
@@ -0,0 +1,42 @@
+# Each target builds its own environment in .venv and needs nothing else
+# but Python 3.11, pip and the registries.
+
+PYTHON ?= python3.11
+VENV := .venv
+LIBS := model wire settings store quorum fleet moves requests language \
+	daemon cli emulator
+BIN := $(VENV)/bin
+NAME ?= requests
+
+.PHONY: demo test lint format bench plots clean
+
+$(VENV)/ready: constraints.txt requirements-dev.txt requirements-bench.txt \
+		$(LIBS:%=libs/%/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q -c constraints.txt setuptools wheel
+	$(BIN)/pip install -q -c constraints.txt --no-build-isolation \
+		$(LIBS:%=-e libs/%) -r requirements-dev.txt -r requirements-bench.txt
+	touch $@
+
+demo: $(VENV)/ready
+	$(BIN)/python demo/run.py $(if $(KEEP),--keep)
+
+test: $(VENV)/ready
+	$(BIN)/python -m pytest
+
+lint: $(VENV)/ready
+	$(BIN)/black --check -q .
+	$(BIN)/flake8 .
+	$(BIN)/lint-imports
+
+format: $(VENV)/ready
+	$(BIN)/black -q .
+
+bench: $(VENV)/ready
+	$(BIN)/python bench/$(NAME).py $(ARGS)
+
+plots: $(VENV)/ready
+	$(BIN)/python bench/plots.py
+
+clean:
+	rm -rf $(VENV) .run
--- /dev/null
+++ b/libs/cli/src/trefoil_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/libs/daemon/src/trefoil_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemons: circuits components that carry what the cores decide."""
--- /dev/null
+++ b/libs/daemon/src/trefoil_daemon/admin.py
@@ -0,0 +1,216 @@
+"""The HTTP interface for targets and operators."""
+
+import itertools
+import json
+import typing
+
+from trefoil_language import parser
+from trefoil_language import statements
+from trefoil_model import clock as clocks
+from trefoil_model import errors
+from trefoil_wire import messages
+
+from . import _http
+from . import announcements
+from . import http_server
+from . import metrics as metric_store
+from . import operators
+
+COMMAND_PATH = "/v1/command"
+TARGETS_PATH = "/v1/targets"
+HEALTH_PATH = "/v1/health"
+JSON_HEADER = b"Content-Type: application/json\r\n"
+
+
+class Process(typing.Protocol):
+    """What the interface needs of its process."""
+
+    def submit(
+        self, command: messages.Command, reply: operators.OnReply
+    ) -> None:
+        """Take an operator's command."""
+
+    def ask(self, query: messages.Query, reply: operators.OnReply) -> None:
+        """Take an operator's query."""
+
+
+class Admin:
+    """Answers targets' announcements and operators' lines.
+
+    Args:
+        process: The process engine.
+        clock: The runtime's clock.
+        metrics: The process's metrics, for local queries.
+        bytes_out: Control bytes sent by kind, for local queries.
+        name: Name of the process.
+    """
+
+    __slots__ = (
+        "process",
+        "clock",
+        "metrics",
+        "bytes_out",
+        "name",
+        "numbers",
+    )
+
+    def __init__(
+        self,
+        process: Process,
+        clock: clocks.Clock,
+        metrics: metric_store.Metrics,
+        bytes_out: dict[str, int],
+        name: str,
+    ) -> None:
+        self.process = process
+        self.clock = clock
+        self.metrics = metrics
+        self.bytes_out = bytes_out
+        self.name = name
+        self.numbers = itertools.count(clock.wall_ms())
+
+    def take(
+        self,
+        connection: http_server.ServerConnection,
+        message: _http.Message,
+    ) -> None:
+        """Take a request."""
+        try:
+            self._route(connection, message)
+        except errors.ProtocolError as error:
+            connection.answer_own(error.status, error.reason)
+
+    def gone(self, connection: http_server.ServerConnection) -> None:
+        """Nothing is owed to a sender that went away."""
+
+    def _route(
+        self,
+        connection: http_server.ServerConnection,
+        message: _http.Message,
+    ) -> None:
+        path = message.path.partition("?")[0]
+        if path == HEALTH_PATH and message.method == "GET":
+            self._health(connection)
+        elif path == COMMAND_PATH and message.method == "POST":
+            self._command(connection, message)
+        elif path.startswith(TARGETS_PATH):
+            self._targets(connection, message, path)
+        else:
+            raise errors.ProtocolError(404, "no such interface")
+
+    def _health(self, connection: http_server.ServerConnection) -> None:
+        ready = getattr(self.process, "ready", True)
+        status = 200 if ready else 503
+        _answer_json(connection, status, {"ready": ready, "name": self.name})
+
+    # Targets
+
+    def _targets(
+        self,
+        connection: http_server.ServerConnection,
+        message: _http.Message,
+        path: str,
+    ) -> None:
+        announced = getattr(self.process, "announced", None)
+        if announced is None:
+            raise errors.ProtocolError(404, "targets announce at proxies")
+        name = path.removeprefix(TARGETS_PATH).strip("/")
+        if message.method == "GET" and not name:
+            busy = self.process.targets.busy
+            _answer_json(connection, 200, announced.describe(busy))
+        elif message.method == "PUT" and name and "/" not in name:
+            made = announcements.parse(name, message.body)
+            self.process.announce(made)
+            _answer_json(connection, 200, {"lease_ms": announced.lease_ms})
+        elif message.method == "DELETE" and name:
+            found = self.process.target_leaves(name, "it said so")
+            _answer_json(connection, 200 if found else 404, {"left": found})
+        else:
+            raise errors.ProtocolError(405, "PUT, DELETE or GET")
+
+    # Operators
+
+    def _command(
+        self,
+        connection: http_server.ServerConnection,
+        message: _http.Message,
+    ) -> None:
+        asked = _envelope_of(message.body)
+        line, envelope = asked
+        parsed = parser.parse(line)
+        if parsed.is_error():
+            raise errors.ProtocolError(400, str(parsed.error))
+        statement = parsed.ok
+        rows = self._local(statement)
+        if rows is not None:
+            _answer_json(connection, 200, _local_answer(rows, self.name))
+            return
+        command = operators.command_from(statement, envelope)
+        if command is not None:
+            self.process.submit(
+                command, lambda reply: _answer_reply(connection, reply)
+            )
+            return
+        query_id = f"{self.name}-{next(self.numbers)}"
+        self.process.ask(
+            messages.Query(query_id, line, 0),
+            lambda reply: _answer_query(connection, reply),
+        )
+
+    def _local(
+        self, statement: typing.Any
+    ) -> list[dict[str, typing.Any]] | None:
+        match statement:
+            case statements.ShowLatency():
+                return self.metrics.quantiles()
+            case statements.ShowBytes():
+                return [
+                    {"kind": kind, "bytes": count}
+                    for kind, count in sorted(self.bytes_out.items())
+                ]
+        return None
+
+
+def _envelope_of(body: bytes) -> tuple[str, operators.Envelope]:
+    try:
+        given = json.loads(body)
+        line = given["line"]
+        envelope = operators.Envelope(
+            command_id=str(given.get("id", "")),
+            operator=str(given.get("operator", "")),
+            issued_ms=int(given.get("issued_ms", 0)),
+            document=str(given.get("document", "")),
+        )
+    except (ValueError, KeyError, TypeError, RecursionError) as error:
+        raise errors.ProtocolError(400, f"not a command: {error!r}")
+    if not isinstance(line, str):
+        raise errors.ProtocolError(400, "line must be text")
+    return line, envelope
+
+
+def _local_answer(
+    rows: list[dict[str, typing.Any]], name: str
+) -> dict[str, typing.Any]:
+    return {"rows": rows, "confirmed": True, "told_by": name}
+
+
+def _answer_json(
+    connection: http_server.ServerConnection, status: int, value: typing.Any
+) -> None:
+    body = json.dumps(value).encode() + b"\n"
+    connection.answer(status, "OK", JSON_HEADER, body)
+
+
+def _answer_reply(
+    connection: http_server.ServerConnection, reply: messages.CommandReply
+) -> None:
+    body = operators.render_reply(reply).encode() + b"\n"
+    connection.answer(200, "OK", JSON_HEADER, body)
+
+
+def _answer_query(
+    connection: http_server.ServerConnection, reply: messages.QueryReply
+) -> None:
+    status = 200 if reply.ok else 400
+    kind = JSON_HEADER if reply.ok else b"Content-Type: text/plain\r\n"
+    connection.answer(status, "OK", kind, reply.body.encode() + b"\n")
--- /dev/null
+++ b/libs/daemon/src/trefoil_daemon/control.py
@@ -0,0 +1,81 @@
+"""``trefoilroute-control``: the daemon on the few hosts with a disk."""
+
+import random
+
+from trefoil_model import effects as common
+from trefoil_settings import settings as setting_store
+from trefoil_store import disk as disks
+from trefoil_store import store as stores
+
+from . import admin
+from . import control_process
+from . import http_server
+from . import runtime
+
+ADMIN_BODY = 4 * 1024 * 1024
+
+
+class ControlDaemon(runtime.Runtime):
+    """The control process's runtime."""
+
+    def start_control(self, settings: setting_store.ControlSettings) -> None:
+        """Open the ports, the data folder and the engine."""
+        clock = self.system_clock
+        port = self.hub.listen(settings.peers)
+        host = settings.peers.rpartition(":")[0]
+        self.engine = control_process.ControlProcess(
+            settings,
+            peers_address=f"{host}:{port}",
+            carrier=self,
+            clock=clock,
+            rng=random.Random(),
+            disk=disks.FolderDisk(settings.data_folder),
+        )
+        operators = http_server.HttpServer(
+            self.transport,
+            admin.Admin(
+                self.engine,
+                clock,
+                self.metrics,
+                self.hub.bytes_out,
+                settings.host,
+            ),
+            clock,
+            max_body=ADMIN_BODY,
+            bad=self.bad_http,
+        )
+        self.http_servers = [operators]
+        self.note(
+            common.Note(
+                "control.started",
+                {
+                    "identity": self.engine.raft.identity,
+                    "admin": operators.listen(settings.admin),
+                    "peers": port,
+                    "revision": self.engine.state.items.revision,
+                },
+            )
+        )
+
+
+def initialise(settings: setting_store.ControlSettings) -> bool:
+    """Prepare a data folder for a control process's first life.
+
+    Only for a new deployment: a process that lost its disk must not be given
+    its first identity again, since its promises are forgotten.
+
+    Returns:
+        False if the folder holds a store already.
+    """
+    disk = disks.FolderDisk(settings.data_folder)
+    if disk.read(stores.PROMISE) is not None:
+        return False
+    stores.Store.create(disk, control_process.first_identity(settings.host))
+    return True
+
+
+def run(settings: setting_store.ControlSettings) -> None:
+    """Run a control process until it is told to end."""
+    daemon = ControlDaemon(settings.host, settings.log_level, settings.statsd)
+    daemon.start_control(settings)
+    daemon.run()
--- /dev/null
+++ b/libs/daemon/src/trefoil_daemon/control_process.py
@@ -0,0 +1,719 @@
+"""The engine of ``trefoilroute-control``: its cores joined, no sockets."""
+
+import functools
+import random
+import typing
+
+from trefoil_fleet import effects as fleet_effects
+from trefoil_fleet import items as item_store
+from trefoil_fleet import node as nodes
+from trefoil_language import parser
+from trefoil_model import clock as clocks
+from trefoil_model import effects as common
+from trefoil_model import errors
+from trefoil_moves import conductor as conductors
+from trefoil_moves import knobs as knob_store
+from trefoil_moves import state as states
+from trefoil_quorum import effects as quorum_effects
+from trefoil_quorum import raft as rafts
+from trefoil_requests import quarantine as quarantines
+from trefoil_settings import settings as setting_store
+from trefoil_store import disk as disks
+from trefoil_store import store as stores
+from trefoil_wire import frames
+from trefoil_wire import messages
+
+from . import facade
+from . import operators
+from . import queries
+
+FIRST = "first"
+JOIN_MS = 1000
+DECIDE_MS = 200
+MAX_HOPS = 3
+
+
+def first_identity(name: str) -> str:
+    """Return the identity of a control process's first life."""
+    return f"{name}#{FIRST}"
+
+
+def open_store(
+    disk: disks.Disk, name: str, rng: random.Random
+) -> tuple[stores.Store, str]:
+    """Open a control process's store.
+
+    Args:
+        disk: Its disk.
+        name: Its name.
+        rng: Draws a new identity where the old one is lost.
+
+    Returns:
+        The store, and why its identity is new (empty if it is not).
+    """
+    try:
+        store = stores.Store.open(disk)
+        why = "" if store.hard_state else "the data folder is empty"
+    except errors.StoreDamaged as error:
+        store = stores.Store(disk)
+        why = f"the store is damaged: {error}"
+    if not why:
+        return store, ""
+    # The old identity may have promised votes that are forgotten now. Under
+    # a new one this process votes only once the leader has taken it in.
+    identity = f"{name}#{rng.getrandbits(40):010x}"
+    return stores.Store.create(disk, identity), why
+
+
+class ControlProcess:
+    """One control process.
+
+    Args:
+        settings: Its settings.
+        peers_address: Address where other processes reach it.
+        carrier: Carries its effects.
+        clock: The runtime's clock.
+        rng: Its random generator.
+        disk: Its data folder.
+    """
+
+    def __init__(
+        self,
+        settings: setting_store.ControlSettings,
+        *,
+        peers_address: str,
+        carrier: facade.Carrier,
+        clock: clocks.Clock,
+        rng: random.Random,
+        disk: disks.Disk,
+    ) -> None:
+        self.settings = settings
+        self.carrier = carrier
+        self.clock = clock
+        self.rng = rng
+        now_ms = clock.now_ms()
+        self.store, why_new = open_store(disk, settings.host, rng)
+        if why_new:
+            self.carrier.note(
+                common.Note("store.new_identity", {"why": why_new}, "warning")
+            )
+        self.state = states.State()
+        if self.store.snapshot is not None:
+            self.state = states.State.from_bytes(self.store.snapshot.state)
+        self.raft = rafts.Raft(
+            self.store.hard_state.identity,
+            voters=[first_identity(name) for name in settings.voters],
+            hard_state=self.store.hard_state,
+            snapshot=self.store.snapshot,
+            entries=self.store.entries,
+            now_ms=now_ms,
+            rng=rng,
+            heartbeat_ms=settings.heartbeat_ms,
+            election_ms=settings.election_ms,
+        )
+        record = messages.HostRecord(
+            host=settings.host,
+            domain=settings.domain,
+            region=settings.region,
+            address=peers_address,
+            incarnation=clock.wall_ms(),
+            sequence=1,
+            state=messages.HostState.ALIVE,
+            targets=[],
+        )
+        self.node = nodes.Node(
+            record,
+            control=True,
+            seeds={},
+            controls=settings.controls,
+            now_ms=now_ms,
+            rng=rng,
+        )
+        self.node.config.publish(self.state.items.copy(), now_ms)
+        self.quarantine = quarantines.Quarantine()
+        self.knobs = knob_store.Knobs.from_profile(settings.profile)
+        self.conductors: dict[str, conductors.Conductor] = {}
+        self.proposed: dict[str, int] = {}
+        self.commands = operators.Waiters()
+        self.queries = operators.Waiters()
+        self.in_log: dict[str, int] = {}
+        self.reads: dict[int, typing.Callable[[], None]] = {}
+        self.read_number = 0
+        self.join_at_ms = now_ms
+        self.decide_at_ms = now_ms
+
+    def perform(self, effects: list[typing.Any]) -> None:
+        """Carry out effects in order; durable ones are synced first."""
+        for effect in effects:
+            carry(effect, self)
+
+    # Links
+
+    def greeting(self, subscribe: bool) -> messages.Hello:
+        """Return the greeting of this process."""
+        hello = self.node.hello()
+        hello.subscribe = subscribe
+        return hello
+
+    def admit(self, hello: messages.Hello) -> int:
+        """Return 0 to serve a peer, else how long it should wait in ms."""
+        return self.node.admit(hello, self.clock.now_ms())
+
+    def link_up(self, host: str, hello: messages.Hello, served: bool) -> None:
+        """Note a subscribed link."""
+        self.perform(
+            self.node.linked(
+                host,
+                control=bool(hello.control),
+                served=served,
+                revision=hello.revision or 0,
+                now_ms=self.clock.now_ms(),
+            )
+        )
+
+    def link_down(self, host: str, retry_after_ms: int) -> None:
+        """Note a subscribed link that broke or was refused."""
+        self.perform(
+            self.node.unlinked(host, self.clock.now_ms(), retry_after_ms)
+        )
+
+    def link_message(self, host: str, message: typing.Any) -> None:
+        """Take a message from a subscribed link."""
+        receive(message, self, host)
+
+    def request_message(self, origin: str, message: typing.Any) -> None:
+        """Take a message from a request link: commands and queries."""
+        match message:
+            case messages.CommandRequest():
+                self.submit(
+                    message.command,
+                    lambda reply: self.carrier.reply(origin, reply),
+                )
+            case messages.Query():
+                self.ask(
+                    message, lambda reply: self.carrier.reply(origin, reply)
+                )
+
+    def requests_lost(self, unsent: list[int], lost: list[int]) -> None:
+        """Ignore: a control process sends no requests."""
+
+    def origin_lost(self, origin: str) -> None:
+        """Ignore: replies to a lost connection are dropped."""
+
+    # Commands
+
+    def submit(
+        self,
+        command: messages.Command,
+        reply: operators.OnReply,
+        hops: int = 0,
+    ) -> None:
+        """Take an operator's command.
+
+        Until its outcome is agreed the reply is ``pending``: a command that
+        was forwarded or appended may still run, so "not run" would be a
+        guess.
+        """
+        known = self.state.answer(command)
+        if known is not None:
+            reply(operators.reply_from(known))
+            return
+        if self.raft.is_leader:
+            self._submit_here(command, reply)
+            return
+        leader = rafts.name_of(self.raft.leader)
+        if not leader or leader not in self.node.links or hops >= MAX_HOPS:
+            why = "no leader is known here"
+            reply(operators.pending(command.command_id, why))
+            return
+        if self._wait_for(command, reply):
+            self.carrier.link_send(
+                leader, messages.CommandRequest(command, hops + 1)
+            )
+
+    def _submit_here(
+        self, command: messages.Command, reply: operators.OnReply
+    ) -> None:
+        command_id = command.command_id
+        if command_id not in self.in_log:
+            reason = self._refusal(command)
+            if reason:
+                expired = messages.Outcome.EXPIRED
+                reply(operators.refusal(command_id, reason, expired))
+                return
+        if not self._wait_for(command, reply):
+            return
+        if command_id in self.in_log:
+            return
+        self.in_log[command_id] = 0
+        self._propose(command)
+
+    def _refusal(self, command: messages.Command) -> str:
+        if not command.command_id or not command.operator_name:
+            return "a command needs an id and an operator"
+        return self.state.refusal(command)
+
+    def _wait_for(
+        self, command: messages.Command, reply: operators.OnReply
+    ) -> bool:
+        until_ms = self.clock.now_ms() + operators.PENDING_MS
+        waits = self.commands.add(command.command_id, command, reply, until_ms)
+        if not waits:
+            why = "too many commands wait"
+            reply(operators.pending(command.command_id, why))
+        return waits
+
+    def _propose(self, command: messages.Command) -> int:
+        command.stamped_ms = max(self.clock.wall_ms(), self.state.clock_ms)
+        index, effects = self.raft.propose(
+            logged(command), self.clock.now_ms()
+        )
+        self.perform(effects)
+        return index
+
+    def _answer_waiters(self, command_id: str) -> None:
+        for waiter in self.commands.take(command_id):
+            past = self.state.answer(waiter.request)
+            if past is not None:
+                waiter.reply(operators.reply_from(past))
+
+    def on_command_reply(self, reply: messages.CommandReply) -> None:
+        """Pass on the leader's reply."""
+        for waiter in self.commands.take(reply.command_id):
+            waiter.reply(reply)
+
+    # Queries
+
+    def ask(self, query: messages.Query, reply: operators.OnReply) -> None:
+        """Take an operator's query."""
+        until_ms = self.clock.now_ms() + operators.QUERY_MS
+        if not self.queries.add(query.query_id, query, reply, until_ms):
+            return
+        if self.raft.is_leader:
+            self.read(lambda: self._answer_query(query.query_id, True))
+            return
+        leader = rafts.name_of(self.raft.leader)
+        hops = query.hops or 0
+        if leader in self.node.links and hops < MAX_HOPS:
+            onward = messages.Query(query.query_id, query.line, hops + 1)
+            self.carrier.link_send(leader, onward)
+
+    def read(self, then: typing.Callable[[], None]) -> None:
+        """Do something once the state is known to be the newest."""
+        self.read_number += 1
+        self.reads[self.read_number] = then
+        self.perform(self.raft.read(self.read_number, self.clock.now_ms()))
+
+    def _answer_query(self, query_id: str, confirmed: bool) -> None:
+        for waiter in self.queries.take(query_id):
+            waiter.reply(self._query_reply(waiter.request, confirmed))
+
+    def _query_reply(
+        self, query: messages.Query, confirmed: bool
+    ) -> messages.QueryReply:
+        parsed = parser.parse(query.line)
+        if parsed.is_error():
+            return messages.QueryReply(
+                query.query_id, False, str(parsed.error)
+            )
+        knowledge = queries.Knowledge(
+            self.state, self.node, self.raft, self.clock.now_ms()
+        )
+        body = queries.render(parsed.ok, knowledge, confirmed=confirmed)
+        return messages.QueryReply(query.query_id, True, body)
+
+    def on_query_reply(self, reply: messages.QueryReply) -> None:
+        """Pass on the leader's reply."""
+        for waiter in self.queries.take(reply.query_id):
+            waiter.reply(reply)
+
+    # Agreement
+
+    def apply(self, entry: messages.Entry) -> None:
+        """Apply an agreed entry."""
+        message = rafts.command_of(entry)
+        if not isinstance(message, messages.CommandRequest):
+            return
+        command = message.command
+        before = self.state.items.revision
+        phases = {m.move_id: m.step_ms for m in self.state.running_moves()}
+        past = self.state.apply(entry.index, command)
+        self.in_log.pop(command.command_id, None)
+        if past is not None:
+            self._answer_waiters(command.command_id)
+            self._note_command(command, past)
+        self._tell_conductors(phases)
+        if self.state.items.revision != before:
+            self._publish()
+        self._compact(entry.index)
+
+    def _note_command(
+        self, command: messages.Command, past: messages.PastCommand
+    ) -> None:
+        names = messages.Outcome._VALUES_TO_NAMES
+        kind = frames.TYPES[command.kind].__name__
+        self.carrier.note(
+            common.Note(
+                "command.agreed",
+                {
+                    "id": command.command_id,
+                    "operator": command.operator_name,
+                    "kind": kind,
+                    "outcome": names[past.outcome].lower(),
+                    "reason": past.reason,
+                },
+            )
+        )
+
+    def _publish(self) -> None:
+        self.perform(
+            self.node.publish(self.state.items.copy(), self.clock.now_ms())
+        )
+
+    def _compact(self, index: int) -> None:
+        applied = index - self.raft.log.base_index
+        if applied >= self.settings.snapshot_entries:
+            self.perform(self.raft.compact(self.state.to_bytes(), index))
+
+    def restore(self, snapshot: messages.Snapshot) -> None:
+        """Put a snapshot's state in place."""
+        self.state = states.State.from_bytes(snapshot.state)
+        self._publish()
+
+    # Moves
+
+    def _tell_conductors(self, before: dict[str, int]) -> None:
+        now_ms = self.clock.now_ms()
+        for move_id, conductor in list(self.conductors.items()):
+            move = self.state.moves.get(move_id)
+            if move is None or move.outcome:
+                del self.conductors[move_id]
+                self.proposed.pop(move_id, None)
+            elif before.get(move_id) != move.step_ms:
+                conductor.stepped(move, now_ms)
+
+    def _decide(self) -> None:
+        now_ms = self.clock.now_ms()
+        if now_ms < self.decide_at_ms:
+            return
+        self.decide_at_ms = now_ms + DECIDE_MS
+        if not self.raft.is_leader:
+            self.conductors = {}
+            self.proposed = {}
+            self.in_log = {}
+            return
+        for move in self.state.running_moves():
+            if self.proposed.get(move.move_id, 0) <= self.raft.applied:
+                self._decide_move(move, now_ms)
+
+    def _decide_move(self, move: messages.MoveRecord, now_ms: int) -> None:
+        conductor = self.conductors.get(move.move_id)
+        if conductor is None:
+            conductor = conductors.Conductor(move, self.knobs, now_ms)
+            self.conductors[move.move_id] = conductor
+        decision = conductor.decide(
+            move,
+            self._capacity(move),
+            now_ms=now_ms,
+            wall_ms=max(self.clock.wall_ms(), self.state.clock_ms),
+        )
+        body = _body_of(move, decision)
+        if body is None:
+            return
+        kind, data = frames.pack_any(body)
+        command = messages.Command(
+            command_id="",
+            operator_name=self.settings.host,
+            issued_ms=self.clock.wall_ms(),
+            kind=kind,
+            body=data,
+        )
+        self.proposed[move.move_id] = self._propose(command)
+        self.carrier.note(
+            common.Note(
+                "move.decided",
+                {
+                    "move": move.move_id,
+                    "decision": type(decision).__name__.lower(),
+                    "reason": decision.reason,
+                },
+            )
+        )
+
+    def _capacity(self, move: messages.MoveRecord) -> conductors.Capacity:
+        drained = {d.host for d in self.state.items.all(item_store.DRAIN)}
+        held: set[str] = set()
+        slots = {move.from_version: 0, move.to_version: 0}
+        new_targets = 0
+        for record in self.node.members.records.present():
+            if record.host in drained:
+                continue
+            for target in record.targets or ():
+                ready = target.state == messages.TargetState.READY
+                if target.service_name != move.service_name or not ready:
+                    continue
+                if target.version in slots:
+                    slots[target.version] += target.slots
+                if target.version == move.to_version:
+                    new_targets += 1
+                    held.update(target.resources)
+        wanted = {
+            route.resource
+            for route in self.state.items.all(item_store.ROUTE)
+            if route.service_name == move.service_name and route.resource
+        }
+        return conductors.Capacity(
+            old_slots=slots[move.from_version],
+            new_slots=slots[move.to_version],
+            new_targets=new_targets,
+            missing=sorted(wanted - held),
+        )
+
+    def on_evidence(
+        self, source: str, report: messages.EvidenceReport
+    ) -> None:
+        """Take a proxy's report, or pass it to the leader."""
+        if self.raft.is_leader:
+            conductor = self.conductors.get(report.move_id)
+            if conductor is not None:
+                conductor.hear(report, self.clock.now_ms())
+            return
+        leader = rafts.name_of(self.raft.leader)
+        if leader != source:
+            self.carrier.link_send(leader, report)
+
+    # Floor
+
+    def ask_floor(self, nonce: int) -> None:
+        """Find the newest revision for a restarted proxy."""
+        if self.raft.is_leader:
+            self.read(lambda: self._tell_floor(nonce))
+            return
+        leader = rafts.name_of(self.raft.leader)
+        if leader and leader != self.settings.host:
+            self.carrier.link_send(
+                leader, messages.FloorQuery(nonce, self.settings.host)
+            )
+
+    def _tell_floor(self, nonce: int) -> None:
+        self.perform(
+            self.node.floor_known(
+                nonce, self.state.items.revision, self.clock.now_ms()
+            )
+        )
+
+    # Time
+
+    def tick(self) -> None:
+        """Let time pass."""
+        now_ms = self.clock.now_ms()
+        self.perform(self.raft.tick(now_ms))
+        self.perform(self.node.tick(now_ms))
+        self._decide()
+        self._join(now_ms)
+        for waiter in self.commands.expired(now_ms):
+            why = "not agreed yet"
+            waiter.reply(operators.pending(waiter.request.command_id, why))
+        for waiter in self.queries.expired(now_ms):
+            waiter.reply(self._query_reply(waiter.request, False))
+
+    def _join(self, now_ms: int) -> None:
+        raft = self.raft
+        known = raft.identity in raft.voters + raft.learners
+        if known or now_ms < self.join_at_ms:
+            return
+        self.join_at_ms = now_ms + JOIN_MS
+        request = messages.JoinRequest(
+            identity=raft.identity,
+            name=self.settings.host,
+            address=self.node.members.record.address,
+        )
+        for name in self.settings.controls:
+            self.carrier.link_send(name, request)
+
+
+def logged(command: messages.Command) -> messages.CommandRequest:
+    """Return a command as the message that is logged."""
+    return messages.CommandRequest(command=command, hops=0)
+
+
+def _body_of(
+    move: messages.MoveRecord, decision: conductors.Decision
+) -> typing.Any:
+    match decision:
+        case conductors.Step():
+            return messages.StepMove(
+                move_id=move.move_id,
+                permille=decision.permille,
+                phase=decision.phase,
+                reason=decision.reason,
+            )
+        case conductors.End():
+            return messages.EndMove(
+                move_id=move.move_id,
+                outcome=decision.outcome,
+                reason=decision.reason,
+            )
+    return None
+
+
+@functools.singledispatch
+def carry(effect: typing.Any, process: ControlProcess) -> None:
+    """Carry out one effect."""
+    raise TypeError(f"no such effect: {type(effect).__name__}")
+
+
+@carry.register
+def _(effect: common.Send, process: ControlProcess) -> None:
+    process.carrier.link_send(rafts.name_of(effect.to), effect.message)
+
+
+@carry.register
+def _(effect: common.Note, process: ControlProcess) -> None:
+    process.carrier.note(effect)
+
+
+@carry.register
+def _(effect: fleet_effects.Dial, process: ControlProcess) -> None:
+    process.carrier.dial(effect.host, effect.address)
+
+
+@carry.register
+def _(effect: fleet_effects.HangUp, process: ControlProcess) -> None:
+    process.carrier.hang_up(effect.host)
+
+
+@carry.register
+def _(effect: fleet_effects.Probe, process: ControlProcess) -> None:
+    process.carrier.probe(effect.host, effect.address)
+
+
+@carry.register
+def _(effect: fleet_effects.PutInForce, process: ControlProcess) -> None:
+    pass
+
+
+@carry.register
+def _(effect: fleet_effects.RecordsChanged, process: ControlProcess) -> None:
+    pass
+
+
+@carry.register
+def _(effect: fleet_effects.AskFloor, process: ControlProcess) -> None:
+    process.ask_floor(effect.nonce)
+
+
+@carry.register
+def _(effect: quorum_effects.SaveHardState, process: ControlProcess) -> None:
+    process.store.save_hard_state(effect.state)
+
+
+@carry.register
+def _(effect: quorum_effects.AppendLog, process: ControlProcess) -> None:
+    if effect.truncate_from:
+        process.store.truncate_from(effect.truncate_from)
+    process.store.append(effect.entries)
+
+
+@carry.register
+def _(effect: quorum_effects.SaveSnapshot, process: ControlProcess) -> None:
+    process.store.save_snapshot(effect.snapshot)
+
+
+@carry.register
+def _(effect: quorum_effects.Restore, process: ControlProcess) -> None:
+    process.restore(effect.snapshot)
+
+
+@carry.register
+def _(effect: quorum_effects.Apply, process: ControlProcess) -> None:
+    process.apply(effect.entry)
+
+
+@carry.register
+def _(effect: quorum_effects.ReadReady, process: ControlProcess) -> None:
+    then = process.reads.pop(effect.read_id, None)
+    if then is not None:
+        then()
+
+
+@carry.register
+def _(effect: quorum_effects.ReadFailed, process: ControlProcess) -> None:
+    process.reads.pop(effect.read_id, None)
+
+
+@functools.singledispatch
+def receive(message: typing.Any, process: ControlProcess, host: str) -> None:
+    """Take one message from a subscribed link."""
+    process.perform(
+        process.node.receive(host, message, process.clock.now_ms())
+    )
+
+
+def _receive_raft(
+    message: typing.Any, process: ControlProcess, host: str
+) -> None:
+    # The link's own silence bound must see this traffic too.
+    link = process.node.links.get(host)
+    now_ms = process.clock.now_ms()
+    if link is not None:
+        link.heard_ms = now_ms
+    process.perform(process.raft.receive(host, message, now_ms))
+
+
+for _kind in (
+    messages.VoteRequest,
+    messages.VoteReply,
+    messages.AppendRequest,
+    messages.AppendReply,
+    messages.SnapshotRequest,
+    messages.JoinRequest,
+):
+    receive.register(_kind, _receive_raft)
+
+
+@receive.register
+def _(
+    message: messages.CommandRequest, process: ControlProcess, host: str
+) -> None:
+    process.submit(
+        message.command,
+        lambda reply: process.carrier.link_send(host, reply),
+        message.hops or 0,
+    )
+
+
+@receive.register
+def _(
+    message: messages.CommandReply, process: ControlProcess, host: str
+) -> None:
+    process.on_command_reply(message)
+
+
+@receive.register
+def _(message: messages.Query, process: ControlProcess, host: str) -> None:
+    process.ask(message, lambda reply: process.carrier.link_send(host, reply))
+
+
+@receive.register
+def _(
+    message: messages.QueryReply, process: ControlProcess, host: str
+) -> None:
+    process.on_query_reply(message)
+
+
+@receive.register
+def _(
+    message: messages.EvidenceReport, process: ControlProcess, host: str
+) -> None:
+    process.on_evidence(host, message)
+
+
+@receive.register
+def _(
+    message: messages.CrashNotice, process: ControlProcess, host: str
+) -> None:
+    if process.quarantine.hear(message, process.clock.now_ms()):
+        for peer in process.node.links:
+            if peer != host:
+                process.carrier.link_send(peer, message)
--- /dev/null
+++ b/libs/daemon/src/trefoil_daemon/http_server.py
@@ -0,0 +1,203 @@
+"""HTTP connections taken from callers, targets and operators."""
+
+import dataclasses
+import itertools
+import typing
+
+from trefoil_model import clock as clocks
+from trefoil_model import errors
+from trefoil_requests import call as calls
+
+from . import _http
+from . import transport as transports
+
+MAX_CONNECTIONS = 2000
+HEAD_MS = 10_000
+MAX_AHEAD_BYTES = 256 * 1024
+
+
+class Handler(typing.Protocol):
+    """What takes the requests of a server."""
+
+    def take(
+        self, connection: "ServerConnection", message: _http.Message
+    ) -> None:
+        """Take a request; answer it by ``connection.answer``."""
+
+    def gone(self, connection: "ServerConnection") -> None:
+        """Note that the sender went away before its answer."""
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class ServerConnection:
+    """One connection of a caller; it waits for one answer at a time."""
+
+    server: "HttpServer"
+    number: int
+    stream: transports.Stream
+    reader: _http.MessageReader
+    request: _http.Message | None = None
+    since_ms: int = 0
+
+    def answer(
+        self,
+        status: int,
+        reason: str,
+        headers: bytes = b"",
+        body: bytes = b"",
+    ) -> None:
+        """Send the answer to the request that waits."""
+        request = self.request
+        if request is None or self.stream.closed:
+            return
+        self.request = None
+        keep_alive = request.keep_alive and not self.server.closing
+        self.stream.write(
+            _http.response_bytes(
+                status,
+                reason,
+                headers,
+                body,
+                keep_alive=keep_alive,
+                bodiless=request.method == "HEAD",
+            )
+        )
+        if not keep_alive:
+            self.stream.close_after_write()
+            return
+        self.stream.pause(False)
+        self.server.proceed(self)
+
+    def answer_own(
+        self, status: int, reason: str, headers: bytes = b""
+    ) -> None:
+        """Send an answer of this process, with its reason as the body."""
+        phrase = calls.STATUS_REASONS.get(status, "Error")
+        kind = b"Content-Type: text/plain; charset=utf-8\r\n"
+        body = (reason + "\n").encode("utf-8", "replace")
+        self.answer(status, phrase, headers + kind, body)
+
+
+class HttpServer:
+    """Takes HTTP requests at an address and hands them to a handler.
+
+    Args:
+        transport: Carries the streams.
+        handler: Takes the requests.
+        clock: The runtime's clock.
+        max_body: Largest body in bytes.
+        bad: Called with the reason when a sender is malformed.
+    """
+
+    __slots__ = (
+        "transport",
+        "handler",
+        "clock",
+        "max_body",
+        "bad",
+        "connections",
+        "numbers",
+        "closing",
+    )
+
+    def __init__(
+        self,
+        transport: transports.Transport,
+        handler: Handler,
+        clock: clocks.Clock,
+        *,
+        max_body: int,
+        bad: typing.Callable[[str], None],
+    ) -> None:
+        self.transport = transport
+        self.handler = handler
+        self.clock = clock
+        self.max_body = max_body
+        self.bad = bad
+        self.connections: set[ServerConnection] = set()
+        self.numbers = itertools.count(1)
+        self.closing = False
+
+    def listen(self, address: str) -> int:
+        """Take connections at an address; return the port."""
+        return self.transport.listen(address, self._accepted)
+
+    def _accepted(self, stream: transports.Stream) -> None:
+        if len(self.connections) >= MAX_CONNECTIONS:
+            stream.close()
+            return
+        connection = ServerConnection(
+            self,
+            next(self.numbers),
+            stream,
+            _http.MessageReader(_http.REQUEST, self.max_body),
+            since_ms=self.clock.now_ms(),
+        )
+        stream.owner = connection
+        stream.on_data = self._data
+        stream.on_close = self._closed
+        self.connections.add(connection)
+
+    def _data(self, stream: transports.Stream, data: bytes) -> None:
+        connection = stream.owner
+        if connection.request is not None:
+            # The next request came before this one's answer. It waits in
+            # the buffer; a sender that goes on is held back by the kernel.
+            connection.reader.buffer += data
+            if len(connection.reader.buffer) > MAX_AHEAD_BYTES:
+                stream.pause(True)
+            return
+        self._feed(connection, data)
+
+    def proceed(self, connection: ServerConnection) -> None:
+        """Take the next request if it came already."""
+        connection.since_ms = self.clock.now_ms()
+        if connection.reader.buffer:
+            self._feed(connection, b"")
+
+    def _feed(self, connection: ServerConnection, data: bytes) -> None:
+        try:
+            message = connection.reader.feed(data)
+        except errors.ProtocolError as error:
+            self._malformed(connection, error)
+            return
+        if message is None:
+            return
+        connection.request = message
+        self.handler.take(connection, message)
+
+    def _malformed(
+        self, connection: ServerConnection, error: errors.ProtocolError
+    ) -> None:
+        self.bad(error.reason)
+        connection.request = _http.Message(keep_alive=False)
+        connection.answer_own(error.status, error.reason)
+
+    def _closed(self, stream: transports.Stream) -> None:
+        connection = stream.owner
+        self.connections.discard(connection)
+        if connection.request is not None:
+            self.handler.gone(connection)
+
+    def tick(self) -> None:
+        """Close connections that are stuck in the middle of a request.
+
+        Senders that trickle a head would else hold connections for ever.
+        """
+        now_ms = self.clock.now_ms()
+        for connection in list(self.connections):
+            waits = connection.request is None and connection.reader.started
+            if waits and now_ms - connection.since_ms > HEAD_MS:
+                self._malformed(
+                    connection,
+                    errors.ProtocolError(408, "the request is not whole"),
+                )
+            elif not connection.reader.started:
+                connection.since_ms = now_ms
+
+    def close_idle(self) -> None:
+        """Close the connections that wait for no answer (shutdown)."""
+        self.closing = True
+        for connection in list(self.connections):
+            if connection.request is None:
+                connection.stream.close()
--- /dev/null
+++ b/libs/daemon/src/trefoil_daemon/operators.py
@@ -0,0 +1,191 @@
+"""Commands and queries on their way between operators and the leader."""
+
+import collections.abc
+import dataclasses
+import datetime
+import json
+import typing
+
+from trefoil_language import statements
+from trefoil_model import errors
+from trefoil_settings import configuration
+from trefoil_wire import frames
+from trefoil_wire import messages
+
+PENDING_MS = 2500
+COME_BACK_MS = 500
+QUERY_MS = 1500
+MAX_WAITING = 1024
+
+OnReply = collections.abc.Callable[[typing.Any], None]
+
+
+@dataclasses.dataclass(slots=True)
+class Waiter:
+    """Somebody who waits for a reply."""
+
+    request: typing.Any
+    reply: OnReply
+    until_ms: int
+
+
+class Waiters:
+    """Those who wait for replies, by command or query id."""
+
+    __slots__ = ("by_id",)
+
+    def __init__(self) -> None:
+        self.by_id: dict[str, list[Waiter]] = {}
+
+    def add(
+        self, key: str, request: typing.Any, reply: OnReply, until_ms: int
+    ) -> bool:
+        """Let somebody wait; False if too many do."""
+        if len(self.by_id) >= MAX_WAITING and key not in self.by_id:
+            return False
+        self.by_id.setdefault(key, []).append(Waiter(request, reply, until_ms))
+        return True
+
+    def take(self, key: str) -> list[Waiter]:
+        """Return those who wait for an id, and forget them."""
+        return self.by_id.pop(key, [])
+
+    def expired(self, now_ms: int) -> list[Waiter]:
+        """Return those who have waited long enough, and forget them."""
+        late = []
+        for key, waiters in list(self.by_id.items()):
+            late.extend(w for w in waiters if now_ms >= w.until_ms)
+            left = [w for w in waiters if now_ms < w.until_ms]
+            if left:
+                self.by_id[key] = left
+            else:
+                del self.by_id[key]
+        return late
+
+
+def pending(command_id: str, why: str) -> messages.CommandReply:
+    """Return the answer while the outcome is not known."""
+    return messages.CommandReply(
+        command_id=command_id,
+        outcome=messages.Outcome.PENDING,
+        reason=why,
+        revision=0,
+        retry_after_ms=COME_BACK_MS,
+    )
+
+
+def reply_from(past: messages.PastCommand) -> messages.CommandReply:
+    """Return the answer of a recorded outcome."""
+    return messages.CommandReply(
+        command_id=past.command_id,
+        outcome=past.outcome,
+        reason=past.reason,
+        revision=past.revision,
+    )
+
+
+def refusal(
+    command_id: str, reason: str, outcome: int = messages.Outcome.NOT_RUN
+) -> messages.CommandReply:
+    """Return the answer to a command that was never appended."""
+    return messages.CommandReply(
+        command_id=command_id, outcome=outcome, reason=reason, revision=0
+    )
+
+
+@dataclasses.dataclass(slots=True)
+class Envelope:
+    """What comes with a line: who says it, when, and a document.
+
+    Args:
+        command_id: The operator's number for the command.
+        operator: Name of the operator.
+        issued_ms: When it was first issued, Unix time in milliseconds.
+        document: A configuration document, for ``apply``.
+    """
+
+    command_id: str
+    operator: str
+    issued_ms: int
+    document: str = ""
+
+
+def command_from(
+    statement: typing.Any, envelope: Envelope
+) -> messages.Command | None:
+    """Return the command that a statement makes; None if it asks.
+
+    Raises:
+        ProtocolError: The document or deadline is wrong; the command was
+            not run.
+    """
+    body = _body_of(statement, envelope)
+    if body is None:
+        return None
+    kind, data = frames.pack_any(body)
+    return messages.Command(
+        command_id=envelope.command_id,
+        operator_name=envelope.operator,
+        issued_ms=envelope.issued_ms,
+        kind=kind,
+        body=data,
+    )
+
+
+def _body_of(statement: typing.Any, envelope: Envelope) -> typing.Any:
+    match statement:
+        case statements.Apply():
+            return _configuration(statement, envelope.document)
+        case statements.Move():
+            return messages.StartMove(
+                service_name=statement.service,
+                from_version=statement.from_version,
+                to_version=statement.to_version,
+                deadline_ms=_deadline(statement, envelope.issued_ms),
+                risk_permille=statement.risk_permille,
+                watch_ms=statement.watch_ms,
+            )
+        case statements.Reverse():
+            return messages.ReverseMove(service_name=statement.service)
+        case statements.Drain():
+            return messages.DrainHost(
+                host=statement.host, draining=statement.draining
+            )
+        case statements.Cancel():
+            return messages.CancelCommand(cancelled_id=statement.command_id)
+    return None
+
+
+def _configuration(
+    statement: statements.Apply, document: str
+) -> messages.ApplyConfiguration:
+    checked = configuration.parse(document, file=statement.file)
+    if checked.is_error():
+        raise errors.ProtocolError(400, str(checked.error))
+    body = checked.ok
+    body.expected_revision = statement.expected
+    return body
+
+
+def _deadline(statement: statements.Move, issued_ms: int) -> int:
+    if not statement.deadline:
+        return issued_ms + statement.deadline_in_ms
+    try:
+        moment = datetime.datetime.fromisoformat(statement.deadline)
+    except ValueError as error:
+        raise errors.ProtocolError(400, f"bad deadline: {error}")
+    return int(moment.timestamp() * 1000)
+
+
+def render_reply(reply: messages.CommandReply) -> str:
+    """Return a reply as JSON."""
+    outcome = messages.Outcome._VALUES_TO_NAMES[reply.outcome]
+    return json.dumps(
+        {
+            "command_id": reply.command_id,
+            "outcome": outcome.lower().replace("_", " "),
+            "reason": reply.reason,
+            "revision": reply.revision,
+            "retry_after_ms": reply.retry_after_ms or 0,
+        }
+    )
--- /dev/null
+++ b/libs/daemon/src/trefoil_daemon/proxy_process.py
@@ -0,0 +1,628 @@
+"""The engine of ``trefoilroute-proxy``: its cores joined, without sockets."""
+
+import functools
+import random
+import typing
+
+from trefoil_fleet import effects as fleet_effects
+from trefoil_fleet import items as item_store
+from trefoil_fleet import node as nodes
+from trefoil_model import clock as clocks
+from trefoil_model import effects as common
+from trefoil_moves import evidence as evidences
+from trefoil_moves import judge as judges
+from trefoil_moves import knobs as knob_store
+from trefoil_requests import call as calls
+from trefoil_requests import effects as request_effects
+from trefoil_requests import entry as entries
+from trefoil_requests import ledger as ledgers
+from trefoil_requests import quarantine as quarantines
+from trefoil_requests import routing
+from trefoil_requests import target_side
+from trefoil_settings import settings as setting_store
+from trefoil_wire import messages
+
+from . import announcements
+from . import facade
+from . import operators
+from . import relay as relays
+
+LOCAL = "local"
+GUARD_MS = 1000
+GUARD_WINDOWS = 600
+GUARD_FLEET = 860
+COLD_MS = 5000
+LINGER_MS = 1500
+
+
+class ProxyProcess:
+    """One proxy.
+
+    Args:
+        settings: Its settings.
+        peers_address: Address where other processes reach it.
+        carrier: Carries its effects.
+        clock: The runtime's clock.
+        rng: Its random generator.
+    """
+
+    def __init__(
+        self,
+        settings: setting_store.ProxySettings,
+        *,
+        peers_address: str,
+        carrier: facade.Carrier,
+        clock: clocks.Clock,
+        rng: random.Random,
+    ) -> None:
+        self.settings = settings
+        self.carrier = carrier
+        self.clock = clock
+        now_ms = clock.now_ms()
+        incarnation = clock.wall_ms()
+        record = messages.HostRecord(
+            host=settings.host,
+            domain=settings.domain,
+            region=settings.region,
+            address=peers_address,
+            incarnation=incarnation,
+            sequence=1,
+            state=messages.HostState.ALIVE,
+            targets=[],
+        )
+        self.node = nodes.Node(
+            record,
+            control=False,
+            seeds=settings.seeds,
+            controls=settings.controls,
+            now_ms=now_ms,
+            rng=rng,
+        )
+        self.quarantine = quarantines.Quarantine()
+        self.ledger = ledgers.Ledger(
+            settings.host, incarnation, now_ms, clock.wall_ms()
+        )
+        self.entry = entries.Entry(
+            settings.host,
+            settings.domain,
+            ledger=self.ledger,
+            quarantine=self.quarantine,
+            rng=rng,
+        )
+        self.targets = target_side.TargetSide(self.quarantine, rng)
+        self.announced = announcements.Announcements(settings.lease_ms)
+        self.collectors: dict[str, evidences.Collector] = {}
+        self.guards: dict[str, judges.Judge] = {}
+        self.guard_at_ms = 0
+        self.route_service: dict[str, str] = {}
+        self.leaving_since_ms = 0
+        self.busy_origins: dict[str, set[int]] = {}
+        self.relay = relays.Relay(settings.controls, carrier.tell)
+
+    # Carrying out effects
+
+    def perform(self, effects: list[typing.Any]) -> None:
+        """Carry out effects in order."""
+        for effect in effects:
+            carry(effect, self)
+
+    def now_us(self) -> int:
+        """Return the time in microseconds."""
+        return self.clock.now_us()
+
+    # Configuration and fleet
+
+    def put_in_force(self, items: item_store.Items) -> None:
+        """Swap the whole configuration in one step."""
+        table = routing.RouteTable(items)
+        self.entry.put_in_force(table)
+        self.route_service = {
+            route.name: route.service_name for route in table.routes
+        }
+        self.records_changed()
+        self._update_collectors(table)
+        self.carrier.note(
+            common.Note("config.in_force", {"revision": items.revision})
+        )
+
+    def records_changed(self) -> None:
+        """Let routing look at the hosts' records again."""
+        self.entry.records_changed(
+            self.node.members.records, self.clock.now_ms()
+        )
+
+    def _update_collectors(self, table: routing.RouteTable) -> None:
+        for service, shares in table.shares.items():
+            collector = self.collectors.get(service)
+            if not shares.move_id:
+                self.collectors.pop(service, None)
+                self.guards.pop(service, None)
+                self.entry.halted.pop(service, None)
+            elif collector is None or collector.move_id != shares.move_id:
+                self._begin_collecting(service, shares)
+
+    def _begin_collecting(self, service: str, shares: messages.Shares) -> None:
+        self.entry.halted.pop(service, None)
+        self.collectors[service] = evidences.Collector(
+            shares.move_id,
+            self.settings.host,
+            self.node.members.record.incarnation,
+        )
+        ordered = sorted(shares.shares, key=lambda share: -share.permille)
+        knobs = knob_store.Knobs()
+        self.guards[service] = judges.Judge(
+            ordered[0].version,
+            ordered[-1].version,
+            threshold=judges.threshold_for(
+                knobs.false_alarms / GUARD_FLEET, GUARD_WINDOWS
+            ),
+            tolerance=knobs.tolerance,
+        )
+
+    def observe(self, effect: request_effects.Observe) -> None:
+        """Count an answer as evidence if its service moves."""
+        service = self.route_service.get(effect.route, "")
+        collector = self.collectors.get(service)
+        if collector is not None:
+            key = evidences.TallyKey(
+                effect.route, effect.version, effect.domain
+            )
+            collector.observe(
+                key, effect.latency_us, effect.failed, effect.cold
+            )
+        self.carrier.observe(effect)
+
+    def _guard(self, now_ms: int) -> None:
+        """Stop sending to a version on this proxy's own evidence.
+
+        The leader may be away or cut off when a version turns bad. A halt
+        only ever takes traffic down; the leader alone gives it back.
+        """
+        if now_ms < self.guard_at_ms:
+            return
+        self.guard_at_ms = now_ms + GUARD_MS
+        for service, judge in self.guards.items():
+            collector = self.collectors[service]
+            verdict = judge.add(collector.take_window())
+            if verdict is None or collector.halted:
+                continue
+            collector.halted = True
+            collector.changed.update(collector.counts)
+            self.entry.halted[service] = frozenset((judge.new_version,))
+            self.carrier.note(
+                common.Note(
+                    "version.halted",
+                    {
+                        "service": service,
+                        "version": judge.new_version,
+                        "why": str(verdict),
+                    },
+                    "warning",
+                )
+            )
+
+    def _report(self, now_ms: int) -> None:
+        uplink = self.node.overlay.uplink
+        if uplink not in self.node.links:
+            return
+        for collector in self.collectors.values():
+            report = collector.report(now_ms)
+            if report is not None:
+                self.carrier.link_send(uplink, report)
+
+    # Links
+
+    def link_up(self, host: str, hello: messages.Hello, served: bool) -> None:
+        """Note a subscribed link."""
+        self.perform(
+            self.node.linked(
+                host,
+                control=bool(hello.control),
+                served=served,
+                revision=hello.revision or 0,
+                now_ms=self.clock.now_ms(),
+            )
+        )
+
+    def link_down(self, host: str, retry_after_ms: int) -> None:
+        """Note a subscribed link that broke or was refused."""
+        self.perform(
+            self.node.unlinked(host, self.clock.now_ms(), retry_after_ms)
+        )
+
+    def link_message(self, host: str, message: typing.Any) -> None:
+        """Take a message from a subscribed link."""
+        match message:
+            case messages.CrashNotice():
+                self._on_notice(host, message)
+            case messages.EvidenceReport():
+                self._pass_evidence(host, message)
+            case _:
+                self.perform(
+                    self.node.receive(host, message, self.clock.now_ms())
+                )
+
+    def _on_notice(self, source: str, notice: messages.CrashNotice) -> None:
+        if self.quarantine.hear(notice, self.clock.now_ms()):
+            self._flood(notice, source)
+
+    def _flood(self, notice: messages.CrashNotice, source: str) -> None:
+        for host in self.node.links:
+            if host != source:
+                self.carrier.link_send(host, notice)
+
+    def _pass_evidence(
+        self, source: str, report: messages.EvidenceReport
+    ) -> None:
+        uplink = self.node.overlay.uplink
+        if uplink != source:
+            self.carrier.link_send(uplink, report)
+
+    # Request links
+
+    def request_message(self, origin: str, message: typing.Any) -> None:
+        """Take a message from a request link."""
+        receive(message, self, origin)
+
+    def requests_lost(self, unsent: list[int], lost: list[int]) -> None:
+        """Note the requests that a broken request link carried."""
+        now_ms, now_us = self.clock.now_ms(), self.now_us()
+        for request_id in unsent:
+            self.perform(self.entry.on_unsent(request_id, now_ms, now_us))
+        for request_id in lost:
+            self.perform(self.entry.on_lost(request_id, now_ms, now_us))
+
+    def origin_lost(self, origin: str) -> None:
+        """Stop what a lost entry proxy asked for; nobody waits for it."""
+        now_ms = self.clock.now_ms()
+        for request_id in self.busy_origins.pop(origin, ()):
+            self.perform(self.targets.on_cancel(request_id, now_ms))
+
+    def forward(self, effect: request_effects.Forward) -> None:
+        """Send a request to its target's proxy, maybe this one."""
+        request = effect.request
+        if effect.host == self.settings.host:
+            self.perform(
+                self.targets.on_request(LOCAL, request, self.clock.now_ms())
+            )
+            return
+        if not self.carrier.tell(effect.host, effect.address, request):
+            self.requests_lost([request.request_id], [])
+
+    def tell(self, host: str, address: str, message: typing.Any) -> None:
+        """Send to a peer's request link, or to this process itself."""
+        if host == self.settings.host:
+            receive(message, self, LOCAL)
+            return
+        record = self.node.members.records.get(host)
+        if not address and record is not None:
+            address = record.address
+        self.carrier.tell(host, address, message)
+
+    def reply(self, origin: str, message: typing.Any) -> None:
+        """Answer the origin of a message."""
+        if isinstance(message, messages.Answer):
+            waiting = self.busy_origins.get(origin)
+            if waiting is not None:
+                waiting.discard(message.request_id)
+        if origin == LOCAL:
+            receive(message, self, LOCAL)
+        else:
+            self.carrier.reply(origin, message)
+
+    # Callers
+
+    def call(self, call: calls.Call) -> None:
+        """Take a caller's request."""
+        self.perform(
+            self.entry.start(call, self.clock.now_ms(), self.now_us())
+        )
+
+    def caller_gone(self, call_id: int) -> None:
+        """Note a caller that went away."""
+        self.perform(self.entry.cancel(call_id, self.clock.now_ms()))
+
+    # Targets
+
+    def announce(self, announcement: announcements.Announcement) -> None:
+        """Take a target's announcement or renewal."""
+        now_ms = self.clock.now_ms()
+        if self.announced.put(announcement, now_ms):
+            self.targets.put_target(announcement.record, announcement.port)
+            self._publish_targets(now_ms)
+            self.carrier.note(
+                common.Note(
+                    "target.announced",
+                    {
+                        "target": announcement.record.name,
+                        "version": announcement.record.version,
+                        "state": announcement.record.state,
+                    },
+                )
+            )
+
+    def target_leaves(self, name: str, why: str) -> bool:
+        """Drop a target; return whether it was here."""
+        now_ms = self.clock.now_ms()
+        if not self.announced.remove(name):
+            return False
+        self._publish_targets(now_ms)
+        self.perform(self.targets.drop_target(name, now_ms))
+        self.carrier.note(
+            common.Note("target.left", {"target": name, "why": why})
+        )
+        return True
+
+    def _publish_targets(self, now_ms: int) -> None:
+        records = [] if self.leaving_since_ms else self.announced.records()
+        self.perform(self.node.set_targets(records, now_ms))
+
+    def target_answered(self, answer: messages.Answer) -> None:
+        """Take a local target's whole answer."""
+        self.perform(
+            self.targets.on_target_answer(answer, self.clock.now_ms())
+        )
+
+    def target_unsent(self, request_id: int) -> None:
+        """Note a request that did not reach its local target."""
+        self.perform(
+            self.targets.on_target_unsent(request_id, self.clock.now_ms())
+        )
+
+    def target_broke(self, request_id: int) -> None:
+        """Note a local target's connection that broke."""
+        self.perform(
+            self.targets.on_target_broke(request_id, self.clock.now_ms())
+        )
+
+    # Time
+
+    def tick(self) -> None:
+        """Let time pass."""
+        now_ms, now_us = self.clock.now_ms(), self.now_us()
+        self.perform(self.node.tick(now_ms))
+        for name in self.announced.expired(now_ms):
+            self.target_leaves(name, "lease ran out")
+        self.perform(self.targets.tick(now_ms))
+        self.perform(self.entry.tick(now_ms, now_us))
+        pull = messages.LedgerPull(
+            self.settings.host, self.node.members.record.incarnation
+        )
+        for host in self.ledger.tick(now_ms, self.node.ready):
+            self.tell(host, "", pull)
+        self._guard(now_ms)
+        self._report(now_ms)
+        self.relay.tick(now_ms)
+
+    # Operators
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether callers are served here."""
+        return self.node.ready and not self.leaving_since_ms
+
+    def submit(
+        self, command: messages.Command, reply: operators.OnReply
+    ) -> None:
+        """Pass an operator's command on."""
+        self.relay.submit(command, reply, self.clock.now_ms())
+
+    def ask(self, query: messages.Query, reply: operators.OnReply) -> None:
+        """Pass an operator's query on."""
+        self.relay.ask(query, reply, self.clock.now_ms())
+
+    # Leaving
+
+    def leave(self) -> None:
+        """Begin a graceful shutdown.
+
+        New work is refused as not run, what runs goes on to its end; the
+        record without targets keeps others from sending more.
+        """
+        if self.leaving_since_ms:
+            return
+        now_ms = self.clock.now_ms()
+        self.leaving_since_ms = now_ms
+        self.entry.draining = True
+        self.targets.leaving = True
+        self._publish_targets(now_ms)
+        self.perform(self.node.leave(now_ms))
+        self.carrier.note(
+            common.Note(
+                "proxy.leaving",
+                {
+                    "calls": len(self.entry.live),
+                    "running": len(self.targets.running),
+                },
+            )
+        )
+
+    @property
+    def idle(self) -> bool:
+        """Tell whether nothing runs here any more."""
+        return not self.entry.live and not self.targets.running
+
+    def greeting(self, subscribe: bool) -> messages.Hello:
+        """Return the greeting of this process."""
+        hello = self.node.hello()
+        hello.subscribe = subscribe
+        return hello
+
+    def admit(self, hello: messages.Hello) -> int:
+        """Return 0 to serve a peer, else how long it should wait in ms."""
+        if self.leaving_since_ms:
+            return COLD_MS
+        return self.node.admit(hello, self.clock.now_ms())
+
+
+@functools.singledispatch
+def carry(effect: typing.Any, process: ProxyProcess) -> None:
+    """Carry out one effect."""
+    raise TypeError(f"no such effect: {type(effect).__name__}")
+
+
+@carry.register
+def _(effect: common.Send, process: ProxyProcess) -> None:
+    process.carrier.link_send(effect.to, effect.message)
+
+
+@carry.register
+def _(effect: common.Note, process: ProxyProcess) -> None:
+    process.carrier.note(effect)
+
+
+@carry.register
+def _(effect: common.Count, process: ProxyProcess) -> None:
+    process.carrier.count(effect)
+
+
+@carry.register
+def _(effect: fleet_effects.Dial, process: ProxyProcess) -> None:
+    process.carrier.dial(effect.host, effect.address)
+
+
+@carry.register
+def _(effect: fleet_effects.HangUp, process: ProxyProcess) -> None:
+    process.carrier.hang_up(effect.host)
+
+
+@carry.register
+def _(effect: fleet_effects.Probe, process: ProxyProcess) -> None:
+    process.carrier.probe(effect.host, effect.address)
+
+
+@carry.register
+def _(effect: fleet_effects.PutInForce, process: ProxyProcess) -> None:
+    process.put_in_force(effect.items)
+
+
+@carry.register
+def _(effect: fleet_effects.RecordsChanged, process: ProxyProcess) -> None:
+    process.records_changed()
+
+
+@carry.register
+def _(effect: request_effects.Finish, process: ProxyProcess) -> None:
+    process.carrier.finish(effect.final)
+
+
+@carry.register
+def _(effect: request_effects.Forward, process: ProxyProcess) -> None:
+    process.forward(effect)
+
+
+@carry.register
+def _(effect: request_effects.Tell, process: ProxyProcess) -> None:
+    process.tell(effect.host, effect.address, effect.message)
+
+
+@carry.register
+def _(effect: request_effects.Dispatch, process: ProxyProcess) -> None:
+    process.carrier.dispatch(effect)
+
+
+@carry.register
+def _(effect: request_effects.Abort, process: ProxyProcess) -> None:
+    process.carrier.abort(effect.dispatch_id)
+
+
+@carry.register
+def _(effect: request_effects.Reply, process: ProxyProcess) -> None:
+    process.reply(effect.origin, effect.answer)
+
+
+@carry.register
+def _(effect: request_effects.Flood, process: ProxyProcess) -> None:
+    process.quarantine.hear(effect.notice, process.clock.now_ms())
+    process._flood(effect.notice, "")
+
+
+@carry.register
+def _(effect: request_effects.Observe, process: ProxyProcess) -> None:
+    process.observe(effect)
+
+
+@functools.singledispatch
+def receive(message: typing.Any, process: ProxyProcess, origin: str) -> None:
+    """Take one message from a request link; others are ignored."""
+
+
+@receive.register
+def _(message: messages.Request, process: ProxyProcess, origin: str) -> None:
+    process.busy_origins.setdefault(origin, set()).add(message.request_id)
+    process.perform(
+        process.targets.on_request(origin, message, process.clock.now_ms())
+    )
+
+
+@receive.register
+def _(message: messages.Answer, process: ProxyProcess, origin: str) -> None:
+    process.perform(
+        process.entry.on_answer(
+            message, process.clock.now_ms(), process.now_us()
+        )
+    )
+
+
+@receive.register
+def _(message: messages.Cancel, process: ProxyProcess, origin: str) -> None:
+    process.perform(
+        process.targets.on_cancel(message.request_id, process.clock.now_ms())
+    )
+
+
+@receive.register
+def _(message: messages.Claim, process: ProxyProcess, origin: str) -> None:
+    reply = process.ledger.claim(message, process.clock.now_ms())
+    process.reply(origin, reply)
+
+
+@receive.register
+def _(
+    message: messages.ClaimReply, process: ProxyProcess, origin: str
+) -> None:
+    process.perform(
+        process.entry.on_claim_reply(
+            message, process.clock.now_ms(), process.now_us()
+        )
+    )
+
+
+@receive.register
+def _(message: messages.ClaimDone, process: ProxyProcess, origin: str) -> None:
+    process.ledger.done(message)
+
+
+@receive.register
+def _(
+    message: messages.ClaimRelease, process: ProxyProcess, origin: str
+) -> None:
+    process.ledger.release(message)
+
+
+@receive.register
+def _(
+    message: messages.LedgerPull, process: ProxyProcess, origin: str
+) -> None:
+    process.reply(origin, process.ledger.pull(message, process.clock.now_ms()))
+
+
+@receive.register
+def _(
+    message: messages.LedgerPush, process: ProxyProcess, origin: str
+) -> None:
+    process.ledger.push(message, process.clock.now_ms())
+
+
+@receive.register
+def _(
+    message: messages.CommandReply, process: ProxyProcess, origin: str
+) -> None:
+    process.relay.on_reply(message)
+
+
+@receive.register
+def _(
+    message: messages.QueryReply, process: ProxyProcess, origin: str
+) -> None:
+    process.relay.on_reply(message)
--- /dev/null
+++ b/libs/daemon/src/trefoil_daemon/queries.py
@@ -0,0 +1,271 @@
+"""Answers to operators' queries, from what this control process knows."""
+
+import functools
+import json
+import typing
+
+from trefoil_fleet import items as item_store
+from trefoil_fleet import node as nodes
+from trefoil_language import statements
+from trefoil_moves import state as states
+from trefoil_quorum import raft as rafts
+from trefoil_wire import messages
+
+Row = dict[str, typing.Any]
+
+
+class Knowledge:
+    """What a query is answered from.
+
+    Args:
+        state: The agreed state.
+        node: The fleet core, for records and reports.
+        raft: The agreement core.
+        now_ms: The time on the runtime's clock.
+    """
+
+    __slots__ = ("state", "node", "raft", "now_ms")
+
+    def __init__(
+        self,
+        state: states.State,
+        node: nodes.Node,
+        raft: rafts.Raft,
+        now_ms: int,
+    ) -> None:
+        self.state = state
+        self.node = node
+        self.raft = raft
+        self.now_ms = now_ms
+
+
+def render(
+    statement: typing.Any, knowledge: Knowledge, *, confirmed: bool
+) -> str:
+    """Return the answer to a query as JSON.
+
+    Args:
+        statement: The query.
+        knowledge: What to answer from.
+        confirmed: Whether a quorum confirmed that the state is the newest.
+    """
+    return json.dumps(
+        {
+            "rows": answer(statement, knowledge),
+            "confirmed": confirmed,
+            "told_by": knowledge.node.me,
+        }
+    )
+
+
+@functools.singledispatch
+def answer(statement: typing.Any, known: Knowledge) -> list[Row]:
+    """Return the rows that answer a statement."""
+    return [{"problem": f"{type(statement).__name__} is not a query here"}]
+
+
+@answer.register
+def _(statement: statements.InForce, known: Knowledge) -> list[Row]:
+    hosts = [
+        _host_row(record, known)
+        for record in known.node.members.records.present()
+        if statement.host in ("", record.host)
+        and statement.domain in ("", record.domain)
+    ]
+    hosts.sort(key=lambda row: (row["domain"], row["host"]))
+    if statement.by == "host":
+        return hosts
+    if statement.by == "service":
+        return _rows_by_service(hosts, known)
+    return _rows_by_domain(hosts, known)
+
+
+def _host_row(record: messages.HostRecord, known: Knowledge) -> Row:
+    heard = known.node.reports.by_host.get(record.host)
+    row: Row = {
+        "host": record.host,
+        "domain": record.domain,
+        "revision": None,
+        "age_s": None,
+        "note": "not heard from",
+    }
+    if heard is not None:
+        row["revision"] = heard.report.revision
+        row["age_s"] = round(heard.age_ms(known.now_ms) / 1000, 1)
+        rejected = heard.report.rejected
+        row["note"] = f"rejected: {rejected}" if rejected else ""
+    return row
+
+
+def _rows_by_domain(hosts: list[Row], known: Knowledge) -> list[Row]:
+    domains = sorted({row["domain"] for row in hosts})
+    return [
+        {"domain": domain}
+        | _summary([row for row in hosts if row["domain"] == domain], known)
+        for domain in domains
+    ]
+
+
+def _rows_by_service(hosts: list[Row], known: Knowledge) -> list[Row]:
+    by_host = {row["host"]: row for row in hosts}
+    services: dict[str, set[str]] = {}
+    for record in known.node.members.records.present():
+        for target in record.targets or ():
+            services.setdefault(target.service_name, set()).add(record.host)
+    return [
+        {"service": service}
+        | _summary([by_host[h] for h in sorted(names) if h in by_host], known)
+        for service, names in sorted(services.items())
+    ]
+
+
+def _summary(rows: list[Row], known: Knowledge) -> Row:
+    newest = known.state.items.revision
+    ages = [row["age_s"] for row in rows if row["age_s"] is not None]
+    unheard = [row["host"] for row in rows if row["revision"] is None]
+    behind = [
+        row["host"]
+        for row in rows
+        if row["revision"] is not None and row["revision"] < newest
+    ]
+    return {
+        "revision": newest,
+        "in_force_at": len(rows) - len(unheard) - len(behind),
+        "of": len(rows),
+        "oldest_report_s": max(ages, default=None),
+        "behind": " ".join(behind),
+        "not_heard_from": " ".join(unheard),
+    }
+
+
+@answer.register
+def _(statement: statements.ShowMoves, known: Knowledge) -> list[Row]:
+    return [
+        _move_row(move, known)
+        for move in known.state.moves.values()
+        if statement.service in ("", move.service_name)
+    ]
+
+
+def _move_row(move: messages.MoveRecord, known: Knowledge) -> Row:
+    names = messages.Outcome._VALUES_TO_NAMES
+    outcome = names.get(move.outcome, "running")
+    left_ms = move.deadline_ms - known.state.clock_ms
+    return {
+        "move": move.move_id,
+        "service": move.service_name,
+        "from": move.from_version,
+        "to": move.to_version,
+        "outcome": outcome.lower().replace("_", " "),
+        "phase": move.phase,
+        "share": f"{move.permille / 10:g}%",
+        "deadline_in_s": round(left_ms / 1000),
+        "reason": move.reason,
+    }
+
+
+def _newest(service: str, known: Knowledge) -> messages.MoveRecord | None:
+    moves = [
+        move
+        for move in known.state.moves.values()
+        if service in (move.service_name, move.move_id)
+    ]
+    return moves[-1] if moves else None
+
+
+@answer.register
+def _(statement: statements.MoveDone, known: Knowledge) -> list[Row]:
+    move = _newest(statement.service, known)
+    if move is None:
+        return [{"problem": f"no move of {statement.service} is known"}]
+    row = _move_row(move, known)
+    return [
+        {key: row[key] for key in ("service", "outcome", "share", "reason")}
+    ]
+
+
+@answer.register
+def _(statement: statements.Explain, known: Knowledge) -> list[Row]:
+    move = _newest(statement.service, known)
+    if move is None:
+        return [{"problem": f"no move of {statement.service} is known"}]
+    return [{"what": line} for line in move.history]
+
+
+@answer.register
+def _(statement: statements.ShowTargets, known: Knowledge) -> list[Row]:
+    states_of = messages.TargetState._VALUES_TO_NAMES
+    rows = []
+    for record in known.node.members.records.present():
+        for target in record.targets or ():
+            if statement.service in ("", target.service_name):
+                rows.append(
+                    {
+                        "service": target.service_name,
+                        "version": target.version,
+                        "host": record.host,
+                        "domain": record.domain,
+                        "target": target.name,
+                        "slots": target.slots,
+                        "state": states_of[target.state].lower(),
+                    }
+                )
+    rows.sort(key=lambda row: tuple(str(value) for value in row.values()))
+    return rows
+
+
+@answer.register
+def _(statement: statements.ShowRoutes, known: Knowledge) -> list[Row]:
+    return [
+        {
+            "route": route.name,
+            "host": route.host,
+            "prefix": route.prefix,
+            "methods": " ".join(route.methods) or "all",
+            "service": route.service_name,
+            "resource": route.resource,
+            "tenant": route.tenant,
+            "timeout_ms": route.timeout_ms,
+            "repeat": messages.Repeat._VALUES_TO_NAMES[route.repeat].lower(),
+        }
+        for route in known.state.items.all(item_store.ROUTE)
+    ]
+
+
+@answer.register
+def _(statement: statements.ShowServices, known: Knowledge) -> list[Row]:
+    return [
+        {
+            "service": shares.service_name,
+            "versions": " ".join(
+                f"{share.version}={share.permille / 10:g}%"
+                for share in shares.shares
+            ),
+            "move": shares.move_id,
+        }
+        for shares in known.state.items.all(item_store.SHARES)
+    ]
+
+
+@answer.register
+def _(statement: statements.ShowControls, known: Knowledge) -> list[Row]:
+    raft = known.raft
+    rows = []
+    for identity in raft.voters + raft.learners:
+        name = rafts.name_of(identity)
+        rows.append(
+            {
+                "control": name,
+                "identity": identity,
+                "role": _role(identity, raft),
+                "linked": name == known.node.me or name in known.node.links,
+                "revision": known.state.items.revision,
+            }
+        )
+    return rows
+
+
+def _role(identity: str, raft: rafts.Raft) -> str:
+    if identity == raft.leader:
+        return "leader"
+    return "voter" if identity in raft.voters else "learner"
--- /dev/null
+++ b/libs/emulator/src/trefoil_emulator/fleet.py
@@ -0,0 +1,412 @@
+"""A fleet of real processes on loopback, for tests, benches and demos.
+
+It stands outside the product: trefoilroute's own processes start none.
+"""
+
+import dataclasses
+import json
+import os
+import pathlib
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import time
+import typing
+import urllib.request
+
+import yaml
+
+from trefoil_cli import client
+
+LOOPBACK = "127.0.0.1"
+STOP_S = 10.0
+
+
+class NeverCame(Exception):
+    """Something that was waited for did not come in time."""
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that the kernel has free, all different."""
+    socks = []
+    for _ in range(count):
+        sock = socket.socket()
+        sock.bind((LOOPBACK, 0))
+        socks.append(sock)
+    ports = [sock.getsockname()[1] for sock in socks]
+    for sock in socks:
+        sock.close()
+    return ports
+
+
+def wait_for(
+    what: str,
+    condition: typing.Callable[[], typing.Any],
+    within_s: float = 20.0,
+    pause_s: float = 0.05,
+) -> typing.Any:
+    """Return what a condition gives once it holds.
+
+    Raises:
+        NeverCame: It did not hold in time.
+    """
+    until = time.monotonic() + within_s
+    while True:
+        found = condition()
+        if found:
+            return found
+        if time.monotonic() >= until:
+            raise NeverCame(f"{what}: not within {within_s} s")
+        time.sleep(pause_s)
+
+
+@dataclasses.dataclass(slots=True)
+class Member:
+    """One process of the fleet.
+
+    Args:
+        name: Its name.
+        command: Its command line.
+        ports: Its ports by what they are for.
+        domain: Its failure domain.
+    """
+
+    name: str
+    command: list[str]
+    ports: dict[str, int]
+    domain: str = ""
+    process: subprocess.Popen | None = None
+
+    def address(self, port: str) -> str:
+        """Return the address of one of its ports."""
+        return f"{LOOPBACK}:{self.ports[port]}"
+
+    @property
+    def pid(self) -> int:
+        """Return its process id."""
+        return self.process.pid
+
+
+class LocalFleet:
+    """Processes of one deployment, their settings and logs in a folder.
+
+    Args:
+        folder: Where settings, data folders and logs go.
+        domains: Names of the failure domains.
+        controls: How many control processes.
+        seeds_per_domain: How many proxies of a domain are its seeds.
+        control_extra: More settings of control processes.
+        proxy_extra: More settings of proxies.
+    """
+
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        *,
+        domains: list[str],
+        controls: int = 3,
+        seeds_per_domain: int = 2,
+        control_extra: dict[str, typing.Any] | None = None,
+        proxy_extra: dict[str, typing.Any] | None = None,
+    ) -> None:
+        self.folder = pathlib.Path(folder)
+        self.folder.mkdir(parents=True, exist_ok=True)
+        self.domains = domains
+        self.seeds_per_domain = seeds_per_domain
+        self.control_extra = control_extra or {}
+        self.proxy_extra = proxy_extra or {}
+        self.members: dict[str, Member] = {}
+        self.seeds: dict[str, dict[str, str]] = {d: {} for d in domains}
+        self.control_names = [f"control{n + 1}" for n in range(controls)]
+        self.control_ports = {
+            name: dict(zip(("peers", "admin"), free_ports(2)))
+            for name in self.control_names
+        }
+        self.numbers = 0
+
+    @property
+    def controls(self) -> dict[str, str]:
+        """Return the control processes' addresses."""
+        return {
+            name: f"{LOOPBACK}:{ports['peers']}"
+            for name, ports in self.control_ports.items()
+        }
+
+    # Building
+
+    def add_controls(self) -> None:
+        """Write the control processes' settings and prepare their data."""
+        for at, name in enumerate(self.control_names):
+            ports = self.control_ports[name]
+            settings = {
+                "host": name,
+                "domain": self.domains[at % len(self.domains)],
+                "peers": f"{LOOPBACK}:{ports['peers']}",
+                "admin": f"{LOOPBACK}:{ports['admin']}",
+                "controls": self.controls,
+                "voters": self.control_names,
+                "data_folder": str(self.folder / f"{name}.data"),
+            } | self.control_extra
+            path = self._write(name, settings)
+            subprocess.run(
+                _python("trefoil_daemon.main", "run_control", "init", path),
+                check=True,
+                stdout=subprocess.DEVNULL,
+            )
+            command = _python(
+                "trefoil_daemon.main", "run_control", "run", path
+            )
+            self.members[name] = Member(
+                name, command, ports, settings["domain"]
+            )
+
+    def add_proxies(self, hosts: dict[str, str]) -> None:
+        """Write the settings of proxies.
+
+        Args:
+            hosts: Failure domain of each host by name.
+        """
+        ports = {
+            host: dict(
+                zip(("callers", "peers", "admin"), free_ports(3), strict=True)
+            )
+            for host in hosts
+        }
+        for host, domain in hosts.items():
+            if len(self.seeds[domain]) < self.seeds_per_domain:
+                address = f"{LOOPBACK}:{ports[host]['peers']}"
+                self.seeds[domain][host] = address
+        for host, domain in hosts.items():
+            self._add_proxy(host, domain, ports[host])
+
+    def _add_proxy(
+        self, host: str, domain: str, ports: dict[str, int]
+    ) -> None:
+        settings = {
+            "host": host,
+            "domain": domain,
+            "controls": self.controls,
+            "seeds": self.seeds[domain],
+        } | self.proxy_extra
+        for kind, port in ports.items():
+            settings[kind] = f"{LOOPBACK}:{port}"
+        path = self._write(host, settings)
+        command = _python("trefoil_daemon.main", "run_proxy", "run", path)
+        self.members[host] = Member(host, command, ports, domain)
+
+    def add_target(
+        self,
+        name: str,
+        host: str,
+        *,
+        service: str,
+        version: str,
+        slots: int = 12,
+        resources: str = "",
+        behave: dict[str, typing.Any] | None = None,
+    ) -> None:
+        """Add a stand-in target on a host."""
+        port = free_ports(1)[0]
+        command = [
+            sys.executable,
+            "-m",
+            "trefoil_emulator.target",
+            f"--name={name}",
+            f"--service={service}",
+            f"--version={version}",
+            f"--proxy={self.members[host].address('admin')}",
+            f"--port={port}",
+            f"--slots={slots}",
+            f"--resources={resources},",
+            f"--behave={json.dumps(behave or {})}",
+        ]
+        self.numbers += 1
+        self.members[name] = Member(
+            name, command, {"http": port}, self.members[host].domain
+        )
+
+    def _write(self, name: str, settings: dict[str, typing.Any]) -> str:
+        path = self.folder / f"{name}.yaml"
+        path.write_text(yaml.safe_dump(settings), encoding="utf-8")
+        return str(path)
+
+    # Running
+
+    def start(self, *names: str) -> None:
+        """Start processes, all of them by default."""
+        for name in names or list(self.members):
+            member = self.members[name]
+            log = open(self.folder / f"{name}.log", "ab")
+            member.process = subprocess.Popen(
+                member.command, stdout=log, stderr=log
+            )
+            log.close()
+
+    def kill(self, *names: str) -> None:
+        """Kill processes as a crash would."""
+        for name in names:
+            process = self.members[name].process
+            process.kill()
+            process.wait()
+
+    def freeze(self, name: str) -> None:
+        """Stop a process without ending it."""
+        os.kill(self.members[name].pid, signal.SIGSTOP)
+
+    def thaw(self, name: str) -> None:
+        """Let a frozen process go on."""
+        os.kill(self.members[name].pid, signal.SIGCONT)
+
+    def terminate(self, name: str) -> None:
+        """Ask a process to end."""
+        self.members[name].process.terminate()
+
+    def lose_disk(self, name: str) -> None:
+        """Remove a control process's data folder."""
+        shutil.rmtree(self.folder / f"{name}.data")
+
+    def stop(self) -> None:
+        """End every process."""
+        running = [
+            member.process
+            for member in self.members.values()
+            if member.process and member.process.poll() is None
+        ]
+        for process in running:
+            process.kill()
+        for process in running:
+            process.wait(STOP_S)
+
+    def __enter__(self) -> typing.Self:
+        return self
+
+    def __exit__(self, *failure: object) -> None:
+        self.stop()
+
+    # Speaking to it
+
+    def say(
+        self,
+        text: str,
+        *,
+        at: str = "control1",
+        document: str = "",
+        number: str = "",
+        operator: str = "tester",
+        wait_s: float = 20.0,
+        issued_ms: int = 0,
+    ) -> dict[str, typing.Any]:
+        """Say a line of the operators' language to a process."""
+        self.numbers += 1
+        now_ms = int(time.time() * 1000)
+        line = client.Line(
+            text,
+            number or f"{now_ms}-{self.numbers}",
+            operator,
+            issued_ms or now_ms,
+            document,
+        )
+        address = self.members[at].address("admin")
+        return client.Client(address).settle(line, wait_s)
+
+    def try_say(self, text: str, **options: typing.Any) -> typing.Any:
+        """Say a line; None if nothing answers."""
+        try:
+            return self.say(text, **options)
+        except (client.Unreachable, client.Refused):
+            return None
+
+    def leader(self, among: typing.Iterable[str] = ()) -> str:
+        """Return the name of the control process that leads, or nothing."""
+        for name in among or self.control_names:
+            answer = self.try_say("show controls", at=name, wait_s=2)
+            if not answer or not answer["confirmed"]:
+                continue
+            for row in answer["rows"]:
+                if row["role"] == "leader":
+                    return row["control"]
+        return ""
+
+    def in_force(self, at: str = "control1") -> list[dict[str, typing.Any]]:
+        """Return what is in force at each host, as reported."""
+        answer = self.try_say("in force by host", at=at)
+        return answer["rows"] if answer else []
+
+    def wait_ready(self, proxies: int, within_s: float = 30.0) -> None:
+        """Wait until some proxies report the newest configuration."""
+        wait_for(
+            f"{proxies} proxies with a configuration",
+            lambda: self._in_force_at(proxies),
+            within_s,
+        )
+
+    def _in_force_at(self, proxies: int) -> bool:
+        for name in self.control_names:
+            answer = self.try_say("in force", at=name, wait_s=2)
+            if answer and answer["confirmed"]:
+                rows = answer["rows"]
+                return sum(row["in_force_at"] for row in rows) >= proxies
+        return False
+
+    def behave(self, target: str, **behaviour: typing.Any) -> None:
+        """Tell a stand-in target how to behave from now on."""
+        http(
+            f"http://{self.members[target].address('http')}/-/behave",
+            method="PUT",
+            body=json.dumps(behaviour).encode(),
+        )
+
+    def stats(self, target: str) -> dict[str, typing.Any]:
+        """Return what a stand-in target counted."""
+        address = self.members[target].address("http")
+        return json.loads(http(f"http://{address}/-/stats").body)
+
+    def call(
+        self, host: str, path: str, **options: typing.Any
+    ) -> "HttpAnswer":
+        """Send a caller's request to a proxy."""
+        address = self.members[host].address("callers")
+        return http(f"http://{address}{path}", **options)
+
+    def log(self, name: str) -> str:
+        """Return a process's log."""
+        return (self.folder / f"{name}.log").read_text(errors="replace")
+
+
+@dataclasses.dataclass(slots=True)
+class HttpAnswer:
+    """An HTTP answer; status 0 if none came."""
+
+    status: int
+    body: bytes = b""
+    headers: dict[str, str] = dataclasses.field(default_factory=dict)
+
+
+def http(
+    url: str,
+    *,
+    method: str = "GET",
+    body: bytes | None = None,
+    headers: dict[str, str] | None = None,
+    timeout_s: float = 10.0,
+) -> HttpAnswer:
+    """Send one HTTP request and return its answer, whatever its status."""
+    request = urllib.request.Request(
+        url, data=body, method=method, headers=headers or {}
+    )
+    try:
+        with urllib.request.urlopen(request, timeout=timeout_s) as answer:
+            return HttpAnswer(
+                answer.status, answer.read(), dict(answer.headers)
+            )
+    except urllib.error.HTTPError as error:
+        return HttpAnswer(error.code, error.read(), dict(error.headers))
+    except OSError:
+        return HttpAnswer(0)
+
+
+def _python(module: str, function: str, *arguments: str) -> list[str]:
+    code = f"import {module} as main; main.{function}()"
+    return [sys.executable, "-c", code, *arguments]
--- /dev/null
+++ b/libs/fleet/src/trefoil_fleet/items.py
@@ -0,0 +1,164 @@
+"""The configuration as keyed items with revisions.
+
+A revision is the index of the log entry that made it. Each item carries the
+revision that last changed it, so a delta is the items changed after a base,
+and a delta from an older base is a superset that applies just as well.
+"""
+
+import collections.abc
+import typing
+
+from trefoil_model import hashing
+from trefoil_wire import frames
+from trefoil_wire import messages
+
+SERVICE = "service/"
+ROUTE = "route/"
+SHARES = "shares/"
+DRAIN = "drain/"
+KINDS: dict[str, type] = {
+    SERVICE: messages.Service,
+    ROUTE: messages.Route,
+    SHARES: messages.Shares,
+    DRAIN: messages.Drain,
+}
+MAX_TOMBSTONES = 512
+
+
+def kind_of(key: str) -> type:
+    """Return the struct that a key's value holds.
+
+    Raises:
+        KeyError: No kind of item has such a key.
+    """
+    return KINDS[key[: key.index("/") + 1]]
+
+
+def digest_of(item: messages.Item) -> int:
+    """Return an item's part of the digest; deleted items have none."""
+    if item.deleted:
+        return 0
+    prefix = f"{item.key}\0{item.revision}\0".encode()
+    return hashing.hash64(prefix + item.value)
+
+
+class Items:
+    """A whole configuration at one revision.
+
+    Args:
+        revision: Its revision; 0 is the empty configuration.
+    """
+
+    __slots__ = ("revision", "by_key", "digest", "oldest_base", "decoded")
+
+    def __init__(self, revision: int = 0) -> None:
+        self.revision = revision
+        self.by_key: dict[str, messages.Item] = {}
+        self.digest = 0
+        self.oldest_base = 0
+        self.decoded: dict[str, typing.Any] = {}
+
+    @classmethod
+    def from_list(
+        cls, revision: int, items: collections.abc.Iterable[messages.Item]
+    ) -> typing.Self:
+        """Build a configuration from all of its items."""
+        made = cls(revision)
+        for item in items:
+            made._put(item)
+        return made
+
+    def copy(self) -> "Items":
+        """Return a copy that can be changed apart."""
+        made = Items(self.revision)
+        made.by_key = dict(self.by_key)
+        made.digest = self.digest
+        made.oldest_base = self.oldest_base
+        made.decoded = dict(self.decoded)
+        return made
+
+    def set(self, revision: int, key: str, record: typing.Any) -> None:
+        """Put a record under a key at a new revision."""
+        self._put(messages.Item(key, frames.pack(record), revision, False))
+        self.revision = revision
+
+    def delete(self, revision: int, key: str) -> None:
+        """Delete a key at a new revision, leaving a tombstone."""
+        self._put(messages.Item(key, b"", revision, True))
+        self.revision = revision
+        self._drop_tombstones()
+
+    def get(self, key: str) -> typing.Any:
+        """Return the record under a key, or None."""
+        item = self.by_key.get(key)
+        if item is None or item.deleted:
+            return None
+        record = self.decoded.get(key)
+        if record is None:
+            record = frames.unpack(kind_of(key), item.value)
+            self.decoded[key] = record
+        return record
+
+    def all(self, prefix: str) -> list[typing.Any]:
+        """Return the records of one kind in order of their keys."""
+        keys = sorted(
+            key
+            for key, item in self.by_key.items()
+            if key.startswith(prefix) and not item.deleted
+        )
+        return [self.get(key) for key in keys]
+
+    def delta_since(self, base: int) -> messages.ConfigDelta:
+        """Return what changed after a base; everything if it is too old."""
+        if base < self.oldest_base or base > self.revision:
+            base = 0
+        changed = [
+            item
+            for item in self.by_key.values()
+            if item.revision > base and not (base == 0 and item.deleted)
+        ]
+        return messages.ConfigDelta(
+            base=base,
+            revision=self.revision,
+            items=changed,
+            digest=self.digest,
+        )
+
+    def with_delta(self, delta: messages.ConfigDelta) -> "Items | None":
+        """Return the configuration after a delta, checked by its digest.
+
+        Returns:
+            None if the delta does not fit: its base is ahead of this one or
+            the digest differs. The holder then asks for the whole.
+        """
+        if delta.base == 0:
+            made = Items()
+            made.oldest_base = delta.revision
+        elif delta.base <= self.revision:
+            made = self.copy()
+        else:
+            return None
+        for item in delta.items:
+            made._put(item)
+        made.revision = delta.revision
+        made._drop_tombstones()
+        return made if made.digest == delta.digest else None
+
+    def _put(self, item: messages.Item) -> None:
+        old = self.by_key.get(item.key)
+        if old is not None:
+            if old.revision > item.revision:
+                return
+            self.digest ^= digest_of(old)
+        self.by_key[item.key] = item
+        self.decoded.pop(item.key, None)
+        self.digest ^= digest_of(item)
+
+    def _drop_tombstones(self) -> None:
+        dead = [item for item in self.by_key.values() if item.deleted]
+        if len(dead) <= MAX_TOMBSTONES:
+            return
+        dead.sort(key=lambda item: item.revision)
+        for item in dead[: len(dead) - MAX_TOMBSTONES]:
+            del self.by_key[item.key]
+            self.oldest_base = max(self.oldest_base, item.revision)
--- /dev/null
+++ b/libs/fleet/src/trefoil_fleet/membership.py
@@ -0,0 +1,180 @@
+"""Who is in the fleet: this host's record, suspicion and refutation."""
+
+import random
+import typing
+
+from trefoil_model import effects as common
+from trefoil_wire import messages
+
+from . import effects
+from . import records as record_store
+
+PROBE_MS = 1000
+RECENT_PROBES = 8
+RECORDS_PER_FRAME = 64
+
+State = messages.HostState
+
+
+class Membership:
+    """This process's view of the hosts.
+
+    Args:
+        record: This host's own record; control processes have none that
+            others need, and pass one without targets.
+        control: Whether this is a control process.
+        prober: Whether this process probes hosts that nobody may watch.
+        rng: Draws whom to probe.
+    """
+
+    __slots__ = (
+        "record",
+        "control",
+        "prober",
+        "rng",
+        "records",
+        "probe_at_ms",
+        "probe_results",
+        "out",
+        "flood",
+    )
+
+    def __init__(
+        self,
+        record: messages.HostRecord,
+        *,
+        control: bool,
+        prober: bool,
+        rng: random.Random,
+    ) -> None:
+        self.record = record
+        self.control = control
+        self.prober = prober
+        self.rng = rng
+        self.records = record_store.Records()
+        self.probe_at_ms = 0
+        self.probe_results: list[bool] = []
+        self.out: list[typing.Any] = []
+        self.flood: list[messages.HostRecord] = []
+
+    def start(self, now_ms: int) -> None:
+        """Enter the own record."""
+        if not self.control:
+            self._publish_own(now_ms)
+
+    def set_targets(
+        self, targets: list[messages.TargetRecord], now_ms: int
+    ) -> None:
+        """Publish the targets of this host."""
+        if targets != self.record.targets:
+            self._bump(now_ms, targets=targets)
+
+    def leave(self, now_ms: int) -> None:
+        """Say that this host leaves."""
+        self._bump(now_ms, targets=[], state=State.LEFT)
+
+    def on_delta(
+        self, delta: messages.RecordsDelta, now_ms: int
+    ) -> list[messages.HostRecord]:
+        """Take records; return those that are news here."""
+        news = []
+        for record in delta.records:
+            if record.host == self.record.host and not self.control:
+                self._refute(record, now_ms)
+            elif self.records.put(record, now_ms):
+                news.append(record)
+        if news:
+            hosts = [record.host for record in news]
+            self.out.append(effects.RecordsChanged(hosts))
+        return news
+
+    def suspect(self, host: str, now_ms: int) -> None:
+        """Suspect a host whose link broke."""
+        if not self._healthy():
+            return
+        marked = self.records.mark(host, State.SUSPECT, now_ms)
+        if marked is not None:
+            self.flood.append(marked)
+            self.out.append(effects.RecordsChanged([host]))
+            self.out.append(common.Note("member.suspect", {"peer": host}))
+
+    def probed(self, host: str, answered: bool, now_ms: int) -> None:
+        """Take a probe's outcome."""
+        self.probe_results = (self.probe_results + [answered])[-RECENT_PROBES:]
+        if not answered:
+            self.suspect(host, now_ms)
+
+    def _healthy(self) -> bool:
+        """Tell whether this process may blame others.
+
+        One that reaches almost nobody is itself cut off. Without this a
+        control host on the far side of a cut would declare the fleet dead
+        and flood that when the cut heals.
+        """
+        answered = sum(self.probe_results)
+        return 2 * answered >= len(self.probe_results)
+
+    def tick(self, linked: set[str], now_ms: int) -> None:
+        """Expire suspects, probe one host that is not linked here."""
+        changed = self.records.expire(now_ms)
+        if changed:
+            self.out.append(effects.RecordsChanged(changed))
+            for host in changed:
+                self.out.append(common.Note("member.dead", {"peer": host}))
+        if self.prober and now_ms >= self.probe_at_ms:
+            self.probe_at_ms = now_ms + PROBE_MS
+            self._probe(linked)
+
+    def _probe(self, linked: set[str]) -> None:
+        """Probe a host at random.
+
+        A seed and the proxies it watches can die together, with a rack; no
+        link is then left to notice, and their records would stay for ever.
+        """
+        candidates = [
+            record
+            for record in self.records.present()
+            if record.host not in linked
+            and record.host != self.record.host
+            and record.state == State.ALIVE
+            and (self.control or record.domain == self.record.domain)
+        ]
+        if candidates:
+            chosen = self.rng.choice(candidates)
+            self.out.append(effects.Probe(chosen.host, chosen.address))
+
+    def _refute(self, seen: messages.HostRecord, now_ms: int) -> None:
+        """Answer a record of this host that is not the own one."""
+        own = self.record
+        if record_store.version_of(seen) <= record_store.version_of(own):
+            return
+        if seen.incarnation > own.incarnation:
+            own.incarnation = seen.incarnation + 1
+        own.sequence = max(own.sequence, seen.sequence)
+        self._bump(now_ms)
+        self.out.append(common.Note("member.refuted", {"seen": seen.state}))
+
+    def _bump(
+        self,
+        now_ms: int,
+        *,
+        targets: list[messages.TargetRecord] | None = None,
+        state: int | None = None,
+    ) -> None:
+        old = self.record
+        self.record = messages.HostRecord(
+            host=old.host,
+            domain=old.domain,
+            region=old.region,
+            address=old.address,
+            incarnation=old.incarnation,
+            sequence=old.sequence + 1,
+            state=old.state if state is None else state,
+            targets=old.targets if targets is None else targets,
+        )
+        self._publish_own(now_ms)
+
+    def _publish_own(self, now_ms: int) -> None:
+        self.records.put(self.record, now_ms)
+        self.flood.append(self.record)
+        self.out.append(effects.RecordsChanged([self.record.host]))
--- /dev/null
+++ b/libs/fleet/src/trefoil_fleet/node.py
@@ -0,0 +1,537 @@
+"""The fleet core of one process: links, heartbeats and what they carry."""
+
+import dataclasses
+import functools
+import random
+import typing
+
+from trefoil_model import effects as common
+from trefoil_wire import messages
+
+from . import distribution as distributions
+from . import effects
+from . import floor as floors
+from . import items as item_store
+from . import membership as memberships
+from . import overlay as overlays
+from . import records as record_store
+from . import reports as report_store
+
+HEARTBEAT_MS = 1000
+SILENT_MS = 3500
+REPORT_FLUSH_MS = 100
+SUMMARY_PAUSE_MS = 5000
+QUIET_MS = 1500
+FLOOR_RELAYS = 256
+JOINS_PER_S = 50
+JOIN_BURST = 50
+
+
+@dataclasses.dataclass(slots=True)
+class Link:
+    """A subscribed link to a peer.
+
+    Args:
+        host: The peer's name.
+        control: Whether the peer is a control process.
+        served: Whether the peer dialled this process as its uplink.
+        heard_ms: When the peer last said anything.
+    """
+
+    host: str
+    control: bool
+    served: bool
+    heard_ms: int
+    summary_ms: int = 0
+    mismatches: int = 0
+
+
+class Node:
+    """The fleet core.
+
+    Args:
+        record: This host's record.
+        control: Whether this is a control process.
+        seeds: Address of each seed of the failure domain by name.
+        controls: Address of each control process by name.
+        now_ms: The time on the runtime's clock.
+        rng: Draws jitter and probes.
+        joins_per_s: How many joining peers this process serves a second.
+    """
+
+    __slots__ = (
+        "me",
+        "control",
+        "overlay",
+        "members",
+        "config",
+        "reports",
+        "links",
+        "started_ms",
+        "now_ms",
+        "heartbeat_at_ms",
+        "report_at_ms",
+        "refresh_at_ms",
+        "floor_relays",
+        "floor_nonce",
+        "join_tokens",
+        "join_ms",
+        "joins_per_s",
+        "rng",
+        "out",
+    )
+
+    def __init__(
+        self,
+        record: messages.HostRecord,
+        *,
+        control: bool,
+        seeds: dict[str, str],
+        controls: dict[str, str],
+        now_ms: int,
+        rng: random.Random,
+        joins_per_s: int = JOINS_PER_S,
+    ) -> None:
+        self.me = record.host
+        self.control = control
+        self.overlay = overlays.Overlay(
+            self.me, control=control, seeds=seeds, controls=controls, rng=rng
+        )
+        self.members = memberships.Membership(
+            record,
+            control=control,
+            prober=control or self.me in seeds,
+            rng=rng,
+        )
+        self.config = distributions.Distribution(
+            floors.Floor(self.me, list(seeds), certain=control),
+            is_seed=self.me in seeds,
+            other_seeds=[name for name in sorted(seeds) if name != self.me],
+            control=control,
+        )
+        self.reports = report_store.Reports()
+        self.links: dict[str, Link] = {}
+        self.started_ms = now_ms
+        self.now_ms = now_ms
+        self.heartbeat_at_ms = now_ms
+        self.report_at_ms = now_ms
+        self.refresh_at_ms = now_ms
+        self.floor_relays: dict[int, messages.FloorQuery] = {}
+        self.floor_nonce = 0
+        self.join_tokens = float(JOIN_BURST)
+        self.join_ms = now_ms
+        self.joins_per_s = joins_per_s
+        self.rng = rng
+        self.out: list[typing.Any] = []
+        self.members.start(now_ms)
+
+    # Facts
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether a configuration is in force here."""
+        return self.config.in_force.revision > 0
+
+    def hello(self) -> messages.Hello:
+        """Return the greeting for a subscribed link."""
+        return messages.Hello(
+            host=self.me,
+            domain=self.members.record.domain,
+            address=self.members.record.address,
+            incarnation=self.members.record.incarnation,
+            control=self.control,
+            revision=self.config.held.revision,
+            subscribe=True,
+        )
+
+    # Links
+
+    def admit(self, hello: messages.Hello, now_ms: int) -> int:
+        """Decide on a peer that dialled in.
+
+        Returns:
+            0 to serve it, else how long it should wait, in milliseconds.
+        """
+        gained = (now_ms - self.join_ms) * self.joins_per_s / 1000
+        self.join_tokens = min(self.join_tokens + gained, float(JOIN_BURST))
+        self.join_ms = now_ms
+        peer_role = hello.control or hello.host in self.overlay.seeds
+        if self.join_tokens >= 1 or peer_role:
+            self.join_tokens -= 1
+            return 0
+        # Serving a whole herd at once would starve the heartbeats of those
+        # that are linked, and they would leave and join the herd.
+        wait_ms = 1000 + 1000 * abs(self.join_tokens) / self.joins_per_s
+        return int(wait_ms * self.rng.uniform(0.5, 1.5))
+
+    def linked(
+        self,
+        host: str,
+        *,
+        control: bool,
+        served: bool,
+        revision: int,
+        now_ms: int,
+    ) -> list[typing.Any]:
+        """Note a link that is up on both sides."""
+        self.now_ms = now_ms
+        self.links[host] = Link(host, control, served, now_ms)
+        self.overlay.linked(host, now_ms)
+        self.config.peer_held[host] = revision
+        if not served:
+            summary = self.members.records.summary(
+                now_ms, recent_only=False, reply_wanted=True
+            )
+            self._send(host, summary)
+        if control == self.control or host == self.overlay.uplink:
+            # What was reported while this link was away would else stay
+            # unknown on its far side until the next refresh.
+            self.reports.pass_again()
+        self._send(host, self._heartbeat([]))
+        return self._flush()
+
+    def unlinked(
+        self, host: str, now_ms: int, retry_after_ms: int = 0
+    ) -> list[typing.Any]:
+        """Note a link that broke, or a dial that failed or was refused."""
+        self.now_ms = now_ms
+        was_linked = self.links.pop(host, None) is not None
+        self.config.drop_peer(host)
+        self.overlay.failed(host, now_ms, retry_after_ms)
+        if was_linked and not self._is_control(host):
+            self.members.suspect(host, now_ms)
+        return self._flush()
+
+    def probed(
+        self, host: str, answered: bool, now_ms: int
+    ) -> list[typing.Any]:
+        """Take a probe's outcome."""
+        self.now_ms = now_ms
+        self.members.probed(host, answered, now_ms)
+        return self._flush()
+
+    # Input
+
+    def receive(
+        self, peer: str, message: typing.Any, now_ms: int
+    ) -> list[typing.Any]:
+        """Take a message from a linked peer."""
+        self.now_ms = now_ms
+        link = self.links.get(peer)
+        if link is not None:
+            link.heard_ms = now_ms
+        handle(message, self, peer)
+        return self._flush()
+
+    def publish(
+        self, items: item_store.Items, now_ms: int
+    ) -> list[typing.Any]:
+        """Distribute what the agreement made (control processes)."""
+        self.now_ms = now_ms
+        self.config.publish(items, now_ms)
+        return self._flush()
+
+    def set_targets(
+        self, targets: list[messages.TargetRecord], now_ms: int
+    ) -> list[typing.Any]:
+        """Publish this host's targets."""
+        self.now_ms = now_ms
+        self.members.set_targets(targets, now_ms)
+        return self._flush()
+
+    def leave(self, now_ms: int) -> list[typing.Any]:
+        """Say that this host leaves the fleet."""
+        self.now_ms = now_ms
+        self.members.leave(now_ms)
+        return self._flush()
+
+    def floor_known(
+        self, nonce: int, revision: int, now_ms: int
+    ) -> list[typing.Any]:
+        """Pass on the agreement's word for an ``AskFloor``."""
+        self.now_ms = now_ms
+        self._relay_floor(nonce, revision)
+        return self._flush()
+
+    def tick(self, now_ms: int) -> list[typing.Any]:
+        """Let time pass."""
+        self.now_ms = now_ms
+        self._dial()
+        self._drop_silent()
+        self.members.tick(set(self.links), now_ms)
+        uplink = self.overlay.uplink
+        self.config.tick(list(self.links), uplink, now_ms)
+        self._beat()
+        return self._flush()
+
+    # Output
+
+    def _send(self, peer: str, message: typing.Any) -> None:
+        self.out.append(common.Send(peer, message))
+
+    def _flush(self) -> list[typing.Any]:
+        self.out.extend(self.members.out)
+        self.members.out = []
+        flood, self.members.flood = self.members.flood, []
+        if flood:
+            self._spread_records(flood, "")
+        before = len(self.config.out)
+        self.out.extend(self.config.out)
+        self.config.out = []
+        if before:
+            self._after_config()
+        out = self.out
+        self.out = []
+        return out
+
+    def _after_config(self) -> None:
+        changed = any(
+            isinstance(effect, effects.PutInForce) for effect in self.out
+        )
+        if changed:
+            served = [link.host for link in self.links.values() if link.served]
+            self.config.push(served)
+            self.out.extend(self.config.out)
+            self.config.out = []
+        self._report_own()
+
+    def _report_own(self) -> None:
+        if self.control:
+            return
+        report = messages.Report(
+            host=self.me,
+            incarnation=self.members.record.incarnation,
+            revision=self.config.in_force.revision,
+            rejected=self.config.rejected,
+            age_ms=0,
+            domain=self.members.record.domain,
+        )
+        self.reports.hear(report, self.now_ms)
+
+    def _spread_records(
+        self, records: list[messages.HostRecord], source: str
+    ) -> None:
+        size = memberships.RECORDS_PER_FRAME
+        for start in range(0, len(records), size):
+            delta = messages.RecordsDelta(records[start : start + size])
+            for peer in self.links:
+                if peer != source:
+                    self._send(peer, delta)
+
+    def _is_control(self, host: str) -> bool:
+        return host in self.overlay.controls
+
+    # Time
+
+    def _dial(self) -> None:
+        spare = (
+            not self.config.floor.proved
+            and self.now_ms >= self.started_ms + overlays.SPARE_LINK_MS
+        )
+        left = self.overlay.go_home(self.now_ms)
+        if left and left in self.links:
+            self.out.append(effects.HangUp(left))
+        for host in self.overlay.wanted(spare=spare):
+            if host in self.links:
+                continue
+            if self.overlay.may_dial(host, self.now_ms):
+                address = self.overlay.address(host)
+                self.out.append(effects.Dial(host, address))
+
+    def _drop_silent(self) -> None:
+        for link in list(self.links.values()):
+            if self.now_ms - link.heard_ms >= SILENT_MS:
+                # A connection can go silent for good while new ones work;
+                # waiting for its error would leave this proxy on an old
+                # configuration for as long as the kernel retries.
+                self.out.append(
+                    common.Note("link.silent", {"peer": link.host})
+                )
+                self.out.append(effects.HangUp(link.host))
+                link.heard_ms = self.now_ms
+
+    def _beat(self) -> None:
+        if self.now_ms >= self.refresh_at_ms:
+            pause = report_store.REFRESH_MS * self.rng.uniform(0.8, 1.2)
+            self.refresh_at_ms = self.now_ms + int(pause)
+            self._report_own()
+        if self.now_ms >= self.report_at_ms and self.reports.pending:
+            self.report_at_ms = self.now_ms + REPORT_FLUSH_MS
+            self._pass_reports()
+        if self.now_ms >= self.heartbeat_at_ms:
+            self.heartbeat_at_ms = self.now_ms + HEARTBEAT_MS
+            for peer in self.links:
+                self._send(peer, self._heartbeat([]))
+
+    def _heartbeat(self, reports: list[messages.Report]) -> messages.Heartbeat:
+        return messages.Heartbeat(
+            revision=self.config.held.revision,
+            config_digest=self.config.held.digest,
+            records_digest=self.members.records.digest,
+            reports=reports or None,
+        )
+
+    def _pass_reports(self) -> None:
+        """Send new reports towards the control hosts, or among them."""
+        if self.control:
+            peers = [link.host for link in self.links.values() if link.control]
+        else:
+            uplink = self.overlay.uplink
+            peers = [uplink] if uplink in self.links else []
+        if not peers:
+            return
+        due = self.reports.take_pending(self.now_ms)
+        for peer in peers:
+            self._send(peer, self._heartbeat(due))
+
+    # Messages
+
+    def on_heartbeat(self, peer: str, beat: messages.Heartbeat) -> None:
+        """Compare digests, take reports."""
+        self.config.on_peer_revision(
+            peer, beat.revision, beat.config_digest, self.now_ms
+        )
+        link = self.links.get(peer)
+        from_control = self.control and link is not None and link.control
+        for report in beat.reports or ():
+            news = self.reports.hear(report, self.now_ms)
+            if news and from_control:
+                # Control hosts are linked all to all: passing on what one
+                # of them sent would go round for ever.
+                self.reports.pending.pop(report.host, None)
+        if link is not None:
+            self._compare_records(link, beat.records_digest)
+
+    def _compare_records(self, link: Link, digest: int) -> None:
+        """Repair records that differ though nothing moves."""
+        records = self.members.records
+        quiet = self.now_ms - records.last_change_ms >= QUIET_MS
+        if digest == records.digest or not quiet:
+            link.mismatches = 0
+            return
+        link.mismatches += 1
+        due = self.now_ms >= link.summary_ms + SUMMARY_PAUSE_MS
+        if link.mismatches < 2 or not due:
+            return
+        link.summary_ms = self.now_ms
+        summary = records.summary(
+            self.now_ms,
+            recent_only=link.mismatches < 8,
+            reply_wanted=True,
+        )
+        self._send(link.host, summary)
+
+    def on_summary(self, peer: str, summary: messages.RecordsSummary) -> None:
+        """Send what the peer lacks; ask for what is newer there."""
+        records = self.members.records
+        newer = records.newer_than(
+            summary.versions,
+            self.now_ms,
+            recent_only=not summary.whole,
+        )
+        size = memberships.RECORDS_PER_FRAME
+        for start in range(0, len(newer), size):
+            delta = messages.RecordsDelta(newer[start : start + size])
+            self._send(peer, delta)
+        if summary.reply_wanted and self._lacks(summary):
+            back = records.summary(
+                self.now_ms, recent_only=False, reply_wanted=False
+            )
+            self._send(peer, back)
+
+    def _lacks(self, summary: messages.RecordsSummary) -> bool:
+        none = (-1, -1, -1)
+        for theirs in summary.versions:
+            own = self.members.records.get(theirs.host)
+            mine = record_store.version_of(own) if own else none
+            if (theirs.incarnation, theirs.sequence, theirs.state) > mine:
+                return True
+        return False
+
+    def on_floor_query(self, peer: str, query: messages.FloorQuery) -> None:
+        """Answer with the leader's word, or the own one."""
+        if self.control or self._control_link():
+            self.floor_nonce += 1
+            self.floor_relays[self.floor_nonce] = messages.FloorQuery(
+                nonce=query.nonce, host=peer
+            )
+            self.floor_relays.pop(self.floor_nonce - FLOOR_RELAYS, None)
+            if self.control:
+                self.out.append(effects.AskFloor(self.floor_nonce, self.me))
+            else:
+                onward = messages.FloorQuery(self.floor_nonce, self.me)
+                self._send(self._control_link(), onward)
+        word = self.config.own_word()
+        if word >= 0:
+            self._send(
+                peer,
+                messages.FloorReply(query.nonce, word, False, self.me),
+            )
+
+    def _control_link(self) -> str:
+        for link in self.links.values():
+            if link.control:
+                return link.host
+        return ""
+
+    def on_floor_reply(self, reply: messages.FloorReply) -> None:
+        """Take a word for this process, or pass it on."""
+        if reply.nonce == 0:
+            self.config.on_floor_reply(reply, self.now_ms)
+        elif reply.certain:
+            self._relay_floor(reply.nonce, reply.revision)
+
+    def _relay_floor(self, nonce: int, revision: int) -> None:
+        asked = self.floor_relays.pop(nonce, None)
+        if asked is not None:
+            self._send(
+                asked.host,
+                messages.FloorReply(asked.nonce, revision, True, self.me),
+            )
+
+
+@functools.singledispatch
+def handle(message: typing.Any, node: Node, peer: str) -> None:
+    """Take a message between fleet cores; others are ignored."""
+
+
+@handle.register
+def _(message: messages.Heartbeat, node: Node, peer: str) -> None:
+    node.on_heartbeat(peer, message)
+
+
+@handle.register
+def _(message: messages.ConfigDelta, node: Node, peer: str) -> None:
+    node.config.on_delta(peer, message, node.now_ms)
+
+
+@handle.register
+def _(message: messages.ConfigPull, node: Node, peer: str) -> None:
+    node.config.on_pull(peer, message)
+
+
+@handle.register
+def _(message: messages.HeldNotice, node: Node, peer: str) -> None:
+    node.config.on_peer_revision(peer, message.revision, 0, node.now_ms)
+
+
+@handle.register
+def _(message: messages.RecordsDelta, node: Node, peer: str) -> None:
+    news = node.members.on_delta(message, node.now_ms)
+    if news:
+        node._spread_records(news, peer)
+
+
+@handle.register
+def _(message: messages.RecordsSummary, node: Node, peer: str) -> None:
+    node.on_summary(peer, message)
+
+
+@handle.register
+def _(message: messages.FloorQuery, node: Node, peer: str) -> None:
+    node.on_floor_query(peer, message)
+
+
+@handle.register
+def _(message: messages.FloorReply, node: Node, peer: str) -> None:
+    node.on_floor_reply(message)
--- /dev/null
+++ b/libs/fleet/src/trefoil_fleet/records.py
@@ -0,0 +1,155 @@
+"""Hosts' records: one writer each, ordered by incarnation and sequence."""
+
+import collections.abc
+
+from trefoil_model import hashing
+from trefoil_wire import messages
+
+SUSPECT_MS = 3000
+FORGET_MS = 60_000
+RECENT_MS = 30_000
+
+State = messages.HostState
+GONE = (State.LEFT, State.DEAD)
+
+
+def version_of(record: messages.HostRecord) -> tuple[int, int, int]:
+    """Return what orders two records of a host; the greater one wins.
+
+    At equal incarnation and sequence the worse state wins, so a suspicion
+    takes hold until the host itself refutes it with a higher sequence.
+    """
+    return record.incarnation, record.sequence, record.state
+
+
+def hash_of(record: messages.HostRecord) -> int:
+    """Return a record's part of the digest; hosts that are gone have none.
+
+    Suspicion is left out: it lasts seconds and settles by itself.
+    """
+    if record.state in GONE:
+        return 0
+    text = f"{record.host}\0{record.incarnation}\0{record.sequence}"
+    return hashing.hash64(text.encode())
+
+
+class Records:
+    """The records of all hosts that this process knows."""
+
+    __slots__ = ("by_host", "digest", "changed_ms", "last_change_ms")
+
+    def __init__(self) -> None:
+        self.by_host: dict[str, messages.HostRecord] = {}
+        self.changed_ms: dict[str, int] = {}
+        self.digest = 0
+        self.last_change_ms = 0
+
+    def put(self, record: messages.HostRecord, now_ms: int) -> bool:
+        """Take a record if it is newer; return whether it was."""
+        old = self.by_host.get(record.host)
+        if old is not None:
+            if version_of(old) >= version_of(record):
+                return False
+            self.digest ^= hash_of(old)
+        self.by_host[record.host] = record
+        self.digest ^= hash_of(record)
+        self.changed_ms[record.host] = now_ms
+        self.last_change_ms = now_ms
+        return True
+
+    def get(self, host: str) -> messages.HostRecord | None:
+        """Return a host's record."""
+        return self.by_host.get(host)
+
+    def present(self) -> list[messages.HostRecord]:
+        """Return the records of hosts that are not gone."""
+        return [r for r in self.by_host.values() if r.state not in GONE]
+
+    def mark(
+        self, host: str, state: int, now_ms: int
+    ) -> messages.HostRecord | None:
+        """Return a worse copy of a host's record, None if none is due."""
+        old = self.by_host.get(host)
+        if old is None or old.state >= state:
+            return None
+        marked = messages.HostRecord(
+            host=old.host,
+            domain=old.domain,
+            region=old.region,
+            address=old.address,
+            incarnation=old.incarnation,
+            sequence=old.sequence,
+            state=state,
+            targets=old.targets,
+        )
+        self.put(marked, now_ms)
+        return marked
+
+    def expire(self, now_ms: int) -> list[str]:
+        """Declare silent suspects dead, forget the long gone.
+
+        Returns:
+            The hosts whose state changed.
+        """
+        changed = []
+        for host, record in list(self.by_host.items()):
+            age_ms = now_ms - self.changed_ms[host]
+            if record.state == State.SUSPECT and age_ms >= SUSPECT_MS:
+                self.mark(host, State.DEAD, now_ms)
+                changed.append(host)
+            elif record.state in GONE and age_ms >= FORGET_MS:
+                del self.by_host[host]
+                del self.changed_ms[host]
+        return changed
+
+    def summary(
+        self, now_ms: int, *, recent_only: bool, reply_wanted: bool
+    ) -> messages.RecordsSummary:
+        """Return the versions held, all of them or the recent ones."""
+        return messages.RecordsSummary(
+            versions=[
+                messages.RecordVersion(
+                    r.host, r.incarnation, r.sequence, r.state
+                )
+                for r in self._wanted(now_ms, recent_only)
+            ],
+            reply_wanted=reply_wanted,
+            whole=not recent_only,
+        )
+
+    def newer_than(
+        self,
+        versions: collections.abc.Iterable[messages.RecordVersion],
+        now_ms: int,
+        *,
+        recent_only: bool,
+    ) -> list[messages.HostRecord]:
+        """Return the records that a summary lacks or has older."""
+        theirs = {
+            v.host: (v.incarnation, v.sequence, v.state) for v in versions
+        }
+        none = (-1, -1, -1)
+        found = [
+            self.by_host[host]
+            for host, version in theirs.items()
+            if host in self.by_host
+            and version_of(self.by_host[host]) > version
+        ]
+        found.extend(
+            record
+            for record in self._wanted(now_ms, recent_only)
+            if theirs.get(record.host, none) == none
+        )
+        return found
+
+    def _wanted(
+        self, now_ms: int, recent_only: bool
+    ) -> list[messages.HostRecord]:
+        if not recent_only:
+            return list(self.by_host.values())
+        since = now_ms - RECENT_MS
+        return [
+            record
+            for host, record in self.by_host.items()
+            if self.changed_ms[host] >= since
+        ]
--- /dev/null
+++ b/libs/language/src/trefoil_language/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' language: one line a command."""
--- /dev/null
+++ b/libs/language/src/trefoil_language/parser.py
@@ -0,0 +1,201 @@
+"""Parsing a line of the operators' language."""
+
+import functools
+import pathlib
+import typing
+
+import expression
+import lark
+
+from . import statements
+
+GRAMMAR = pathlib.Path(__file__).with_name("language.lark")
+DURATION_MS = {"ms": 1, "s": 1000, "m": 60_000, "h": 3_600_000}
+MAX_LINE = 1000
+WORDS = {
+    "NAME": "a name",
+    "NUMBER": "a number",
+    "DURATION": "a time such as 30s",
+    "INSTANT": "a date and time such as 2026-12-03T10:00:00Z",
+    "PERCENT": "a share such as 5%",
+    "FILE": "a file",
+    "$END": "the end of the line",
+}
+
+
+class LanguageError(Exception):
+    """A line that the language does not have.
+
+    Args:
+        line: The line.
+        column: Where it goes wrong, counted from 1.
+        expected: What could stand there.
+    """
+
+    def __init__(self, line: str, column: int, expected: list[str]) -> None:
+        super().__init__(line)
+        self.line = line
+        self.column = column
+        self.expected = expected
+
+    def __str__(self) -> str:
+        marker = " " * (self.column - 1) + "^"
+        wanted = ", ".join(self.expected)
+        return f"{self.line}\n{marker}\nexpected {wanted}"
+
+
+@functools.cache
+def grammar() -> lark.Lark:
+    """Return the parser, made once."""
+    return lark.Lark(
+        GRAMMAR.read_text(encoding="utf-8"),
+        parser="lalr",
+        propagate_positions=True,
+        maybe_placeholders=False,
+    )
+
+
+def parse(line: str) -> expression.Result[typing.Any, LanguageError]:
+    """Return what a line says, or where it goes wrong."""
+    if len(line) > MAX_LINE or "\n" in line:
+        error = LanguageError(line[:MAX_LINE], 1, ["one short line"])
+        return expression.Error(error)
+    try:
+        tree = grammar().parse(line)
+        return expression.Ok(Builder().transform(tree))
+    except lark.exceptions.UnexpectedInput as error:
+        return expression.Error(_explain(line, error))
+
+
+def _explain(
+    line: str, error: lark.exceptions.UnexpectedInput
+) -> LanguageError:
+    column = getattr(error, "column", -1)
+    token = getattr(error, "token", None)
+    at_end = token is not None and token.type == "$END"
+    if at_end or column is None or column < 1:
+        column = len(line) + 1
+    names = getattr(error, "accepts", None) or getattr(error, "expected", None)
+    names = names or getattr(error, "allowed", None) or ()
+    expected = sorted({_word(name) for name in names})
+    return LanguageError(line, column, expected)
+
+
+def _word(name: str) -> str:
+    return WORDS.get(name, name.strip("_").lower())
+
+
+def duration_ms(text: str) -> int:
+    """Return a time such as ``1.5s`` in milliseconds."""
+    number = text.rstrip("hms")
+    return int(float(number) * DURATION_MS[text[len(number) :]])
+
+
+class Builder(lark.Transformer):
+    """Builds statements from a parsed line."""
+
+    def name(self, parts: list[str]) -> str:
+        """Return a name."""
+        return str(parts[0])
+
+    def file(self, parts: list[str]) -> str:
+        """Return a file."""
+        return str(parts[0])
+
+    def by(self, parts: list[str]) -> tuple[str, str]:
+        """Return a grouping."""
+        return ("by", str(parts[0]))
+
+    def at(self, parts: list[str]) -> tuple[str, str]:
+        """Return a filter."""
+        return (str(parts[0]), parts[1])
+
+    def in_force(self, parts: list[tuple[str, str]]) -> typing.Any:
+        """Build ``InForce``."""
+        given = dict(parts)
+        default = "host" if "host" in given or "domain" in given else "domain"
+        return statements.InForce(
+            by=given.get("by", default),
+            host=given.get("host", ""),
+            domain=given.get("domain", ""),
+        )
+
+    def show_moves(self, parts: list[str]) -> typing.Any:
+        """Build ``ShowMoves``."""
+        return statements.ShowMoves(*parts)
+
+    def move_done(self, parts: list[str]) -> typing.Any:
+        """Build ``MoveDone``."""
+        return statements.MoveDone(*parts)
+
+    def explain(self, parts: list[str]) -> typing.Any:
+        """Build ``Explain``."""
+        return statements.Explain(*parts)
+
+    def show_targets(self, parts: list[str]) -> typing.Any:
+        """Build ``ShowTargets``."""
+        return statements.ShowTargets(*parts)
+
+    def show_routes(self, parts: list[str]) -> typing.Any:
+        """Build ``ShowRoutes``."""
+        return statements.ShowRoutes()
+
+    def show_services(self, parts: list[str]) -> typing.Any:
+        """Build ``ShowServices``."""
+        return statements.ShowServices()
+
+    def show_controls(self, parts: list[str]) -> typing.Any:
+        """Build ``ShowControls``."""
+        return statements.ShowControls()
+
+    def show_latency(self, parts: list[str]) -> typing.Any:
+        """Build ``ShowLatency``."""
+        return statements.ShowLatency()
+
+    def show_bytes(self, parts: list[str]) -> typing.Any:
+        """Build ``ShowBytes``."""
+        return statements.ShowBytes()
+
+    def apply(self, parts: list[str]) -> typing.Any:
+        """Build ``Apply``."""
+        expected = int(parts[1]) if len(parts) > 1 else 0
+        return statements.Apply(parts[0], expected)
+
+    def deadline(self, parts: list[lark.Token]) -> dict[str, typing.Any]:
+        """Return a deadline's arguments."""
+        token = parts[0]
+        if token.type == "INSTANT":
+            return {"deadline": str(token)}
+        return {"deadline_in_ms": duration_ms(str(token))}
+
+    def risk(self, parts: list[str]) -> dict[str, typing.Any]:
+        """Return a risk's argument."""
+        share = float(parts[0].rstrip("%"))
+        return {"risk_permille": max(1, min(int(share * 10), 1000))}
+
+    def watch(self, parts: list[str]) -> dict[str, typing.Any]:
+        """Return a watch's argument."""
+        return {"watch_ms": duration_ms(str(parts[0]))}
+
+    def move(self, parts: list[typing.Any]) -> typing.Any:
+        """Build ``Move``."""
+        options: dict[str, typing.Any] = {}
+        for part in parts[3:]:
+            options.update(part)
+        return statements.Move(*parts[:3], **options)
+
+    def reverse(self, parts: list[str]) -> typing.Any:
+        """Build ``Reverse``."""
+        return statements.Reverse(*parts)
+
+    def drain(self, parts: list[str]) -> typing.Any:
+        """Build ``Drain``."""
+        return statements.Drain(parts[0], True)
+
+    def undrain(self, parts: list[str]) -> typing.Any:
+        """Build ``Drain`` with the drain ended."""
+        return statements.Drain(parts[0], False)
+
+    def cancel(self, parts: list[str]) -> typing.Any:
+        """Build ``Cancel``."""
+        return statements.Cancel(*parts)
--- /dev/null
+++ b/libs/model/src/trefoil_model/__init__.py
@@ -0,0 +1,1 @@
+"""Words shared by every trefoilroute library: clock, effects, findings."""
--- /dev/null
+++ b/libs/moves/src/trefoil_moves/__init__.py
@@ -0,0 +1,1 @@
+"""Moves of a service's traffic from one version to another."""
--- /dev/null
+++ b/libs/moves/src/trefoil_moves/conductor.py
@@ -0,0 +1,301 @@
+"""The conductor: the leader's decisions on one move, step by step.
+
+Whatever it decides becomes an entry of the agreed log, so that a new leader
+goes on from the same step. What it only counts (evidence) a new leader
+gathers anew from the proxies' cumulative reports.
+"""
+
+import dataclasses
+
+from trefoil_wire import messages
+
+from . import evidence as evidences
+from . import judge as judges
+from . import knobs as knob_store
+from . import phases
+
+WINDOW_MS = 1000
+EXPECTED_WINDOWS = 600
+COMPARE_WINDOWS = 40
+COMPARE_SHARE = 250
+FAINT_SHARE = 0.02
+WHOLE = 1000
+RAMP_RESERVE = 0.25
+SLOTS_MARGIN = 0.9
+
+
+@dataclasses.dataclass(slots=True)
+class Capacity:
+    """Slots that are ready, by version, and whether resources are there."""
+
+    old_slots: int
+    new_slots: int
+    new_targets: int
+    missing: list[str]
+
+
+@dataclasses.dataclass(slots=True)
+class Step:
+    """Give the new version a share."""
+
+    permille: int
+    phase: str
+    reason: str
+
+
+@dataclasses.dataclass(slots=True)
+class End:
+    """Give the move its outcome."""
+
+    outcome: int
+    reason: str
+
+
+Decision = Step | End | None
+
+
+class Conductor:
+    """Leads one move while this process leads the agreement.
+
+    Args:
+        move: The move as agreed.
+        knobs: How careful to be.
+        now_ms: The time on the runtime's clock.
+    """
+
+    __slots__ = (
+        "move_id",
+        "knobs",
+        "merger",
+        "judge",
+        "window_at_ms",
+        "step_started_ms",
+        "seen_at_step",
+        "verdict",
+        "phase",
+    )
+
+    def __init__(
+        self,
+        move: messages.MoveRecord,
+        knobs: knob_store.Knobs,
+        now_ms: int,
+    ) -> None:
+        self.move_id = move.move_id
+        self.knobs = knobs
+        self.merger = evidences.Merger()
+        self.judge = judges.Judge(
+            move.from_version,
+            move.to_version,
+            threshold=judges.threshold_for(
+                knobs.false_alarms, EXPECTED_WINDOWS
+            ),
+            tolerance=knobs.tolerance,
+            compare_threshold=judges.threshold_for(
+                knobs.false_alarms, COMPARE_WINDOWS
+            ),
+        )
+        self.window_at_ms = now_ms
+        self.step_started_ms = now_ms
+        self.seen_at_step: dict[str, int] = {}
+        self.verdict: judges.Verdict | None = None
+        self.phase = move.phase
+        if move.phase == phases.WATCH:
+            self.judge.begin_watch()
+
+    def hear(self, report: messages.EvidenceReport, now_ms: int) -> None:
+        """Take a proxy's report."""
+        self.merger.hear(report, now_ms)
+
+    def stepped(self, move: messages.MoveRecord, now_ms: int) -> None:
+        """Note that a step was agreed."""
+        self.step_started_ms = now_ms
+        self.seen_at_step = self.judge.seen()
+        if move.phase == self.phase:
+            return
+        self.phase = move.phase
+        if move.phase == phases.WATCH:
+            self.judge.begin_watch()
+        elif move.phase == phases.COMPARE:
+            self.judge.begin_compare()
+
+    def decide(
+        self,
+        move: messages.MoveRecord,
+        capacity: Capacity,
+        *,
+        now_ms: int,
+        wall_ms: int,
+    ) -> Decision:
+        """Return the next step of a move, if one is due.
+
+        Args:
+            move: The move as agreed.
+            capacity: What the fleet announces of both versions.
+            now_ms: The time on the runtime's clock.
+            wall_ms: The time that the deadline is measured by.
+        """
+        self._close_window(now_ms)
+        bad = self._fault()
+        if bad:
+            return End(messages.Outcome.TAKEN_BACK, bad)
+        match move.phase:
+            case phases.WAITING:
+                return self._decide_waiting(move, capacity, wall_ms)
+            case phases.WATCH:
+                return self._decide_watch(move, capacity, now_ms)
+            case phases.COMPARE:
+                return self._decide_compare(now_ms)
+        return self._decide_ramp(move, capacity, now_ms, wall_ms)
+
+    def _close_window(self, now_ms: int) -> None:
+        if now_ms < self.window_at_ms + WINDOW_MS:
+            return
+        self.window_at_ms = now_ms
+        verdict = self.judge.add(self.merger.take_window())
+        self.verdict = self.verdict or verdict
+
+    def _fault(self) -> str:
+        if self.verdict is not None:
+            return str(self.verdict)
+        if self.merger.halted_by:
+            return f"proxy {self.merger.halted_by} stopped sending to it"
+        return ""
+
+    # Phases
+
+    def _decide_waiting(
+        self,
+        move: messages.MoveRecord,
+        capacity: Capacity,
+        wall_ms: int,
+    ) -> Decision:
+        if capacity.new_targets and not capacity.missing:
+            share = min(self.knobs.first_permille, move.risk_permille)
+            return Step(share, phases.TRIAL, "targets are ready")
+        if wall_ms >= move.deadline_ms:
+            return End(messages.Outcome.NOT_RUN, _why_waiting(capacity))
+        return None
+
+    def _decide_ramp(
+        self,
+        move: messages.MoveRecord,
+        capacity: Capacity,
+        now_ms: int,
+        wall_ms: int,
+    ) -> Decision:
+        if not capacity.new_targets:
+            return End(messages.Outcome.TAKEN_BACK, "its targets went away")
+        at_step_ms = now_ms - self.step_started_ms
+        left_ms = move.deadline_ms - wall_ms
+        if left_ms <= 0:
+            return self._at_deadline(move, capacity)
+        if at_step_ms < self.knobs.least_step_ms:
+            return None
+        shown = self._has_shown()
+        if not shown and at_step_ms < self._patience_ms(move, left_ms):
+            return None
+        share = self._next_share(move, shown)
+        share = min(share, _share_for(capacity))
+        if share <= move.permille:
+            return None
+        why = "evidence is in" if shown else "thin evidence, time is due"
+        return self._step_to(share, why)
+
+    def _at_deadline(
+        self, move: messages.MoveRecord, capacity: Capacity
+    ) -> Decision:
+        """Move whole if the slots allow; thin evidence is no evidence.
+
+        Operators set the deadline because the date matters, and nothing
+        speaks against the version; the watch still guards callers.
+        """
+        if _share_for(capacity) >= WHOLE:
+            return self._step_to(WHOLE, "the deadline is here")
+        return End(
+            messages.Outcome.TAKEN_BACK,
+            f"at the deadline it has {capacity.new_slots} slots, "
+            f"the old version {capacity.old_slots}",
+        )
+
+    def _step_to(self, share: int, why: str) -> Step:
+        phase = phases.WATCH if share >= WHOLE else phases.RAMP
+        return Step(share, phase, why)
+
+    def _next_share(self, move: messages.MoveRecord, shown: bool) -> int:
+        grown = int(move.permille * self.knobs.step_growth)
+        grown = max(grown, move.permille + 1)
+        if move.permille < move.risk_permille:
+            return min(grown, move.risk_permille)
+        return min(grown, WHOLE)
+
+    def _patience_ms(self, move: messages.MoveRecord, left_ms: int) -> float:
+        """Return how long a step may wait for evidence.
+
+        What is left is shared evenly among the steps still to go, with a
+        reserve for a change of leader.
+        """
+        steps = 1
+        share = float(move.permille or 1)
+        while share < WHOLE:
+            share *= self.knobs.step_growth
+            steps += 1
+        return max(left_ms * (1 - RAMP_RESERVE) / steps, 0)
+
+    def _has_shown(self) -> bool:
+        """Tell whether each route that matters had enough requests.
+
+        A faint route can't hold the move up: it has under 2% of requests,
+        and the watch goes on after the whole share.
+        """
+        seen = self.judge.seen()
+        old = self.judge.old_seen()
+        total = sum(seen.values()) + sum(old.values())
+        if not total:
+            return False
+        for route, count in seen.items():
+            if count + old.get(route, 0) < FAINT_SHARE * total:
+                continue
+            gained = count - self.seen_at_step.get(route, 0)
+            if gained < self.knobs.requests_per_step:
+                return False
+        return bool(seen)
+
+    def _decide_watch(
+        self,
+        move: messages.MoveRecord,
+        capacity: Capacity,
+        now_ms: int,
+    ) -> Decision:
+        suspicion = self.judge.suspects()
+        if suspicion and capacity.old_slots:
+            return Step(
+                COMPARE_SHARE,
+                phases.COMPARE,
+                f"{suspicion}; asking the old one",
+            )
+        if now_ms - self.step_started_ms >= move.watch_ms:
+            return End(messages.Outcome.DONE, "whole and watched")
+        return None
+
+    def _decide_compare(self, now_ms: int) -> Decision:
+        if now_ms - self.step_started_ms < self.knobs.compare_ms:
+            return None
+        return Step(WHOLE, phases.WATCH, "the old version fares no better")
+
+
+def _share_for(capacity: Capacity) -> int:
+    """Return the share that the new version's slots can carry."""
+    if not capacity.old_slots:
+        return WHOLE
+    ratio = capacity.new_slots / capacity.old_slots
+    if ratio >= SLOTS_MARGIN:
+        return WHOLE
+    return int(WHOLE * ratio * SLOTS_MARGIN)
+
+
+def _why_waiting(capacity: Capacity) -> str:
+    if not capacity.new_targets:
+        return "no target of the new version was ready by the deadline"
+    missing = ", ".join(capacity.missing)
+    return f"its targets lack resources: {missing}"
--- /dev/null
+++ b/libs/moves/src/trefoil_moves/judge.py
@@ -0,0 +1,294 @@
+"""The judgement of a new version beside the old one.
+
+A verdict needs both a sequential test's evidence, which bounds how often a
+good version is condemned by chance, and a difference large enough to matter,
+which keeps a version that is a trifle slower from being taken back for ever
+more evidence of a trifle.
+"""
+
+import dataclasses
+import math
+
+from trefoil_model import latency
+
+from . import evidence as evidences
+from . import sequential
+
+FADE = 0.9
+SLOW_QUANTILE = 0.9
+TAIL_QUANTILE = 0.95
+TAIL_BUCKETS = 3
+SLOW_BUCKETS = 1
+LEARN_LATENCIES = 40
+BASE_TOLERANCE = 0.01
+BASE_ALARM = 0.05
+BASE_EVIDENCE = 5.0
+ALL_ROUTES = "*"
+
+
+@dataclasses.dataclass(slots=True)
+class Verdict:
+    """Why a version is bad.
+
+    Args:
+        route: The route on which it shows.
+        kind: ``failures`` or ``latency``.
+        detail: The figures, for people.
+        evidence: Log of the evidence.
+    """
+
+    route: str
+    kind: str
+    detail: str
+    evidence: float
+
+    def __str__(self) -> str:
+        return f"{self.kind} on route {self.route}: {self.detail}"
+
+
+@dataclasses.dataclass(slots=True)
+class RouteCase:
+    """What is known of both versions on one route."""
+
+    failures: sequential.Detector = dataclasses.field(
+        default_factory=sequential.Detector
+    )
+    slowness: sequential.Detector = dataclasses.field(
+        default_factory=sequential.Detector
+    )
+    baseline: sequential.BaselineDetector | None = None
+    slow_bucket: int = -1
+    old: evidences.Counts = dataclasses.field(default_factory=evidences.Counts)
+    new: evidences.Counts = dataclasses.field(default_factory=evidences.Counts)
+    old_ever: evidences.Counts = dataclasses.field(
+        default_factory=evidences.Counts
+    )
+    new_ever: int = 0
+
+
+class Judge:
+    """Judges one move's new version, window after window.
+
+    Args:
+        old_version: The version that is in order.
+        new_version: The version under judgement.
+        threshold: Log of the evidence that condemns.
+        tolerance: Difference of the failure rates that does not matter.
+        compare_threshold: The same while both versions are compared again
+            after the whole share; ``threshold`` by default.
+    """
+
+    __slots__ = (
+        "old_version",
+        "new_version",
+        "threshold",
+        "compare_threshold",
+        "tolerance",
+        "cases",
+    )
+
+    def __init__(
+        self,
+        old_version: str,
+        new_version: str,
+        *,
+        threshold: float,
+        tolerance: float,
+        compare_threshold: float = 0.0,
+    ) -> None:
+        self.old_version = old_version
+        self.new_version = new_version
+        self.threshold = threshold
+        self.compare_threshold = compare_threshold or threshold
+        self.tolerance = tolerance
+        self.cases: dict[str, RouteCase] = {}
+
+    def add(self, window: evidences.Window) -> Verdict | None:
+        """Take a window; return a verdict if the version is bad."""
+        routes = evidences.routes_in(window)
+        for route in routes:
+            case = self.cases.setdefault(route, RouteCase())
+            self._add_route(case, route, window)
+        self._pool(routes, window)
+        found = []
+        for route, case in self.cases.items():
+            found.append(self._judge_failures(route, case))
+            found.append(self._judge_latency(route, case))
+        verdicts = [verdict for verdict in found if verdict is not None]
+        return max(verdicts, key=lambda v: v.evidence, default=None)
+
+    def _pool(self, routes: list[str], window: evidences.Window) -> None:
+        """Add all routes' strata to one more case.
+
+        A service with little traffic may not show a fault on any one route
+        in time, though all its routes together do. The strata stay apart,
+        so routes that differ are not mixed.
+        """
+        pooled = self.cases.setdefault(ALL_ROUTES, RouteCase())
+        pooled.old.fade(FADE)
+        pooled.new.fade(FADE)
+        for route in routes:
+            slow_bucket = self.cases[route].slow_bucket
+            for old, new in self._strata(route, window):
+                self._add_stratum(pooled, old, new, slow_bucket)
+
+    def _add_route(
+        self, case: RouteCase, route: str, window: evidences.Window
+    ) -> None:
+        case.old.fade(FADE)
+        case.new.fade(FADE)
+        for old, new in self._strata(route, window):
+            self._add_stratum(case, old, new, case.slow_bucket)
+        self._learn_slowness(case)
+
+    def _strata(
+        self, route: str, window: evidences.Window
+    ) -> list[tuple[evidences.Counts, evidences.Counts]]:
+        """Return a route's counts of both versions by failure domain."""
+        domains = {key.domain for key in window if key.route == route}
+        none = evidences.Counts()
+        pairs = []
+        for domain in sorted(domains):
+            old_key = evidences.TallyKey(route, self.old_version, domain)
+            new_key = evidences.TallyKey(route, self.new_version, domain)
+            pairs.append(
+                (window.get(old_key, none), window.get(new_key, none))
+            )
+        return pairs
+
+    def _add_stratum(
+        self,
+        case: RouteCase,
+        old: evidences.Counts,
+        new: evidences.Counts,
+        slow_bucket: int,
+    ) -> None:
+        case.failures.add(
+            new.failures, new.requests, old.failures, old.requests
+        )
+        if slow_bucket >= 0:
+            case.slowness.add(
+                latency.count_at_least(new.latencies, slow_bucket),
+                sum(new.latencies.values()),
+                latency.count_at_least(old.latencies, slow_bucket),
+                sum(old.latencies.values()),
+            )
+        if case.baseline is not None:
+            case.baseline.add(new.failures, new.requests)
+        case.old.merge(old)
+        case.new.merge(new)
+        case.old_ever.merge(old)
+        case.new_ever += new.requests
+
+    def _learn_slowness(self, case: RouteCase) -> None:
+        """Set what counts as slow, from the old version alone.
+
+        The bound is fixed before the windows that it judges; drawing it
+        from the same requests would bias the test.
+        """
+        if sum(case.old_ever.latencies.values()) < LEARN_LATENCIES:
+            return
+        quantile = latency.quantile_bucket(
+            case.old_ever.latencies, SLOW_QUANTILE
+        )
+        case.slow_bucket = quantile + SLOW_BUCKETS
+
+    def _judge_failures(self, route: str, case: RouteCase) -> Verdict | None:
+        found = case.failures.evidence
+        if found < self.threshold:
+            return None
+        new_rate = _rate(case.new)
+        old_rate = _rate(case.old)
+        if new_rate - old_rate < self.tolerance:
+            return None
+        detail = f"{new_rate:.1%} against {old_rate:.1%}"
+        return Verdict(route, "failures", detail, found)
+
+    def _judge_latency(self, route: str, case: RouteCase) -> Verdict | None:
+        found = case.slowness.evidence
+        if found < self.threshold:
+            return None
+        new_tail = latency.quantile_bucket(case.new.latencies, TAIL_QUANTILE)
+        old_tail = latency.quantile_bucket(case.old.latencies, TAIL_QUANTILE)
+        if new_tail - old_tail < TAIL_BUCKETS:
+            return None
+        new_ms = latency.bucket_floor_us(new_tail) / 1000
+        old_ms = latency.bucket_floor_us(old_tail) / 1000
+        detail = f"p95 {new_ms:.1f} ms against {old_ms:.1f} ms"
+        return Verdict(route, "latency", detail, found)
+
+    # Without the old version's traffic
+
+    def begin_watch(self) -> None:
+        """Judge against the old version's past from now on."""
+        for case in self.cases.values():
+            base = (case.old_ever.failures + 0.5) / (
+                case.old_ever.requests + 50
+            )
+            base = min(base + BASE_TOLERANCE, 0.9)
+            alarm = min(base + BASE_ALARM, 0.95)
+            case.baseline = sequential.BaselineDetector(base, alarm)
+            case.new = evidences.Counts()
+
+    def suspects(self) -> str:
+        """Return why the old version should be asked again, or nothing."""
+        for route, case in self.cases.items():
+            if case.baseline is None or route == ALL_ROUTES:
+                continue
+            if case.baseline.sum >= BASE_EVIDENCE:
+                return f"failures on route {route}: {_rate(case.new):.1%}"
+            if self._tail_grew(case):
+                return f"latency on route {route}"
+        return ""
+
+    def _tail_grew(self, case: RouteCase) -> bool:
+        if sum(case.new.latencies.values()) < LEARN_LATENCIES:
+            return False
+        tail = latency.quantile_bucket(case.new.latencies, SLOW_QUANTILE)
+        base = latency.quantile_bucket(case.old_ever.latencies, SLOW_QUANTILE)
+        return base >= 0 and tail - base >= TAIL_BUCKETS
+
+    def begin_compare(self) -> None:
+        """Forget the alarms; both versions serve side by side again.
+
+        A comparison lasts seconds where a move lasts minutes, so less
+        evidence keeps the rate of false alarms.
+        """
+        self.threshold = min(self.threshold, self.compare_threshold)
+        for case in self.cases.values():
+            case.baseline = None
+            case.failures = sequential.Detector()
+            case.slowness = sequential.Detector()
+            case.new = evidences.Counts()
+            case.old = evidences.Counts()
+
+    def seen(self) -> dict[str, int]:
+        """Return how many requests of the new version each route had."""
+        return {
+            route: case.new_ever
+            for route, case in self.cases.items()
+            if route != ALL_ROUTES
+        }
+
+    def old_seen(self) -> dict[str, int]:
+        """Return how many requests of the old version each route had."""
+        return {
+            route: case.old_ever.requests for route, case in self.cases.items()
+        }
+
+
+def _rate(counts: evidences.Counts) -> float:
+    return counts.failures / counts.requests if counts.requests else 0.0
+
+
+def threshold_for(false_alarms: float, windows: int) -> float:
+    """Return the evidence to ask for.
+
+    A CUSUM of likelihood ratios crosses ``h`` by chance at most about once
+    in ``exp(h)`` windows (Lorden, 1971).
+
+    Args:
+        false_alarms: Share of good versions that may be condemned.
+        windows: Windows that a move lasts.
+    """
+    return math.log(windows / false_alarms)
--- /dev/null
+++ b/libs/moves/src/trefoil_moves/knobs.py
@@ -0,0 +1,44 @@
+"""Knobs of moves, in operators' terms."""
+
+import dataclasses
+import typing
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Knobs:
+    """How careful moves are.
+
+    Args:
+        false_alarms: Share of good versions that may be taken back.
+        tolerance: Difference of failure rates that does not matter.
+        first_permille: Share of traffic at the first step.
+        step_growth: How many times the share grows at a step.
+        requests_per_step: Requests of the new version that a route must
+            have shown at a step before the next.
+        least_step_ms: Shortest time at a step.
+        compare_ms: How long both versions serve side by side when a fault
+            shows after the whole share.
+    """
+
+    false_alarms: float = 0.005
+    tolerance: float = 0.01
+    first_permille: int = 20
+    step_growth: float = 2.5
+    requests_per_step: int = 30
+    least_step_ms: int = 2500
+    compare_ms: int = 12_000
+
+    @classmethod
+    def from_profile(cls, profile: str) -> typing.Self:
+        """Return the knobs of a profile.
+
+        Args:
+            profile: ``in-time`` for users who weigh good versions done in
+                time, ``cautious`` for those who weigh bad ones taken back,
+                else ``balanced``.
+        """
+        if profile == "in-time":
+            return cls(false_alarms=0.002)
+        if profile == "cautious":
+            return cls(first_permille=10, requests_per_step=100)
+        return cls()
--- /dev/null
+++ b/libs/quorum/src/trefoil_quorum/__init__.py
@@ -0,0 +1,1 @@
+"""Agreement between control processes, after Raft (Ongaro, 2014)."""
--- /dev/null
+++ b/libs/requests/src/trefoil_requests/__init__.py
@@ -0,0 +1,1 @@
+"""Requests: routing, balancing, limits, retries and at-most-once."""
--- /dev/null
+++ b/libs/requests/src/trefoil_requests/budget.py
@@ -0,0 +1,34 @@
+"""The retry budget of a service."""
+
+RESERVE = 10.0
+
+
+class RetryBudget:
+    """Lets retries be a bounded share of a service's requests.
+
+    Retries add load when targets are slowest. Without a bound, a service
+    that sheds a little gets up to twice the load and sheds more, and each
+    level of a chain multiplies that.
+
+    Args:
+        ratio: Retries allowed for each request.
+        reserve: Retries that may be saved up.
+    """
+
+    __slots__ = ("ratio", "reserve", "tokens")
+
+    def __init__(self, ratio: float, reserve: float = RESERVE) -> None:
+        self.ratio = ratio
+        self.reserve = reserve
+        self.tokens = reserve
+
+    def deposit(self) -> None:
+        """Note a first attempt."""
+        self.tokens = min(self.tokens + self.ratio, self.reserve)
+
+    def withdraw(self) -> bool:
+        """Take a retry; return whether there was one left."""
+        if self.tokens < 1:
+            return False
+        self.tokens -= 1
+        return True
--- /dev/null
+++ b/libs/requests/src/trefoil_requests/call.py
@@ -0,0 +1,76 @@
+"""A caller's request and the final answer to it, as the cores see them."""
+
+import dataclasses
+
+from trefoil_model import hashing
+
+STATUS_REASONS = {
+    400: "Bad Request",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    409: "Conflict",
+    413: "Content Too Large",
+    422: "Unprocessable Content",
+    500: "Internal Server Error",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+
+
+@dataclasses.dataclass(slots=True)
+class Call:
+    """A caller's request.
+
+    Args:
+        call_id: This proxy's number for it.
+        method: HTTP method.
+        host: Value of the Host header, without the port.
+        path: Path and query as sent.
+        headers: Header lines as sent, hop-by-hop ones removed.
+        body: Whole body.
+        key: Idempotency key, empty without one.
+        deadline_ms: What the caller allows, 0 without a limit.
+        retried: Whether a proxy before this one already retries the chain
+            that this call belongs to.
+    """
+
+    call_id: int
+    method: str
+    host: str
+    path: str
+    headers: bytes = b""
+    body: bytes = b""
+    key: str = ""
+    deadline_ms: int = 0
+    retried: bool = False
+
+    def fingerprint(self) -> int:
+        """Return a hash by which a resend of the request is known."""
+        head = f"{self.method} {self.path}\0".encode("utf-8", "replace")
+        return hashing.hash64(head + self.body)
+
+
+@dataclasses.dataclass(slots=True)
+class Final:
+    """The final answer to a call.
+
+    Args:
+        call_id: The call's number.
+        status: HTTP status.
+        reason: Reason phrase, or the explanation of a proxy's own answer.
+        headers: Header lines of the target's answer.
+        body: Whole body.
+        ran: False only where the request certainly did not run.
+        retry_after_ms: When to come back; 0 says nothing.
+        own: Whether a proxy made the answer, not the target.
+    """
+
+    call_id: int
+    status: int
+    reason: str = ""
+    headers: bytes = b""
+    body: bytes = b""
+    ran: bool = False
+    retry_after_ms: int = 0
+    own: bool = True
--- /dev/null
+++ b/libs/requests/src/trefoil_requests/effects.py
@@ -0,0 +1,87 @@
+"""What the request cores ask their process to do."""
+
+import dataclasses
+
+from trefoil_wire import messages
+
+from . import call as calls
+
+
+@dataclasses.dataclass(slots=True)
+class Finish:
+    """Give a caller its final answer."""
+
+    final: calls.Final
+
+
+@dataclasses.dataclass(slots=True)
+class Forward:
+    """Send a request to the proxy of a target's host."""
+
+    host: str
+    address: str
+    request: messages.Request
+
+
+@dataclasses.dataclass(slots=True)
+class Tell:
+    """Send a message to a peer's request link, best effort."""
+
+    host: str
+    address: str
+    message: object
+
+
+@dataclasses.dataclass(slots=True)
+class Dispatch:
+    """Run a request on a target of this host."""
+
+    target: str
+    port: int
+    request: messages.Request
+    deadline_at_ms: int
+
+
+@dataclasses.dataclass(slots=True)
+class Abort:
+    """Stop waiting for a target's answer and close its connection."""
+
+    dispatch_id: int
+
+
+@dataclasses.dataclass(slots=True)
+class Reply:
+    """Send an answer back to the proxy that forwarded the request."""
+
+    origin: str
+    answer: messages.Answer
+
+
+@dataclasses.dataclass(slots=True)
+class Flood:
+    """Spread a crash notice over the fleet's links."""
+
+    notice: messages.CrashNotice
+
+
+@dataclasses.dataclass(slots=True)
+class Observe:
+    """Note an answer for metrics and for the judgement of versions.
+
+    Args:
+        route: Name of the route.
+        tenant: The route's tenant or class.
+        version: The version that answered.
+        domain: Failure domain of its target.
+        latency_us: Time from the first byte in to the answer.
+        failed: Whether the answer counts against the version.
+        cold: Whether the target is new here or says that it is cold.
+    """
+
+    route: str
+    tenant: str
+    version: str
+    domain: str
+    latency_us: int
+    failed: bool
+    cold: bool
--- /dev/null
+++ b/libs/requests/src/trefoil_requests/entry.py
@@ -0,0 +1,596 @@
+"""The entry core: a caller's request from its first byte to its answer.
+
+It chooses the route, version and target, claims the key of a once-only
+request, retries where that is safe, and gives every call exactly one final
+answer. It does no input or output.
+"""
+
+import dataclasses
+import random
+import typing
+
+from trefoil_fleet import records as record_store
+from trefoil_model import effects as common
+from trefoil_model import errors
+from trefoil_wire import messages
+
+from . import balancer as balancers
+from . import budget
+from . import call as calls
+from . import effects
+from . import ledger as ledgers
+from . import quarantine as quarantines
+from . import routing
+
+MAX_ATTEMPTS = 3
+COME_BACK_MS = 1000
+NO_TARGET_MS = 100
+FIRST_FAILED_STATUS = 400
+RAN_UNKNOWN = "it is not known whether the request ran"
+
+
+@dataclasses.dataclass(slots=True)
+class Live:
+    """A call without its final answer yet."""
+
+    call: calls.Call
+    route: messages.Route
+    fingerprint: int
+    started_us: int
+    deadline_at_ms: int
+    claim: messages.Claim | None = None
+    version: str = ""
+    endpoint: routing.Endpoint | None = None
+    request_id: int = 0
+    sent_us: int = 0
+    attempts: int = 0
+    crashes: int = 0
+    may_have_run: bool = False
+    retry_after_ms: int = 0
+    tried: set[str] = dataclasses.field(default_factory=set)
+
+
+class Entry:
+    """The entry core of one proxy.
+
+    Args:
+        me: Name of this host.
+        domain: Its failure domain.
+        ledger: The keys that this host keeps; its keeper sets tell who
+            keeps which key.
+        quarantine: Requests known to crash targets.
+        rng: Draws versions, targets and ids.
+    """
+
+    __slots__ = (
+        "me",
+        "domain",
+        "ledger",
+        "quarantine",
+        "rng",
+        "table",
+        "endpoints",
+        "balancer",
+        "budgets",
+        "claims",
+        "halted",
+        "live",
+        "by_request",
+        "draining",
+        "ids",
+        "out",
+    )
+
+    def __init__(
+        self,
+        me: str,
+        domain: str,
+        *,
+        ledger: ledgers.Ledger,
+        quarantine: quarantines.Quarantine,
+        rng: random.Random,
+    ) -> None:
+        self.me = me
+        self.domain = domain
+        self.ledger = ledger
+        self.quarantine = quarantine
+        self.rng = rng
+        self.table: routing.RouteTable | None = None
+        self.endpoints = routing.Endpoints()
+        self.balancer = balancers.Balancer(domain, rng)
+        self.budgets: dict[str, budget.RetryBudget] = {}
+        self.claims = ledgers.Claims()
+        self.halted: dict[str, frozenset[str]] = {}
+        self.live: dict[int, Live] = {}
+        self.by_request: dict[int, int] = {}
+        self.draining = False
+        self.ids = rng.getrandbits(61)
+        self.out: list[typing.Any] = []
+
+    # Configuration and fleet
+
+    def put_in_force(self, table: routing.RouteTable) -> None:
+        """Route by a new configuration from now on, in one step."""
+        self.table = table
+        self.budgets = {
+            name: self.budgets.get(name)
+            or budget.RetryBudget(service.retry_budget)
+            for name, service in table.services.items()
+        }
+
+    def records_changed(
+        self, records: record_store.Records, now_ms: int
+    ) -> None:
+        """Take in the hosts' records."""
+        drained = self.table.drained if self.table else set()
+        self.endpoints.rebuild(records, drained, now_ms)
+        self.ledger.sets.update(self.endpoints.hosts_of, now_ms)
+        self.balancer.keep_only(self.endpoints.by_key)
+
+    # A call's life
+
+    def start(
+        self, call: calls.Call, now_ms: int, now_us: int
+    ) -> list[typing.Any]:
+        """Take a caller's request."""
+        route = self._route_or_refuse(call)
+        if route is None:
+            return self._flush()
+        timeout_ms = route.timeout_ms
+        if call.deadline_ms:
+            timeout_ms = min(timeout_ms, call.deadline_ms)
+        live = Live(
+            call=call,
+            route=route,
+            fingerprint=call.fingerprint(),
+            started_us=now_us,
+            deadline_at_ms=now_ms + timeout_ms,
+        )
+        self.live[call.call_id] = live
+        if self.quarantine.refuses(live.fingerprint, now_ms):
+            self._finish_quarantined(live)
+            return self._flush()
+        self.budgets[route.service_name].deposit()
+        if route.repeat == messages.Repeat.ONCE and call.key:
+            self._claim(live, now_ms)
+        else:
+            self._attempt(live, now_ms, now_us)
+        return self._flush()
+
+    def _route_or_refuse(self, call: calls.Call) -> messages.Route | None:
+        if self.draining:
+            self._refuse(call, 503, "this proxy is leaving")
+            return None
+        if self.table is None:
+            self._refuse(call, 503, "no configuration is in force yet")
+            return None
+        try:
+            return self.table.match(call.host, call.path, call.method)
+        except errors.ProtocolError as error:
+            self._refuse(call, error.status, error.reason)
+            return None
+
+    def _refuse(self, call: calls.Call, status: int, reason: str) -> None:
+        self.out.append(
+            effects.Finish(
+                calls.Final(
+                    call.call_id,
+                    status,
+                    reason,
+                    retry_after_ms=COME_BACK_MS if status == 503 else 0,
+                )
+            )
+        )
+
+    def _claim(self, live: Live, now_ms: int) -> None:
+        service = live.route.service_name
+        issued_ms = ledgers.issued_ms_of(live.call.key)
+        key = ledgers.key_of(service, live.call.key)
+        claim = messages.Claim(
+            claim_id=self._next_id(),
+            key=key,
+            fingerprint=live.fingerprint,
+            keepers=self.ledger.sets.keepers(service, key, now_ms),
+            service_name=service,
+            issued_ms=issued_ms,
+        )
+        live.claim = claim
+        self._take_claims(
+            self.claims.begin(live.call.call_id, claim, now_ms), now_ms, 0
+        )
+
+    def on_claim_reply(
+        self, reply: messages.ClaimReply, now_ms: int, now_us: int
+    ) -> list[typing.Any]:
+        """Take a keeper's reply."""
+        self._take_claims(self.claims.hear(reply), now_ms, now_us)
+        return self._flush()
+
+    def _take_claims(
+        self, found: list[typing.Any], now_ms: int, now_us: int
+    ) -> None:
+        for item in found:
+            match item:
+                case ledgers.Won():
+                    live = self.live.get(item.call_id)
+                    if live is not None:
+                        self._attempt(live, now_ms, now_us)
+                case ledgers.Ran():
+                    self._finish_ran_before(item)
+                case ledgers.Unknown():
+                    self._finish_unknown(item.call_id)
+                case _:
+                    self.out.append(item)
+
+    def _attempt(self, live: Live, now_ms: int, now_us: int) -> None:
+        """Send a call to a target, or answer that none can take it."""
+        route = live.route
+        endpoint = self._choose(live, now_ms)
+        if endpoint is None:
+            self._finish_no_target(live)
+            return
+        live.endpoint = endpoint
+        live.version = endpoint.target.version
+        live.attempts += 1
+        live.tried.add(endpoint.key)
+        live.request_id = self._next_id()
+        live.sent_us = now_us
+        self.by_request[live.request_id] = live.call.call_id
+        self.balancer.started(endpoint.key)
+        request = messages.Request(
+            request_id=live.request_id,
+            route=route.name,
+            method=live.call.method,
+            path=live.call.path,
+            headers=live.call.headers,
+            body=live.call.body,
+            deadline_ms=max(live.deadline_at_ms - now_ms, 1),
+            target=endpoint.target.name,
+            crashes=live.crashes,
+            fingerprint=live.fingerprint,
+            version=live.version,
+            retried=live.call.retried or live.attempts > 1,
+        )
+        self.out.append(
+            effects.Forward(endpoint.host, endpoint.address, request)
+        )
+
+    def _choose(self, live: Live, now_ms: int) -> routing.Endpoint | None:
+        """Return a target of the drawn version, else of another in force.
+
+        The other versions are a fallback: a version whose targets are all
+        away or shedding must not cost callers an answer that another
+        version with a share can give.
+        """
+        service = live.route.service_name
+        if self.table is None or service not in self.table.shares:
+            return None
+        halted = self.halted.get(service, frozenset())
+        first = self.table.draw_version(service, self.rng, halted)
+        others = [v for v in self.table.versions(service) if v != first]
+        for version in [first] + [v for v in others if v not in halted]:
+            holding = self.endpoints.holding(
+                service, version, live.route.resource
+            )
+            endpoint = self.balancer.pick(
+                holding,
+                self.endpoints.first_seen_ms,
+                tried=live.tried,
+                now_ms=now_ms,
+            )
+            if endpoint is not None:
+                return endpoint
+        return None
+
+    # Answers
+
+    def on_answer(
+        self, answer: messages.Answer, now_ms: int, now_us: int
+    ) -> list[typing.Any]:
+        """Take an answer; one that is late or unknown is dropped.
+
+        Each attempt has its own id, so an answer that crossed with a retry
+        or came after the deadline can't be given to another call.
+        """
+        call_id = self.by_request.pop(answer.request_id, None)
+        live = self.live.get(call_id) if call_id is not None else None
+        if live is None or live.request_id != answer.request_id:
+            return self._flush()
+        if not answer.ran:
+            self._on_refused(live, answer, now_ms, now_us)
+        elif answer.crashed:
+            self._on_crashed(live, answer, now_ms, now_us)
+        else:
+            self._on_served(live, answer, now_ms, now_us)
+        return self._flush()
+
+    def _on_served(
+        self,
+        live: Live,
+        answer: messages.Answer,
+        now_ms: int,
+        now_us: int,
+    ) -> None:
+        latency_us = now_us - live.sent_us
+        self.balancer.answered(live.endpoint.key, latency_us)
+        failed = answer.status >= FIRST_FAILED_STATUS
+        self._observe(live, latency_us, failed, now_ms)
+        if not failed:
+            notice = self.quarantine.succeeded(
+                live.fingerprint, self._next_id()
+            )
+            if notice is not None:
+                self.out.append(effects.Flood(notice))
+        if live.claim is not None:
+            self.out.extend(ledgers.settle(live.claim, answer))
+            live.claim = None
+        self._finish(
+            live,
+            calls.Final(
+                live.call.call_id,
+                answer.status,
+                answer.reason or "",
+                answer.headers or b"",
+                answer.body or b"",
+                ran=True,
+                own=False,
+            ),
+        )
+
+    def _on_refused(
+        self,
+        live: Live,
+        answer: messages.Answer,
+        now_ms: int,
+        now_us: int,
+    ) -> None:
+        """Go elsewhere: the target's proxy says that it did not run."""
+        self.balancer.refused(live.endpoint.key, now_ms, answer.retry_after_ms)
+        live.retry_after_ms = max(live.retry_after_ms, answer.retry_after_ms)
+        if answer.status == 422:
+            self._finish_quarantined(live)
+        elif self._may_retry(live, now_ms):
+            self._attempt(live, now_ms, now_us)
+        else:
+            self._finish_no_target(live)
+
+    def _on_crashed(
+        self,
+        live: Live,
+        answer: messages.Answer,
+        now_ms: int,
+        now_us: int,
+    ) -> None:
+        self.balancer.lost(live.endpoint.key, now_ms)
+        self._observe(live, now_us - live.sent_us, True, now_ms)
+        live.may_have_run = True
+        live.crashes += 1
+        repeatable = live.route.repeat != messages.Repeat.ONCE
+        # A request that ran alone in the crash is the likely cause: sending
+        # it on would take a second target down.
+        again = repeatable and not answer.sole and live.crashes < 2
+        if again and self._may_retry(live, now_ms):
+            self._attempt(live, now_ms, now_us)
+        else:
+            self._finish_lost(live, 502, "the target broke off")
+
+    def on_unsent(
+        self, request_id: int, now_ms: int, now_us: int
+    ) -> list[typing.Any]:
+        """Note a request that never left this process: it did not run."""
+        live = self._take_attempt(request_id)
+        if live is not None:
+            self.balancer.lost(live.endpoint.key, now_ms)
+            if self._may_retry(live, now_ms):
+                self._attempt(live, now_ms, now_us)
+            else:
+                self._finish_no_target(live)
+        return self._flush()
+
+    def on_lost(
+        self, request_id: int, now_ms: int, now_us: int
+    ) -> list[typing.Any]:
+        """Note that the link broke with a request on it: fate unknown."""
+        live = self._take_attempt(request_id)
+        if live is not None:
+            self.balancer.lost(live.endpoint.key, now_ms)
+            live.may_have_run = True
+            repeatable = live.route.repeat != messages.Repeat.ONCE
+            if repeatable and self._may_retry(live, now_ms):
+                self._attempt(live, now_ms, now_us)
+            else:
+                self._finish_lost(live, 502, "the target's host is lost")
+        return self._flush()
+
+    def _take_attempt(self, request_id: int) -> Live | None:
+        call_id = self.by_request.pop(request_id, None)
+        live = self.live.get(call_id) if call_id is not None else None
+        if live is None or live.request_id != request_id:
+            return None
+        return live
+
+    def _may_retry(self, live: Live, now_ms: int) -> bool:
+        if live.call.retried or live.attempts >= MAX_ATTEMPTS:
+            # A proxy nearer to the caller retries this chain already;
+            # retrying here too would multiply with each level.
+            return False
+        if now_ms >= live.deadline_at_ms:
+            return False
+        return self.budgets[live.route.service_name].withdraw()
+
+    def _observe(
+        self, live: Live, latency_us: int, failed: bool, now_ms: int
+    ) -> None:
+        if live.attempts > 1:
+            # A call counts once: the retry of a failed one would make the
+            # other version look as bad.
+            return
+        self.out.append(
+            effects.Observe(
+                route=live.route.name,
+                tenant=live.route.tenant,
+                version=live.version,
+                domain=live.endpoint.domain,
+                latency_us=latency_us,
+                failed=failed,
+                cold=self._is_cold(live.endpoint, now_ms),
+            )
+        )
+
+    def _is_cold(self, endpoint: routing.Endpoint, now_ms: int) -> bool:
+        if endpoint.target.state == messages.TargetState.COLD:
+            return True
+        seen_ms = self.endpoints.first_seen_ms.get(endpoint.key, now_ms)
+        return now_ms - seen_ms < balancers.SLOW_START_MS
+
+    # Endings
+
+    def cancel(self, call_id: int, now_ms: int) -> list[typing.Any]:
+        """Note that the caller went away."""
+        live = self.live.get(call_id)
+        if live is not None:
+            self._abandon(live)
+            self._drop(live)
+        return self._flush()
+
+    def tick(self, now_ms: int, now_us: int) -> list[typing.Any]:
+        """End the calls whose deadline has come."""
+        self._take_claims(self.claims.tick(now_ms), now_ms, now_us)
+        late = [
+            live
+            for live in self.live.values()
+            if now_ms >= live.deadline_at_ms
+        ]
+        for live in late:
+            self._abandon(live)
+            if live.request_id:
+                self.balancer.lost(live.endpoint.key, now_ms)
+                self._observe(live, now_us - live.sent_us, True, now_ms)
+                live.may_have_run = True
+            self._finish_lost(live, 504, "the deadline has passed")
+        return self._flush()
+
+    def _abandon(self, live: Live) -> None:
+        """Tell the target's proxy to stop; give an unused claim back."""
+        if live.request_id in self.by_request:
+            del self.by_request[live.request_id]
+            self.balancer.view(live.endpoint.key).running -= 1
+            self.out.append(
+                effects.Tell(
+                    live.endpoint.host,
+                    live.endpoint.address,
+                    messages.Cancel(live.request_id),
+                )
+            )
+        else:
+            self.out.extend(self.claims.drop(live.call.call_id))
+
+    def _finish_quarantined(self, live: Live) -> None:
+        self._not_run(
+            live, 422, "this request crashed the targets that ran it"
+        )
+
+    def _finish_no_target(self, live: Live) -> None:
+        wait_ms = live.retry_after_ms or NO_TARGET_MS
+        reason = "no target can take it in time"
+        if live.may_have_run:
+            self._finish_lost(live, 503, reason, wait_ms)
+            return
+        self._not_run(live, 503, reason, wait_ms)
+
+    def _not_run(
+        self, live: Live, status: int, reason: str, wait_ms: int = 0
+    ) -> None:
+        if live.claim is not None:
+            self.out.extend(ledgers.release(live.claim))
+            live.claim = None
+        self._finish(
+            live,
+            calls.Final(
+                live.call.call_id, status, reason, retry_after_ms=wait_ms
+            ),
+        )
+
+    def _finish_lost(
+        self, live: Live, status: int, reason: str, wait_ms: int = 0
+    ) -> None:
+        if not live.may_have_run:
+            self._not_run(live, status, reason, wait_ms or COME_BACK_MS)
+            return
+        self._finish(
+            live,
+            calls.Final(
+                live.call.call_id,
+                status,
+                f"{reason}; {RAN_UNKNOWN}",
+                ran=True,
+                retry_after_ms=wait_ms,
+            ),
+        )
+
+    def _finish_ran_before(self, found: ledgers.Ran) -> None:
+        live = self.live.get(found.call_id)
+        if live is None:
+            return
+        live.claim = None
+        if found.answer is None:
+            self._finish(
+                live,
+                calls.Final(
+                    found.call_id,
+                    409,
+                    "the key was used before; its answer is not known here",
+                    ran=True,
+                ),
+            )
+            return
+        self._finish(
+            live,
+            calls.Final(
+                found.call_id,
+                found.answer.status,
+                found.answer.reason or "",
+                found.answer.headers or b"",
+                found.answer.body or b"",
+                ran=True,
+                own=False,
+            ),
+        )
+
+    def _finish_unknown(self, call_id: int) -> None:
+        live = self.live.get(call_id)
+        if live is None:
+            return
+        live.claim = None
+        self._finish(
+            live,
+            calls.Final(
+                call_id,
+                503,
+                "not run now; it can't be known whether the key ran before",
+                retry_after_ms=COME_BACK_MS,
+            ),
+        )
+
+    def _finish(self, live: Live, final: calls.Final) -> None:
+        self._drop(live)
+        self.out.append(effects.Finish(final))
+
+    def _drop(self, live: Live) -> None:
+        self.live.pop(live.call.call_id, None)
+        self.by_request.pop(live.request_id, None)
+
+    def _next_id(self) -> int:
+        self.ids = (self.ids + 1) & ((1 << 62) - 1)
+        return self.ids
+
+    def _flush(self) -> list[typing.Any]:
+        out = self.out
+        self.out = []
+        return out
+
+
+def note_final(final: calls.Final) -> common.Count:
+    """Return the metric of a final answer."""
+    kind = "own" if final.own else "target"
+    return common.Count(f"answers.{kind}.{final.status}")
--- /dev/null
+++ b/libs/requests/src/trefoil_requests/quarantine.py
@@ -0,0 +1,86 @@
+"""Quarantine of requests that crash the targets that run them."""
+
+import dataclasses
+
+from trefoil_wire import messages
+
+CRASHES_ALLOWED = 2
+SOLE_MS = 600_000
+AMBIGUOUS_MS = 60_000
+MAX_MARKS = 4096
+
+
+@dataclasses.dataclass(slots=True)
+class Mark:
+    """One crash that a request was running in."""
+
+    notice_id: int
+    until_ms: int
+
+
+class Quarantine:
+    """Fingerprints of requests seen in crashes, shared by the fleet.
+
+    When several requests ran on a target that crashed, each is marked. An
+    innocent one succeeds elsewhere soon, which clears its marks, and marks
+    from such a crash fade sooner; the guilty one never succeeds.
+    """
+
+    __slots__ = ("marks", "seen")
+
+    def __init__(self) -> None:
+        self.marks: dict[int, list[Mark]] = {}
+        self.seen: dict[int, int] = {}
+
+    def crashes(self, fingerprint: int, now_ms: int) -> int:
+        """Return in how many crashes a request was running."""
+        marks = self.marks.get(fingerprint)
+        if not marks:
+            return 0
+        live = [mark for mark in marks if mark.until_ms > now_ms]
+        if live:
+            self.marks[fingerprint] = live
+        else:
+            del self.marks[fingerprint]
+        return len(live)
+
+    def refuses(self, fingerprint: int, now_ms: int) -> bool:
+        """Tell whether a request must not run again."""
+        return self.crashes(fingerprint, now_ms) >= CRASHES_ALLOWED
+
+    def hear(self, notice: messages.CrashNotice, now_ms: int) -> bool:
+        """Take a notice; return whether it was news, to be passed on."""
+        if notice.notice_id in self.seen:
+            return False
+        self._remember(notice.notice_id, now_ms)
+        if notice.cleared:
+            for fingerprint in notice.fingerprints:
+                self.marks.pop(fingerprint, None)
+            return True
+        sole = len(notice.fingerprints) == 1
+        lasts_ms = SOLE_MS if sole else AMBIGUOUS_MS
+        mark = Mark(notice.notice_id, now_ms + lasts_ms - notice.age_ms)
+        for fingerprint in notice.fingerprints:
+            self.marks.setdefault(fingerprint, []).append(mark)
+        while len(self.marks) > MAX_MARKS:
+            del self.marks[next(iter(self.marks))]
+        return True
+
+    def succeeded(
+        self, fingerprint: int, notice_id: int
+    ) -> messages.CrashNotice | None:
+        """Clear an innocent request; return the notice to spread, if any."""
+        if fingerprint not in self.marks:
+            return None
+        del self.marks[fingerprint]
+        return messages.CrashNotice(
+            notice_id=notice_id,
+            fingerprints=[fingerprint],
+            age_ms=0,
+            cleared=True,
+        )
+
+    def _remember(self, notice_id: int, now_ms: int) -> None:
+        self.seen[notice_id] = now_ms
+        while len(self.seen) > MAX_MARKS:
+            del self.seen[next(iter(self.seen))]
