--- /dev/null
+++ b/libs/requests/src/trefoil_requests/target_side.py
@@ -0,0 +1,346 @@
+"""The core before the targets of one host: slots, drains, crashes.
+
+This proxy alone opens connections to its targets, so it knows the slots in
+use exactly, and its refusal means that the request truly did not run.
+"""
+
+import collections
+import dataclasses
+import random
+import typing
+
+from trefoil_wire import messages
+
+from . import admission
+from . import effects
+from . import quarantine as quarantines
+
+CRASH_GATHER_MS = 50
+RECENT_REQUESTS = 4096
+LEAVING_RETRY_MS = 100
+SHED_STATUS = 503
+NOT_RUN_HEADER = b"x-trefoil-not-run:"
+
+
+@dataclasses.dataclass(slots=True)
+class LocalTarget:
+    """A target of this host."""
+
+    record: messages.TargetRecord
+    port: int
+    slots: admission.Admission
+    draining: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Running:
+    """A request that is queued at or running on a local target."""
+
+    origin: str
+    request: messages.Request
+    target: str
+    deadline_at_ms: int
+    dispatched_ms: int = -1
+
+
+@dataclasses.dataclass(slots=True)
+class Crash:
+    """Requests whose connections broke at nearly the same time."""
+
+    since_ms: int
+    victims: list[Running]
+
+
+class TargetSide:
+    """The core that admits requests to the targets of this host.
+
+    Args:
+        quarantine: Requests known to crash targets.
+        rng: Draws the ids of crash notices.
+    """
+
+    __slots__ = (
+        "quarantine",
+        "rng",
+        "targets",
+        "running",
+        "recent",
+        "crashes",
+        "leaving",
+        "out",
+    )
+
+    def __init__(
+        self, quarantine: quarantines.Quarantine, rng: random.Random
+    ) -> None:
+        self.quarantine = quarantine
+        self.rng = rng
+        self.targets: dict[str, LocalTarget] = {}
+        self.running: dict[int, Running] = {}
+        self.recent: collections.OrderedDict[int, None] = (
+            collections.OrderedDict()
+        )
+        self.crashes: dict[str, Crash] = {}
+        self.leaving = False
+        self.out: list[typing.Any] = []
+
+    # Targets
+
+    def put_target(self, record: messages.TargetRecord, port: int) -> None:
+        """Add or update a target from its announcement."""
+        known = self.targets.get(record.name)
+        draining = record.state == messages.TargetState.DRAINING
+        if known is None:
+            slots = admission.Admission(record.slots)
+            self.targets[record.name] = LocalTarget(
+                record, port, slots, draining
+            )
+            return
+        known.record = record
+        known.port = port
+        known.slots.slots = record.slots
+        known.draining = draining
+
+    def drop_target(self, name: str, now_ms: int) -> list[typing.Any]:
+        """Remove a target; what runs on it goes on to its end."""
+        target = self.targets.get(name)
+        if target is None:
+            return []
+        target.draining = True
+        for request_id in [w.request_id for w in target.slots.queue]:
+            target.slots.withdraw(request_id)
+            self._refuse(self.running.pop(request_id), "the target left")
+        if not target.slots.running:
+            del self.targets[name]
+        return self._flush()
+
+    def busy(self, name: str) -> int:
+        """Return how many requests run on a target."""
+        target = self.targets.get(name)
+        return target.slots.running if target else 0
+
+    # Requests
+
+    def on_request(
+        self, origin: str, request: messages.Request, now_ms: int
+    ) -> list[typing.Any]:
+        """Take a request from an entry proxy.
+
+        Args:
+            origin: What ``Reply`` is addressed to.
+            request: The request.
+            now_ms: The time on the runtime's clock.
+        """
+        if request.request_id in self.recent:
+            # A frame that is delivered twice must not run twice.
+            return []
+        self._remember(request.request_id)
+        entry = Running(
+            origin, request, request.target, now_ms + request.deadline_ms
+        )
+        reason = self._refusal(request)
+        if reason:
+            self._refuse(entry, reason)
+            return self._flush()
+        if self.quarantine.refuses(request.fingerprint, now_ms):
+            self._refuse(entry, "quarantined", status=422)
+            return self._flush()
+        self._admit(entry, now_ms)
+        return self._flush()
+
+    def _refusal(self, request: messages.Request) -> str:
+        target = self.targets.get(request.target)
+        if self.leaving:
+            return "the host is leaving"
+        if target is None:
+            return "the target is not here"
+        if target.draining:
+            return "the target is draining"
+        if target.record.version != request.version:
+            # An update crossed with this request: running it here would put
+            # traffic on a version that the move did not give it.
+            return "the target has another version"
+        return ""
+
+    def _admit(self, entry: Running, now_ms: int) -> None:
+        target = self.targets[entry.target]
+        request_id = entry.request.request_id
+        decision = target.slots.offer(request_id, entry.deadline_at_ms, now_ms)
+        match decision:
+            case admission.Admitted():
+                self.running[request_id] = entry
+                self._dispatch(entry, now_ms)
+            case admission.Queued():
+                self.running[request_id] = entry
+            case admission.Refused():
+                self._refuse(
+                    entry, "no slot in time", wait_ms=decision.retry_after_ms
+                )
+
+    def _dispatch(self, entry: Running, now_ms: int) -> None:
+        entry.dispatched_ms = now_ms
+        target = self.targets[entry.target]
+        self.out.append(
+            effects.Dispatch(
+                entry.target, target.port, entry.request, entry.deadline_at_ms
+            )
+        )
+
+    def on_cancel(self, request_id: int, now_ms: int) -> list[typing.Any]:
+        """Stop a request whose caller went away."""
+        entry = self.running.get(request_id)
+        if entry is None:
+            return []
+        if entry.dispatched_ms < 0:
+            self.targets[entry.target].slots.withdraw(request_id)
+            del self.running[request_id]
+            return []
+        self.out.append(effects.Abort(request_id))
+        self._release(entry, now_ms)
+        return self._flush()
+
+    # What targets do
+
+    def on_target_answer(
+        self, answer: messages.Answer, now_ms: int
+    ) -> list[typing.Any]:
+        """Take a target's whole answer."""
+        entry = self.running.get(answer.request_id)
+        if entry is None:
+            return []
+        shed = (
+            answer.status == SHED_STATUS
+            and NOT_RUN_HEADER in (answer.headers or b"").lower()
+        )
+        answer.ran = not shed
+        self._release(entry, now_ms, took=not shed)
+        self.out.append(effects.Reply(entry.origin, answer))
+        return self._flush()
+
+    def on_target_unsent(
+        self, request_id: int, now_ms: int
+    ) -> list[typing.Any]:
+        """Note that no byte of a request reached its target."""
+        entry = self.running.get(request_id)
+        if entry is not None:
+            self._release(entry, now_ms)
+            self._refuse(entry, "the target does not accept connections")
+        return self._flush()
+
+    def on_target_broke(
+        self, request_id: int, now_ms: int
+    ) -> list[typing.Any]:
+        """Note that a target's connection broke before the whole answer.
+
+        The breaks of a crash come within milliseconds of each other: those
+        within ``CRASH_GATHER_MS`` are told as one crash, with every request
+        that may be its cause.
+        """
+        entry = self.running.get(request_id)
+        if entry is None:
+            return []
+        self._release(entry, now_ms)
+        crash = self.crashes.setdefault(entry.target, Crash(now_ms, []))
+        crash.victims.append(entry)
+        return self._flush()
+
+    def tick(self, now_ms: int) -> list[typing.Any]:
+        """Expire what waits or runs past its deadline; tell of crashes."""
+        for target in list(self.targets.values()):
+            for request_id in target.slots.expired(now_ms):
+                entry = self.running.pop(request_id)
+                self._refuse(
+                    entry,
+                    "no slot in time",
+                    wait_ms=max(int(target.slots.wait_ms), 1),
+                )
+        for entry in list(self.running.values()):
+            if now_ms >= entry.deadline_at_ms and entry.dispatched_ms >= 0:
+                self._time_out(entry, now_ms)
+        for name, crash in list(self.crashes.items()):
+            if now_ms - crash.since_ms >= CRASH_GATHER_MS:
+                del self.crashes[name]
+                self._tell_crash(crash)
+        return self._flush()
+
+    def _time_out(self, entry: Running, now_ms: int) -> None:
+        request_id = entry.request.request_id
+        self.out.append(effects.Abort(request_id))
+        self._release(entry, now_ms)
+        self.out.append(
+            effects.Reply(
+                entry.origin,
+                messages.Answer(
+                    request_id=request_id,
+                    status=504,
+                    reason="the target did not answer in time",
+                    ran=True,
+                ),
+            )
+        )
+
+    def _tell_crash(self, crash: Crash) -> None:
+        prints = sorted({v.request.fingerprint for v in crash.victims})
+        sole = len(crash.victims) == 1
+        notice = messages.CrashNotice(
+            notice_id=self.rng.getrandbits(62),
+            fingerprints=prints,
+            age_ms=0,
+            cleared=False,
+        )
+        self.quarantine.hear(notice, crash.since_ms)
+        self.out.append(effects.Flood(notice))
+        for victim in crash.victims:
+            answer = messages.Answer(
+                request_id=victim.request.request_id,
+                status=502,
+                reason="the target broke off",
+                ran=True,
+                crashed=True,
+                sole=sole,
+            )
+            self.out.append(effects.Reply(victim.origin, answer))
+
+    # Common
+
+    def _release(
+        self, entry: Running, now_ms: int, *, took: bool = False
+    ) -> None:
+        self.running.pop(entry.request.request_id, None)
+        target = self.targets.get(entry.target)
+        if target is None:
+            return
+        took_ms = now_ms - entry.dispatched_ms if took else None
+        target.slots.finished(took_ms)
+        following = target.slots.next_admitted()
+        if following is not None:
+            self._dispatch(self.running[following], now_ms)
+        elif target.draining and not target.slots.running:
+            self.targets.pop(entry.target, None)
+
+    def _refuse(
+        self,
+        entry: Running,
+        reason: str,
+        *,
+        status: int = 503,
+        wait_ms: int = LEAVING_RETRY_MS,
+    ) -> None:
+        answer = messages.Answer(
+            request_id=entry.request.request_id,
+            status=status,
+            reason=reason,
+            ran=False,
+            retry_after_ms=wait_ms,
+        )
+        self.out.append(effects.Reply(entry.origin, answer))
+
+    def _remember(self, request_id: int) -> None:
+        self.recent[request_id] = None
+        if len(self.recent) > RECENT_REQUESTS:
+            self.recent.popitem(last=False)
+
+    def _flush(self) -> list[typing.Any]:
+        out = self.out
+        self.out = []
+        return out
--- /dev/null
+++ b/libs/settings/src/trefoil_settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings and configuration documents in YAML, checked as a whole."""
--- /dev/null
+++ b/libs/settings/src/trefoil_settings/configuration.py
@@ -0,0 +1,129 @@
+"""Configuration documents: the services and routes that operators apply."""
+
+import typing
+
+import expression
+
+from trefoil_model import findings as finding_store
+from trefoil_wire import messages
+
+from . import schema
+
+METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
+REPEAT = {"any": messages.Repeat.ANY, "once": messages.Repeat.ONCE}
+DEFAULT_TIMEOUT_MS = 2000
+DEFAULT_RETRY_BUDGET = 0.2
+
+SERVICE = schema.Record(
+    (
+        ("name", schema.Field(schema.Name(), required=True)),
+        ("version", schema.Field(schema.Name(), required=True)),
+        ("resources", schema.Field(schema.ListOf(schema.Name()), default=[])),
+        (
+            "retry_budget",
+            schema.Field(
+                schema.Number(0, 1, whole=False),
+                default=DEFAULT_RETRY_BUDGET,
+            ),
+        ),
+    ),
+    messages.Service,
+)
+
+
+def _make_route(**values: typing.Any) -> messages.Route:
+    values["service_name"] = values.pop("service")
+    values["timeout_ms"] = values.pop("timeout")
+    values["repeat"] = REPEAT[values["repeat"]]
+    return messages.Route(**values)
+
+
+ROUTE = schema.Record(
+    (
+        ("name", schema.Field(schema.Name(), required=True)),
+        ("host", schema.Field(schema.Text(), default="*")),
+        ("prefix", schema.Field(schema.Text(), required=True)),
+        (
+            "methods",
+            schema.Field(schema.ListOf(schema.Text(METHODS)), default=[]),
+        ),
+        ("service", schema.Field(schema.Name(), required=True)),
+        ("resource", schema.Field(schema.Name(), default="")),
+        ("tenant", schema.Field(schema.Name(), default="default")),
+        (
+            "timeout",
+            schema.Field(schema.Duration(), default=DEFAULT_TIMEOUT_MS),
+        ),
+        ("repeat", schema.Field(schema.Text(tuple(REPEAT)), default="once")),
+    ),
+    _make_route,
+)
+
+DOCUMENT = schema.Record(
+    (
+        ("services", schema.Field(schema.ListOf(SERVICE), required=True)),
+        ("routes", schema.Field(schema.ListOf(ROUTE), default=[])),
+    ),
+    messages.ApplyConfiguration,
+)
+
+Checked = expression.Result[
+    messages.ApplyConfiguration, finding_store.Findings
+]
+
+
+def parse(text: str, *, file: str = "configuration") -> Checked:
+    """Return the configuration in a text, or every finding.
+
+    A route may be repeated only where its document says ``repeat: any``;
+    the default is the one that can't charge a deposit twice.
+    """
+    reader = schema.Reader(file)
+    document = reader.parse(text, DOCUMENT)
+    if document is not None:
+        _check_references(reader, document)
+    if reader.findings:
+        return expression.Error(reader.findings)
+    return expression.Ok(document)
+
+
+def _check_references(
+    reader: schema.Reader, document: messages.ApplyConfiguration
+) -> None:
+    services = {}
+    for service in document.services:
+        if service.name in services:
+            place = reader.places[id(service)]
+            reader.findings.add(
+                place, f"service {service.name!r} stands twice"
+            )
+        services[service.name] = service
+    seen = set()
+    for route in document.routes:
+        place = reader.places[id(route)]
+        if route.name in seen:
+            reader.findings.add(place, f"route {route.name!r} stands twice")
+        seen.add(route.name)
+        _check_route(reader, place, route, services)
+
+
+def _check_route(
+    reader: schema.Reader,
+    place: finding_store.Place,
+    route: messages.Route,
+    services: dict[str, messages.Service],
+) -> None:
+    service = services.get(route.service_name)
+    if not route.prefix.startswith("/"):
+        reader.findings.add(place, "prefix must start with /")
+    if route.timeout_ms < 1:
+        reader.findings.add(place, "timeout must be at least 1ms")
+    if service is None:
+        reader.findings.add(
+            place, f"there is no service {route.service_name!r}"
+        )
+    elif route.resource and route.resource not in service.resources:
+        reader.findings.add(
+            place,
+            f"service {service.name!r} has no resource {route.resource!r}",
+        )
--- /dev/null
+++ b/libs/settings/src/trefoil_settings/schema.py
@@ -0,0 +1,266 @@
+"""A small schema over YAML nodes that keeps the place of every finding."""
+
+import dataclasses
+import functools
+import ipaddress
+import re
+import typing
+
+import yaml
+
+from trefoil_model import findings as finding_store
+
+DURATION = re.compile(r"(\d+(?:\.\d+)?)(ms|s|m|h)")
+DURATION_MS = {"ms": 1, "s": 1000, "m": 60_000, "h": 3_600_000}
+NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9_.-]{0,63}")
+MAX_PORT = 65535
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Text:
+    """Any text on one line."""
+
+    choices: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Name:
+    """A name of letters, digits, dots, dashes and underscores."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Number:
+    """A number within bounds."""
+
+    least: float
+    most: float
+    whole: bool = True
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Duration:
+    """A time such as ``250ms``, ``2s`` or ``10m``; read as milliseconds."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Address:
+    """An IP number and port, ``127.0.0.1:8080``."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ListOf:
+    """A list of one kind."""
+
+    kind: typing.Any
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class MapOf:
+    """A mapping from names to one kind."""
+
+    kind: typing.Any
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Field:
+    """One key of a record.
+
+    Args:
+        kind: What its value must be.
+        required: Whether it must be there.
+        default: Its value where it is not.
+    """
+
+    kind: typing.Any
+    required: bool = False
+    default: typing.Any = None
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Record:
+    """A mapping with known keys; others are findings.
+
+    Args:
+        fields: The keys.
+        make: Builds the value from the keys' values.
+    """
+
+    fields: tuple[tuple[str, Field], ...]
+    make: typing.Callable[..., typing.Any]
+
+
+class Reader:
+    """Reads one YAML text and collects its findings.
+
+    Args:
+        file: Name of the file, for places.
+    """
+
+    __slots__ = ("file", "findings", "places")
+
+    def __init__(self, file: str) -> None:
+        self.file = file
+        self.findings = finding_store.Findings()
+        self.places: dict[int, finding_store.Place] = {}
+
+    def parse(self, text: str, kind: typing.Any) -> typing.Any:
+        """Return the value of a text; findings are collected."""
+        try:
+            node = yaml.compose(text, Loader=yaml.SafeLoader)
+        except yaml.YAMLError as error:
+            mark = getattr(error, "problem_mark", None)
+            line = mark.line + 1 if mark else 1
+            column = mark.column + 1 if mark else 1
+            place = finding_store.Place(self.file, line, column)
+            problem = getattr(error, "problem", None) or str(error)
+            self.findings.add(place, f"not YAML: {problem}")
+            return None
+        except RecursionError:
+            place = finding_store.Place(self.file, 1, 1)
+            self.findings.add(place, "nested too deeply")
+            return None
+        if node is None:
+            self.findings.add(
+                finding_store.Place(self.file, 1, 1), "the file is empty"
+            )
+            return None
+        return read(kind, self, node)
+
+    def place(self, node: yaml.Node) -> finding_store.Place:
+        """Return where a node stands."""
+        mark = node.start_mark
+        return finding_store.Place(self.file, mark.line + 1, mark.column + 1)
+
+    def problem(self, node: yaml.Node, text: str) -> None:
+        """Record a finding at a node."""
+        self.findings.add(self.place(node), text)
+
+    def scalar(self, node: yaml.Node, wanted: str) -> str | None:
+        """Return a scalar's text, or record what was wanted."""
+        if isinstance(node, yaml.ScalarNode):
+            return node.value
+        self.problem(node, f"expected {wanted}")
+        return None
+
+
+@functools.singledispatch
+def read(kind: typing.Any, reader: Reader, node: yaml.Node) -> typing.Any:
+    """Return a node's value by its kind; None after a finding."""
+    raise TypeError(f"no such kind: {kind!r}")
+
+
+@read.register
+def _(kind: Text, reader: Reader, node: yaml.Node) -> typing.Any:
+    text = reader.scalar(node, "text")
+    if text is not None and kind.choices and text not in kind.choices:
+        wanted = ", ".join(kind.choices)
+        reader.problem(node, f"{text!r} is none of {wanted}")
+        return None
+    return text
+
+
+@read.register
+def _(kind: Name, reader: Reader, node: yaml.Node) -> typing.Any:
+    text = reader.scalar(node, "a name")
+    if text is not None and not NAME.fullmatch(text):
+        reader.problem(node, f"{text!r} is not a name")
+        return None
+    return text
+
+
+@read.register
+def _(kind: Number, reader: Reader, node: yaml.Node) -> typing.Any:
+    text = reader.scalar(node, "a number")
+    if text is None:
+        return None
+    try:
+        value = int(text) if kind.whole else float(text)
+    except ValueError:
+        reader.problem(node, f"{text!r} is not a number")
+        return None
+    if not kind.least <= value <= kind.most:
+        reader.problem(
+            node, f"{text} is not between {kind.least} and {kind.most}"
+        )
+        return None
+    return value
+
+
+@read.register
+def _(kind: Duration, reader: Reader, node: yaml.Node) -> typing.Any:
+    text = reader.scalar(node, "a time such as 2s")
+    if text is None:
+        return None
+    found = DURATION.fullmatch(text)
+    if found is None:
+        reader.problem(node, f"{text!r} is not a time such as 250ms or 2s")
+        return None
+    return int(float(found.group(1)) * DURATION_MS[found.group(2)])
+
+
+@read.register
+def _(kind: Address, reader: Reader, node: yaml.Node) -> typing.Any:
+    text = reader.scalar(node, "an address such as 127.0.0.1:8080")
+    if text is None:
+        return None
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+        valid = 0 <= int(port) <= MAX_PORT
+    except ValueError:
+        valid = False
+    if not valid:
+        reader.problem(node, f"{text!r} is not an IP number and port")
+        return None
+    return text
+
+
+@read.register
+def _(kind: ListOf, reader: Reader, node: yaml.Node) -> typing.Any:
+    if not isinstance(node, yaml.SequenceNode):
+        reader.problem(node, "expected a list")
+        return None
+    return [read(kind.kind, reader, item) for item in node.value]
+
+
+@read.register
+def _(kind: MapOf, reader: Reader, node: yaml.Node) -> typing.Any:
+    if not isinstance(node, yaml.MappingNode):
+        reader.problem(node, "expected a mapping")
+        return None
+    found = {}
+    for key, value in node.value:
+        name = read(Name(), reader, key)
+        if name in found:
+            reader.problem(key, f"{name!r} stands twice")
+        found[name] = read(kind.kind, reader, value)
+    return found
+
+
+@read.register
+def _(kind: Record, reader: Reader, node: yaml.Node) -> typing.Any:
+    if not isinstance(node, yaml.MappingNode):
+        reader.problem(node, "expected a mapping")
+        return None
+    before = len(reader.findings)
+    fields = dict(kind.fields)
+    values: dict[str, typing.Any] = {}
+    for key, value in node.value:
+        name = key.value if isinstance(key, yaml.ScalarNode) else "?"
+        if name not in fields:
+            known = ", ".join(fields)
+            reader.problem(key, f"unknown key {name!r}; known are {known}")
+        elif name in values:
+            reader.problem(key, f"{name!r} stands twice")
+        else:
+            values[name] = read(fields[name].kind, reader, value)
+    for name, field in fields.items():
+        if name not in values:
+            if field.required:
+                reader.problem(node, f"{name!r} is missing")
+            values[name] = field.default
+    if len(reader.findings) > before:
+        return None
+    made = kind.make(**values)
+    reader.places[id(made)] = reader.place(node)
+    return made
--- /dev/null
+++ b/libs/settings/src/trefoil_settings/settings.py
@@ -0,0 +1,203 @@
+"""Settings of the two daemons."""
+
+import dataclasses
+import pathlib
+import typing
+
+import expression
+import yaml
+
+from trefoil_model import findings as finding_store
+
+from . import schema
+
+LOG_LEVELS = ("debug", "info", "warning", "error")
+MAX_BODY_MIB = 64
+
+
+@dataclasses.dataclass(slots=True)
+class ProxySettings:
+    """Settings of ``trefoilroute-proxy``.
+
+    Args:
+        host: Name of this host, unique in the fleet.
+        domain: Its failure domain.
+        region: Its region.
+        callers: Address that takes callers' HTTP requests.
+        peers: Address that takes frames from other processes.
+        admin: Address that takes targets' announcements and operators.
+        controls: Address of each control process by name.
+        seeds: Address of each seed of this failure domain by name.
+        statsd: Address of a statsd server; no metrics are sent without.
+        log_level: Least level that is logged.
+        max_body_mib: Largest body of a request or an answer.
+        lease_ms: How long an announced target counts without a renewal.
+        grace_ms: Longest time that a shutdown waits for running requests.
+    """
+
+    host: str
+    domain: str
+    region: str
+    callers: str
+    peers: str
+    admin: str
+    controls: dict[str, str]
+    seeds: dict[str, str]
+    statsd: str
+    log_level: str
+    max_body_mib: int
+    lease_ms: int
+    grace_ms: int
+
+
+@dataclasses.dataclass(slots=True)
+class ControlSettings:
+    """Settings of ``trefoilroute-control``.
+
+    Args:
+        host: Name of this control process.
+        domain: Its failure domain.
+        region: Its region.
+        peers: Address that takes frames from other processes.
+        admin: Address that takes operators' commands.
+        controls: Address of each control process by name, itself included.
+        voters: Names of the first voters.
+        data_folder: Where its durable state is.
+        statsd: Address of a statsd server; no metrics are sent without.
+        log_level: Least level that is logged.
+        heartbeat_ms: Pause between a leader's rounds.
+        election_ms: Shortest silence before an election.
+        snapshot_entries: Log entries after which a snapshot is taken.
+        profile: Which measure moves favour, ``balanced``, ``in-time`` or
+            ``cautious``.
+    """
+
+    host: str
+    domain: str
+    region: str
+    peers: str
+    admin: str
+    controls: dict[str, str]
+    voters: list[str]
+    data_folder: str
+    statsd: str
+    log_level: str
+    heartbeat_ms: int
+    election_ms: int
+    snapshot_entries: int
+    profile: str
+
+
+COMMON: tuple[tuple[str, schema.Field], ...] = (
+    ("host", schema.Field(schema.Name(), required=True)),
+    ("domain", schema.Field(schema.Name(), required=True)),
+    ("region", schema.Field(schema.Name(), default="default")),
+    ("peers", schema.Field(schema.Address(), required=True)),
+    ("admin", schema.Field(schema.Address(), required=True)),
+    ("controls", schema.Field(schema.MapOf(schema.Address()), required=True)),
+    ("statsd", schema.Field(schema.Address(), default="")),
+    ("log_level", schema.Field(schema.Text(LOG_LEVELS), default="info")),
+)
+
+PROXY = schema.Record(
+    COMMON
+    + (
+        ("callers", schema.Field(schema.Address(), required=True)),
+        ("seeds", schema.Field(schema.MapOf(schema.Address()), required=True)),
+        (
+            "max_body_mib",
+            schema.Field(schema.Number(1, MAX_BODY_MIB), default=1),
+        ),
+        ("lease", schema.Field(schema.Duration(), default=3000)),
+        ("grace", schema.Field(schema.Duration(), default=30_000)),
+    ),
+    lambda lease, grace, **rest: ProxySettings(
+        lease_ms=lease, grace_ms=grace, **rest
+    ),
+)
+
+CONTROL = schema.Record(
+    COMMON
+    + (
+        ("voters", schema.Field(schema.ListOf(schema.Name()), required=True)),
+        ("data_folder", schema.Field(schema.Text(), required=True)),
+        ("heartbeat", schema.Field(schema.Duration(), default=150)),
+        ("election", schema.Field(schema.Duration(), default=600)),
+        (
+            "snapshot_entries",
+            schema.Field(schema.Number(10, 100_000), default=200),
+        ),
+        (
+            "profile",
+            schema.Field(
+                schema.Text(("balanced", "in-time", "cautious")),
+                default="balanced",
+            ),
+        ),
+    ),
+    lambda heartbeat, election, **rest: ControlSettings(
+        heartbeat_ms=heartbeat, election_ms=election, **rest
+    ),
+)
+
+KINDS = {"proxy": PROXY, "control": CONTROL}
+Checked = expression.Result[typing.Any, finding_store.Findings]
+
+
+def parse(text: str, kind: str, *, file: str = "settings") -> Checked:
+    """Return the settings in a text, or every finding.
+
+    Args:
+        text: The YAML text.
+        kind: ``proxy`` or ``control``.
+        file: Name for the findings' places.
+    """
+    reader = schema.Reader(file)
+    value = reader.parse(text, KINDS[kind])
+    if value is not None:
+        _check_together(reader, value)
+    if reader.findings:
+        return expression.Error(reader.findings)
+    return expression.Ok(value)
+
+
+def load(path: str | pathlib.Path, kind: str) -> Checked:
+    """Return the settings in a file, or every finding."""
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        findings = finding_store.Findings()
+        place = finding_store.Place(str(path), 1, 1)
+        findings.add(place, f"cannot be read: {error}")
+        return expression.Error(findings)
+    return parse(text, kind, file=str(path))
+
+
+def _check_together(reader: schema.Reader, value: typing.Any) -> None:
+    place = reader.places[id(value)]
+    if isinstance(value, ControlSettings):
+        if value.host not in value.controls:
+            reader.findings.add(place, f"controls lacks {value.host!r}")
+        for voter in value.voters:
+            if voter not in value.controls:
+                reader.findings.add(place, f"voter {voter!r} has no address")
+        if value.election_ms < 2 * value.heartbeat_ms:
+            reader.findings.add(
+                place, "election must be at least twice heartbeat"
+            )
+    if not value.controls:
+        reader.findings.add(place, "controls is empty")
+
+
+def render(value: typing.Any) -> str:
+    """Return settings as YAML, defaults filled in; times in ms."""
+    shown = {}
+    for field in dataclasses.fields(value):
+        content = getattr(value, field.name)
+        name = field.name
+        if name.endswith("_ms"):
+            name = name.removesuffix("_ms")
+            content = f"{content}ms"
+        if content != "":
+            shown[name] = content
+    return yaml.safe_dump(shown, sort_keys=True)
--- /dev/null
+++ b/libs/store/src/trefoil_store/__init__.py
@@ -0,0 +1,1 @@
+"""Durable state of a control process: promises, log and snapshot."""
--- /dev/null
+++ b/libs/wire/tests/test_frames.py
@@ -0,0 +1,58 @@
+"""Contract of frames between processes."""
+
+import pytest
+
+from trefoil_model import errors
+from trefoil_wire import frames
+from trefoil_wire import messages
+
+REQUEST = messages.Request(
+    request_id=7,
+    route="list-slots",
+    method="POST",
+    path="/slots?day=1",
+    headers=b"X-A: \xff\\n\r\n",
+    body=b"\x00\x01" * 50,
+    deadline_ms=900,
+    target="tables-1",
+    fingerprint=-5,
+    version="v1",
+)
+
+
+@pytest.mark.parametrize("kind", frames.TYPES, ids=lambda kind: kind.__name__)
+def test_every_type_travels_empty(kind: type) -> None:
+    encoded = frames.encode(kind())
+    assert frames.FrameReader().feed(encoded) == [kind()]
+
+
+@pytest.mark.parametrize("size", [1, 2, 5, 7, 64])
+def test_pieces_make_the_same_messages(size: int) -> None:
+    data = frames.encode(REQUEST) * 3
+    reader = frames.FrameReader()
+    found = []
+    for start in range(0, len(data), size):
+        found.extend(reader.feed(data[start : start + size]))
+    assert found == [REQUEST] * 3
+    assert reader.buffer == b""
+
+
+@pytest.mark.parametrize(
+    ("case", "data"),
+    [
+        ("no length", b"\x00\x00\x00\x00\x00"),
+        ("too long", b"\x7f\xff\xff\xff\x00"),
+        ("unknown type", b"\x00\x00\x00\x02\xff\x00"),
+        ("cut struct", frames.HEADER.pack(3, 22) + b"\x18\x05"),
+        ("not a struct", frames.HEADER.pack(9, 22) + b"\xff" * 8),
+    ],
+)
+def test_malformed_frames_are_refused(case: str, data: bytes) -> None:
+    with pytest.raises(errors.FrameError):
+        frames.FrameReader().feed(data)
+
+
+def test_memory_is_bounded_by_the_limit() -> None:
+    reader = frames.FrameReader(limit=1000)
+    with pytest.raises(errors.FrameError):
+        reader.feed(frames.HEADER.pack(1001, 22) + b"x" * 10)
--- /dev/null
+++ b/libs/wire/trefoil.thrift
@@ -0,0 +1,226 @@
+/*
+ * Messages between trefoilroute processes.
+ *
+ * Times ending in _ms are milliseconds. Shares are permille (0 to 1000).
+ * A frame is a four-byte length, one byte naming the type (see frames.py)
+ * and the struct in Thrift's compact protocol.
+ */
+namespace py trefoil_wire.gen
+
+/* ---- configuration ---- */
+
+enum Repeat { ANY = 1, ONCE = 2 }
+
+struct Service {
+  1: string name,
+  2: list<string> resources,
+  3: string version,
+  4: double retry_budget = 0.2,
+}
+
+struct Route {
+  1: string name,
+  2: string host,
+  3: string prefix,
+  4: list<string> methods,
+  5: string service_name,
+  6: string resource,
+  7: string tenant,
+  8: i32 timeout_ms,
+  9: Repeat repeat,
+}
+
+struct VersionShare { 1: string version, 2: i32 permille }
+
+struct Shares {
+  1: string service_name,
+  2: list<VersionShare> shares,
+  3: string move_id,
+}
+
+struct Drain { 1: string host }
+
+struct Item {
+  1: string key,
+  2: binary value,
+  3: i64 revision,
+  4: bool deleted = false,
+}
+
+struct ConfigDelta {
+  1: i64 base,
+  2: i64 revision,
+  3: list<Item> items,
+  4: i64 digest,
+  5: i64 accepted_ms = 0,
+}
+
+struct ConfigPull { 1: i64 have, 2: bool whole = false }
+
+/* ---- agreement between control processes ---- */
+
+struct Entry { 1: i64 index, 2: i64 term, 3: binary command }
+
+struct VoteRequest {
+  1: i64 term, 2: string candidate, 3: i64 last_index, 4: i64 last_term,
+  5: bool pre_vote,
+}
+struct VoteReply {
+  1: i64 term, 2: string voter, 3: bool granted, 4: bool pre_vote,
+}
+struct AppendRequest {
+  1: i64 term, 2: string leader, 3: i64 prev_index, 4: i64 prev_term,
+  5: list<Entry> entries, 6: i64 commit, 7: i64 round,
+}
+struct AppendReply {
+  1: i64 term, 2: string follower, 3: bool success, 4: i64 match_index,
+  5: i64 round,
+}
+struct Snapshot {
+  1: i64 last_index, 2: i64 last_term, 3: list<string> voters,
+  4: list<string> learners, 5: binary state,
+}
+struct SnapshotRequest { 1: i64 term, 2: string leader, 3: Snapshot snapshot }
+struct HardState { 1: i64 term, 2: string voted_for, 3: string identity }
+struct ChangeVoters { 1: list<string> voters, 2: list<string> learners }
+struct JoinRequest { 1: string identity, 2: string name, 3: string address }
+
+/* ---- operators' commands, agreed through the log ---- */
+
+enum Outcome { DONE = 1, TAKEN_BACK = 2, NOT_RUN = 3, PENDING = 4, EXPIRED = 5 }
+
+struct ApplyConfiguration {
+  1: list<Service> services, 2: list<Route> routes,
+  3: i64 expected_revision = 0,
+}
+struct StartMove {
+  1: string service_name, 2: string from_version, 3: string to_version,
+  4: i64 deadline_ms, 5: i32 risk_permille, 6: i64 watch_ms,
+}
+struct StepMove {
+  1: string move_id, 2: i32 permille, 3: string phase, 4: string reason,
+}
+struct EndMove { 1: string move_id, 2: Outcome outcome, 3: string reason }
+struct ReverseMove { 1: string service_name }
+struct DrainHost { 1: string host, 2: bool draining }
+struct CancelCommand { 1: string cancelled_id }
+struct Noop { 1: i64 term }
+
+struct Command {
+  1: string command_id,
+  2: string operator_name,
+  3: i64 issued_ms,
+  4: i8 kind,
+  5: binary body,
+  6: i64 stamped_ms = 0,
+}
+struct CommandRequest { 1: Command command, 2: i32 hops = 0 }
+struct CommandReply {
+  1: string command_id, 2: Outcome outcome, 3: string reason,
+  4: i64 revision, 5: i32 retry_after_ms = 0,
+}
+struct Query { 1: string query_id, 2: string line, 3: i32 hops = 0 }
+struct QueryReply { 1: string query_id, 2: bool ok, 3: string body }
+
+struct MoveRecord {
+  1: string move_id, 2: string service_name, 3: string from_version,
+  4: string to_version, 5: i64 deadline_ms, 6: i32 risk_permille,
+  7: i64 watch_ms, 8: i64 started_ms, 9: i32 permille, 10: string phase,
+  11: Outcome outcome, 12: string reason, 13: i64 step_ms,
+  14: list<string> history,
+}
+struct PastCommand {
+  1: string command_id, 2: i64 digest, 3: Outcome outcome, 4: string reason,
+  5: i64 revision, 6: i64 stamped_ms,
+}
+struct AgreedState {
+  1: i64 revision, 2: i64 clock_ms, 3: list<Item> items,
+  4: list<MoveRecord> moves, 5: list<PastCommand> commands,
+}
+
+/* ---- fleet: membership, records, distribution ---- */
+
+enum HostState { ALIVE = 1, SUSPECT = 2, LEFT = 3, DEAD = 4 }
+enum TargetState { COLD = 1, READY = 2, DRAINING = 3 }
+
+struct TargetRecord {
+  1: string name, 2: string service_name, 3: string version,
+  4: list<string> resources, 5: i32 slots, 6: TargetState state,
+}
+struct HostRecord {
+  1: string host, 2: string domain, 3: string region, 4: string address,
+  5: i64 incarnation, 6: i64 sequence, 7: HostState state,
+  8: list<TargetRecord> targets,
+}
+struct Hello {
+  1: string host, 2: string domain, 3: string address, 4: i64 incarnation,
+  5: bool control, 6: i64 revision, 7: bool subscribe = false,
+}
+struct HelloReply {
+  1: Hello hello, 2: bool accepted, 3: i32 retry_after_ms,
+}
+struct Report {
+  1: string host, 2: i64 incarnation, 3: i64 revision, 4: string rejected,
+  5: i32 age_ms, 6: string domain,
+}
+struct Heartbeat {
+  1: i64 revision, 2: i64 config_digest, 3: i64 records_digest,
+  4: list<Report> reports,
+}
+struct RecordsDelta { 1: list<HostRecord> records }
+struct RecordVersion {
+  1: string host, 2: i64 incarnation, 3: i64 sequence, 4: HostState state,
+}
+struct RecordsSummary {
+  1: list<RecordVersion> versions, 2: bool reply_wanted, 3: bool whole,
+}
+struct FloorQuery { 1: i64 nonce, 2: string host }
+struct FloorReply { 1: i64 nonce, 2: i64 revision, 3: bool certain, 4: string host }
+struct HeldNotice { 1: string host, 2: i64 revision }
+struct HeldAck { 1: string host, 2: i64 revision }
+
+/* ---- evidence about versions ---- */
+
+struct Tally {
+  1: string route, 2: string version, 3: string domain,
+  4: i32 requests, 5: i32 failures, 6: map<i16, i32> latencies,
+}
+struct EvidenceReport {
+  1: string move_id, 2: string host, 3: i64 incarnation, 4: i64 sequence,
+  5: list<Tally> tallies, 6: bool halted = false,
+}
+
+/* ---- requests ---- */
+
+struct Request {
+  1: i64 request_id, 2: string route, 3: string method, 4: string path,
+  5: binary headers, 6: binary body, 7: i32 deadline_ms, 8: string target,
+  9: i32 crashes = 0, 10: i64 fingerprint, 11: string version,
+  12: bool retried = false,
+}
+struct Answer {
+  1: i64 request_id, 2: i32 status, 3: string reason, 4: binary headers,
+  5: binary body, 6: bool ran, 7: i32 retry_after_ms = 0,
+  8: i32 service_us = 0, 9: bool crashed = false, 10: bool sole = false,
+}
+struct Cancel { 1: i64 request_id }
+struct Ping { 1: i64 nonce }
+struct Pong { 1: i64 nonce }
+struct CrashNotice {
+  1: i64 notice_id, 2: list<i64> fingerprints, 3: i64 age_ms, 4: bool cleared,
+}
+struct Claim {
+  1: i64 claim_id, 2: i64 key, 3: i64 fingerprint, 4: list<string> keepers,
+  5: string service_name, 6: i64 issued_ms,
+}
+struct ClaimReply {
+  1: i64 claim_id, 2: i8 verdict, 3: Answer answer, 4: string host,
+}
+struct ClaimDone { 1: i64 key, 2: i64 claim_id, 3: Answer answer }
+struct ClaimRelease { 1: i64 key, 2: i64 claim_id }
+struct LedgerEntry {
+  1: i64 key, 2: i64 claim_id, 3: i64 fingerprint, 4: i64 age_ms,
+  5: Answer answer,
+}
+struct LedgerPull { 1: string host, 2: i64 incarnation }
+struct LedgerPush { 1: string host, 2: list<LedgerEntry> entries, 3: bool complete }
