--- a/conftest.py
+++ b/conftest.py
@@ -1,5 +1,6 @@
 """Test settings that hold for the whole workspace."""
 
+import os
 import pathlib
 
 import hypothesis
@@ -14,7 +15,14 @@
     database=None,
     suppress_health_check=list(hypothesis.HealthCheck),
 )
-hypothesis.settings.load_profile("ci")
+# Shrinking a failure takes minutes; where only the failure itself counts
+# (bench/safeguards.py) it is left out.
+hypothesis.settings.register_profile(
+    "no-shrink",
+    parent=hypothesis.settings.get_profile("ci"),
+    phases=[hypothesis.Phase.explicit, hypothesis.Phase.generate],
+)
+hypothesis.settings.load_profile(os.environ.get("TREFOIL_PROFILE", "ci"))
 
 
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
--- a/libs/store/src/trefoil_store/store.py
+++ b/libs/store/src/trefoil_store/store.py
@@ -18,12 +18,31 @@
 PROMISE = "promise"
 SNAPSHOT = "snapshot"
 LOG = "log"
-RECORD = struct.Struct(">II")
+LENGTHS = struct.Struct(">II")
+RECORD = struct.Struct(">III")
 
 
 def seal(payload: bytes) -> bytes:
-    """Return a payload as a record: length, checksum, payload."""
-    return RECORD.pack(len(payload), zlib.crc32(payload)) + payload
+    """Return a payload as a record.
+
+    A record is the payload's length and checksum, a checksum of these two,
+    and the payload. Without the second checksum a flipped bit in the last
+    record's length would look like a write that was cut.
+    """
+    lengths = LENGTHS.pack(len(payload), zlib.crc32(payload))
+    return lengths + zlib.crc32(lengths).to_bytes(4, "big") + payload
+
+
+def unseal_header(data: bytes, at: int, name: str) -> tuple[int, int]:
+    """Return a record's payload length and checksum.
+
+    Raises:
+        StoreDamaged: The header's own checksum does not match.
+    """
+    length, checksum, own = RECORD.unpack_from(data, at)
+    if zlib.crc32(data[at : at + LENGTHS.size]) != own:
+        raise errors.StoreDamaged(f"{name}: bad header at byte {at}")
+    return length, checksum
 
 
 class Store:
@@ -140,7 +159,7 @@
             return None
         if len(data) < RECORD.size:
             raise errors.StoreDamaged(f"{name}: {len(data)} bytes only")
-        length, checksum = RECORD.unpack_from(data)
+        length, checksum = unseal_header(data, 0, name)
         payload = data[RECORD.size :]
         if length != len(payload) or zlib.crc32(payload) != checksum:
             raise errors.StoreDamaged(f"{name}: the checksum does not match")
@@ -180,31 +199,14 @@
             return None
         if len(rest) < RECORD.size:
             return None
-        length, checksum = RECORD.unpack_from(rest)
+        length, checksum = unseal_header(data, at, LOG)
         payload = rest[RECORD.size : RECORD.size + length]
-        if length > frames.MAX_FRAME_BYTES:
-            raise errors.StoreDamaged(f"log: bad length at byte {at}")
         if len(payload) < length:
-            return self._short_tail(rest, at)
+            return None
         if zlib.crc32(payload) != checksum:
             raise errors.StoreDamaged(f"log: bad checksum at byte {at}")
         return payload
 
-    def _short_tail(self, rest: bytes, at: int) -> None:
-        """Tell a cut write from a damaged length that swallows the rest.
-
-        A flipped bit in a length makes the record seem to run past the end.
-        The records behind it are then still whole, which a cut write never
-        shows: find one and it is damage.
-        """
-        for start in range(1, len(rest) - RECORD.size):
-            length, checksum = RECORD.unpack_from(rest, start)
-            stop = start + RECORD.size + length
-            if not length or stop > len(rest):
-                continue
-            if zlib.crc32(rest[start + RECORD.size : stop]) == checksum:
-                raise errors.StoreDamaged(f"log: bad length at byte {at}")
-
     def _check_order(self, entry: messages.Entry) -> None:
         if self.entries and entry.index != self.entries[-1].index + 1:
             raise errors.StoreDamaged(f"log: entry {entry.index} out of order")
