Prove distribution, membership and the agreed state

Cause: nothing held "never older", "not run" and the records of hosts. Ruled out: a bound on the share of failed probes as the guard of a process that is cut off. It kept a domain's last seed from burying the others when most of them were dead (test_a_seed_and_its_proxies_dying_together_are_found failed with it). Conclusion: the fleet's core and the agreed state are held by named tests.

--- a/libs/fleet/src/trefoil_fleet/membership.py
+++ b/libs/fleet/src/trefoil_fleet/membership.py
@@ -10,7 +10,6 @@
 from . import records as record_store
 
 PROBE_MS = 1000
-RECENT_PROBES = 8
 RECORDS_PER_FRAME = 64
 
 State = messages.HostState
@@ -34,7 +33,7 @@
         "rng",
         "records",
         "probe_at_ms",
-        "probe_results",
+        "doubts",
         "out",
         "flood",
     )
@@ -53,7 +52,7 @@
         self.rng = rng
         self.records = record_store.Records()
         self.probe_at_ms = 0
-        self.probe_results: list[bool] = []
+        self.doubts: dict[str, int] = {}
         self.out: list[typing.Any] = []
         self.flood: list[messages.HostRecord] = []
 
@@ -78,7 +77,7 @@
     ) -> list[messages.HostRecord]:
         """Take records; return those that are news here."""
         news = []
-        for record in delta.records:
+        for record in map(self._soften, delta.records):
             if record.host == self.record.host and not self.control:
                 self._refute(record, now_ms)
             elif self.records.put(record, now_ms):
@@ -88,32 +87,68 @@
             self.out.append(effects.RecordsChanged(hosts))
         return news
 
-    def suspect(self, host: str, now_ms: int) -> None:
-        """Suspect a host whose link broke."""
-        if not self._healthy():
-            return
+    def _soften(self, record: messages.HostRecord) -> messages.HostRecord:
+        """Take another side's word of a death as a suspicion first.
+
+        When a cut heals, each side has declared the other dead. Believed at
+        once, that would take every target out of routing until its host
+        has refuted it, and callers would see refusals for a second.
+        """
+        own = self.records.get(record.host)
+        if record.state != State.DEAD or own is None:
+            return record
+        same = (own.incarnation, own.sequence) == (
+            record.incarnation,
+            record.sequence,
+        )
+        if same and own.state == State.ALIVE:
+            return record_store.with_state(record, State.SUSPECT)
+        return record
+
+    def doubt(self, host: str, now_ms: int) -> None:
+        """Doubt a host whose link broke or whose probe failed."""
+        self.doubts.setdefault(host, now_ms)
+
+    def trust(self, host: str) -> None:
+        """Drop a doubt: the host was heard."""
+        self.doubts.pop(host, None)
+
+    def probed(self, host: str, answered: bool, now_ms: int) -> None:
+        """Take a probe's outcome."""
+        if answered:
+            self.trust(host)
+        else:
+            self.doubt(host, now_ms)
+
+    def settle_doubts(self, heard_ms: dict[str, int], now_ms: int) -> None:
+        """Suspect the hosts in doubt, if this process hears others.
+
+        A process that hears nobody is itself cut off. Were it to suspect at
+        once, a control host on the far side of a cut would declare the
+        fleet dead and flood that when the cut heals, for every host to
+        refute. A peer heard after the doubt arose shows that it is not.
+
+        Args:
+            heard_ms: When each linked peer was last heard.
+            now_ms: The time on the runtime's clock.
+        """
+        for host, since_ms in list(self.doubts.items()):
+            heard = any(
+                at_ms > since_ms
+                for peer, at_ms in heard_ms.items()
+                if peer != host
+            )
+            if heard:
+                del self.doubts[host]
+                self._suspect(host, now_ms)
+
+    def _suspect(self, host: str, now_ms: int) -> None:
         marked = self.records.mark(host, State.SUSPECT, now_ms)
         if marked is not None:
             self.flood.append(marked)
             self.out.append(effects.RecordsChanged([host]))
             self.out.append(common.Note("member.suspect", {"peer": host}))
 
-    def probed(self, host: str, answered: bool, now_ms: int) -> None:
-        """Take a probe's outcome."""
-        self.probe_results = (self.probe_results + [answered])[-RECENT_PROBES:]
-        if not answered:
-            self.suspect(host, now_ms)
-
-    def _healthy(self) -> bool:
-        """Tell whether this process may blame others.
-
-        One that reaches almost nobody is itself cut off. Without this a
-        control host on the far side of a cut would declare the fleet dead
-        and flood that when the cut heals.
-        """
-        answered = sum(self.probe_results)
-        return 2 * answered >= len(self.probe_results)
-
     def tick(self, linked: set[str], now_ms: int) -> None:
         """Expire suspects, probe one host that is not linked here."""
         changed = self.records.expire(now_ms)
--- a/libs/fleet/src/trefoil_fleet/node.py
+++ b/libs/fleet/src/trefoil_fleet/node.py
@@ -44,6 +44,7 @@
     heard_ms: int
     summary_ms: int = 0
     mismatches: int = 0
+    hung_up: bool = False
 
 
 class Node:
@@ -177,6 +178,7 @@
         self.now_ms = now_ms
         self.links[host] = Link(host, control, served, now_ms)
         self.overlay.linked(host, now_ms)
+        self.members.trust(host)
         self.config.peer_held[host] = revision
         if not served:
             summary = self.members.records.summary(
@@ -199,7 +201,7 @@
         self.config.drop_peer(host)
         self.overlay.failed(host, now_ms, retry_after_ms)
         if was_linked and not self._is_control(host):
-            self.members.suspect(host, now_ms)
+            self.members.doubt(host, now_ms)
         return self._flush()
 
     def probed(
@@ -258,6 +260,8 @@
         self.now_ms = now_ms
         self._dial()
         self._drop_silent()
+        heard_ms = {link.host: link.heard_ms for link in self.links.values()}
+        self.members.settle_doubts(heard_ms, now_ms)
         self.members.tick(set(self.links), now_ms)
         uplink = self.overlay.uplink
         self.config.tick(list(self.links), uplink, now_ms)
@@ -340,7 +344,8 @@
 
     def _drop_silent(self) -> None:
         for link in list(self.links.values()):
-            if self.now_ms - link.heard_ms >= SILENT_MS:
+            silent = self.now_ms - link.heard_ms >= SILENT_MS
+            if silent and not link.hung_up:
                 # A connection can go silent for good while new ones work;
                 # waiting for its error would leave this proxy on an old
                 # configuration for as long as the kernel retries.
@@ -348,7 +353,7 @@
                     common.Note("link.silent", {"peer": link.host})
                 )
                 self.out.append(effects.HangUp(link.host))
-                link.heard_ms = self.now_ms
+                link.hung_up = True
 
     def _beat(self) -> None:
         if self.now_ms >= self.refresh_at_ms:
--- a/libs/fleet/src/trefoil_fleet/records.py
+++ b/libs/fleet/src/trefoil_fleet/records.py
@@ -33,6 +33,20 @@
     return hashing.hash64(text.encode())
 
 
+def with_state(record: messages.HostRecord, state: int) -> messages.HostRecord:
+    """Return a copy of a record in another state."""
+    return messages.HostRecord(
+        host=record.host,
+        domain=record.domain,
+        region=record.region,
+        address=record.address,
+        incarnation=record.incarnation,
+        sequence=record.sequence,
+        state=state,
+        targets=record.targets,
+    )
+
+
 class Records:
     """The records of all hosts that this process knows."""
 
@@ -72,16 +86,7 @@
         old = self.by_host.get(host)
         if old is None or old.state >= state:
             return None
-        marked = messages.HostRecord(
-            host=old.host,
-            domain=old.domain,
-            region=old.region,
-            address=old.address,
-            incarnation=old.incarnation,
-            sequence=old.sequence,
-            state=state,
-            targets=old.targets,
-        )
+        marked = with_state(old, state)
         self.put(marked, now_ms)
         return marked
 
--- /dev/null
+++ b/libs/fleet/tests/test_node.py
@@ -0,0 +1,485 @@
+"""The fleet core: what is in force never goes down, records converge."""
+
+import random
+import typing
+
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from trefoil_fleet import effects
+from trefoil_fleet import items as item_store
+from trefoil_fleet import node as nodes
+from trefoil_fleet import records as record_store
+from trefoil_model import effects as common
+from trefoil_wire import messages
+
+CONTROLS = {"c1": "c1:1"}
+SEEDS = {"s1": "s1:1", "s2": "s2:1", "s3": "s3:1"}
+HOSTS = ["s1", "s2", "s3", "p1", "p2"]
+EVERYBODY = ["c1"] + HOSTS
+STEP_MS = 100
+MAX_MESSAGES = 400
+
+
+class Net:
+    """Cores joined by links that break, cross and repeat messages."""
+
+    def __init__(self, seed: int = 1) -> None:
+        self.rng = random.Random(seed)
+        self.now_ms = 0
+        self.lives = dict.fromkeys(EVERYBODY, 0)
+        self.nodes: dict[str, nodes.Node] = {}
+        self.in_force: dict[str, int] = {}
+        self.links: dict[frozenset[str], int] = {}
+        self.wire: list[tuple[str, str, int, typing.Any]] = []
+        self.links_made = 0
+        self.cut: set[str] = set()
+        self.down: set[str] = set()
+        self.items = item_store.Items()
+        self.revision = 0
+        self.bytes = 0
+        for name in EVERYBODY:
+            self.boot(name)
+
+    def boot(self, name: str) -> None:
+        """Start a process with an empty memory."""
+        self.lives[name] += 1
+        control = name in CONTROLS
+        record = messages.HostRecord(
+            host=name,
+            domain="d",
+            region="r",
+            address=f"{name}:1",
+            incarnation=self.lives[name],
+            sequence=1,
+            state=messages.HostState.ALIVE,
+            targets=[],
+        )
+        self.nodes[name] = nodes.Node(
+            record,
+            control=control,
+            seeds={} if control else SEEDS,
+            controls=CONTROLS,
+            now_ms=self.now_ms,
+            rng=self.rng,
+        )
+        self.down.discard(name)
+        if control:
+            self.perform(
+                name, self.nodes[name].publish(self.items, self.now_ms)
+            )
+
+    def crash(self, name: str) -> None:
+        """End a process; its links break."""
+        self.down.add(name)
+        for pair in [pair for pair in self.links if name in pair]:
+            self.break_link(pair)
+
+    def publish(self) -> None:
+        """Agree on a new revision at the control process."""
+        self.revision += 1
+        self.items = self.items.copy()
+        drain = messages.Drain(host=f"h{self.revision % 7}")
+        self.items.set(self.revision, item_store.DRAIN + drain.host, drain)
+        node = self.nodes["c1"]
+        self.perform("c1", node.publish(self.items, self.now_ms))
+
+    def reachable(self, one: str, other: str) -> bool:
+        """Tell whether two processes can speak."""
+        if {one, other} & self.down:
+            return False
+        return (one in self.cut) == (other in self.cut)
+
+    def perform(self, name: str, found: list[typing.Any]) -> None:
+        """Carry out a process's effects."""
+        for effect in found:
+            match effect:
+                case common.Send():
+                    self._send(name, effect)
+                case effects.Dial():
+                    self._dial(name, effect.host)
+                case effects.HangUp():
+                    pair = frozenset((name, effect.host))
+                    if pair in self.links:
+                        self.break_link(pair)
+                case effects.Probe():
+                    up = self.reachable(name, effect.host)
+                    node = self.nodes[name]
+                    self.perform(
+                        name, node.probed(effect.host, up, self.now_ms)
+                    )
+                case effects.PutInForce():
+                    revision = effect.items.revision
+                    assert revision >= self.in_force.get(name, 0), name
+                    self.in_force[name] = revision
+                case effects.AskFloor():
+                    node = self.nodes[name]
+                    self.perform(
+                        name,
+                        node.floor_known(
+                            effect.nonce, self.revision, self.now_ms
+                        ),
+                    )
+
+    def _send(self, name: str, effect: common.Send) -> None:
+        number = self.links.get(frozenset((name, effect.to)))
+        if number is not None:
+            self.wire.append((name, effect.to, number, effect.message))
+
+    def _dial(self, name: str, host: str) -> None:
+        if not self.reachable(name, host):
+            self.perform(name, self.nodes[name].unlinked(host, self.now_ms))
+            return
+        self.links_made += 1
+        self.links[frozenset((name, host))] = self.links_made
+        for one, other, served in ((host, name, True), (name, host, False)):
+            hello = self.nodes[other].hello()
+            self.perform(
+                one,
+                self.nodes[one].linked(
+                    other,
+                    control=other in CONTROLS,
+                    served=served,
+                    revision=hello.revision,
+                    now_ms=self.now_ms,
+                ),
+            )
+
+    def break_link(self, pair: frozenset[str]) -> None:
+        """Break a link on both sides."""
+        del self.links[pair]
+        for one, other in (tuple(pair), tuple(pair)[::-1]):
+            if one not in self.down:
+                node = self.nodes[one]
+                self.perform(one, node.unlinked(other, self.now_ms))
+
+    def deliver(self, at: int, keep: bool) -> None:
+        """Let one message arrive."""
+        if not self.wire:
+            return
+        at %= len(self.wire)
+        source, target, number, message = self.wire[at]
+        if not keep:
+            del self.wire[at]
+        alive = self.links.get(frozenset((source, target))) == number
+        if alive and self.reachable(source, target):
+            node = self.nodes[target]
+            found = node.receive(source, message, self.now_ms)
+            self.perform(target, found)
+
+    def run(self, for_ms: int) -> None:
+        """Let time pass; messages arrive in order."""
+        until_ms = self.now_ms + for_ms
+        while self.now_ms < until_ms:
+            self.now_ms += STEP_MS
+            for name in EVERYBODY:
+                if name not in self.down:
+                    found = self.nodes[name].tick(self.now_ms)
+                    self.perform(name, found)
+            for _ in range(MAX_MESSAGES):
+                if not self.wire:
+                    break
+                self.deliver(0, False)
+
+    def records_at(self, name: str) -> dict[str, int]:
+        """Return the hosts that a process takes for present."""
+        records = self.nodes[name].members.records.present()
+        return {record.host: record.incarnation for record in records}
+
+
+def test_a_revision_is_in_force_everywhere() -> None:
+    net = Net()
+    net.run(3000)
+    net.publish()
+    net.run(300)
+    assert net.in_force == dict.fromkeys(HOSTS, 1) | {"c1": 1}
+
+
+def test_a_cut_off_domain_keeps_what_it_has_and_catches_up() -> None:
+    net = Net()
+    net.run(2000)
+    net.publish()
+    net.run(1000)
+    net.cut = set(HOSTS)
+    net.publish()
+    net.run(8000)
+    assert {net.in_force[name] for name in HOSTS} == {1}
+    net.cut = set()
+    net.run(6000)
+    assert {net.in_force[name] for name in HOSTS} == {2}
+
+
+def test_a_restart_in_a_cut_off_domain_waits_for_the_seeds_word() -> None:
+    """A proxy restarts while its domain is cut off from control.
+
+    The leader can't tell it what was agreed. Two seeds that have lived on
+    can: among them is one that holds whatever was in force here.
+    """
+    net = Net()
+    net.run(2000)
+    net.publish()
+    net.run(1000)
+    net.cut = set(HOSTS)
+    net.crash("p1")
+    net.boot("p1")
+    net.run(8000)
+    node = net.nodes["p1"]
+    assert node.config.in_force.revision == 1
+
+
+def test_restarted_seeds_vouch_for_nothing() -> None:
+    """Two of three seeds restart in a cut-off domain, then a proxy does.
+
+    One seed with an older revision would answer first and the proxy would
+    go back. With too few words it serves nothing until control is back.
+    """
+    net = Net()
+    net.run(2000)
+    net.publish()
+    net.run(1000)
+    net.cut = set(HOSTS)
+    for name in ("s1", "s2", "p1"):
+        net.crash(name)
+        net.boot(name)
+    net.run(8000)
+    assert not net.nodes["p1"].ready
+    net.cut = set()
+    net.run(6000)
+    assert net.nodes["p1"].config.in_force.revision == 1
+
+
+def test_a_restarted_proxy_does_not_take_a_stale_seeds_word() -> None:
+    """A seed misses a revision, then a proxy that has it restarts beside it.
+
+    Both are on the same side of a cut. The seed has lived on, so its word
+    counts, but one word of three proves nothing: the proxy had more.
+    """
+    net = Net()
+    net.run(2000)
+    net.publish()
+    net.run(1000)
+    net.cut = {"s1"}
+    net.publish()
+    net.run(6000)
+    assert net.in_force["p1"] == 2
+    assert net.in_force["s1"] == 1
+    net.cut = {"s1", "p1"}
+    net.crash("p1")
+    net.boot("p1")
+    net.run(8000)
+    assert not net.nodes["p1"].ready
+
+
+def test_an_older_whole_does_not_replace_what_is_held() -> None:
+    """An update crosses on its way and arrives after a newer one."""
+    net = Net()
+    net.run(2000)
+    net.publish()
+    old = net.nodes["c1"].config.held.delta_since(0)
+    net.publish()
+    net.run(500)
+    node = net.nodes["p1"]
+    net.perform("p1", node.receive("s1", old, net.now_ms))
+    assert node.config.held.revision == 2
+
+
+def test_a_seed_alone_puts_nothing_in_force_at_once() -> None:
+    """A seed gets a revision and is cut off before it could pass it on.
+
+    If it put it in force, and restarted, its domain's other seeds would
+    give it the older one.
+    """
+    net = Net()
+    net.run(2000)
+    net.publish()
+    net.run(1000)
+    for pair in [p for p in net.links if p <= set(SEEDS)]:
+        del net.links[pair]
+    net.publish()
+    holder = next(
+        name for name in SEEDS if frozenset((name, "c1")) in net.links
+    )
+    while net.wire:
+        net.deliver(0, False)
+    assert net.nodes[holder].config.held.revision == 2
+    assert net.nodes[holder].config.in_force.revision == 1
+
+
+def test_a_dead_hosts_record_goes_everywhere() -> None:
+    net = Net()
+    net.run(3000)
+    net.crash("p1")
+    net.run(6000)
+    for name in EVERYBODY:
+        if name != "p1":
+            assert "p1" not in net.records_at(name)
+
+
+def test_a_seed_and_its_proxies_dying_together_are_found() -> None:
+    """A rack goes: a seed and the proxies that it watched.
+
+    No link is left to notice the proxies; the probes find them.
+    """
+    net = Net()
+    net.run(3000)
+    for name in ("s1", "s2", "p1", "p2"):
+        net.crash(name)
+    net.run(15_000)
+    assert set(net.records_at("s3")) == {"s3"}
+    assert set(net.records_at("c1")) == {"s3"}
+
+
+def test_a_false_suspicion_is_refuted() -> None:
+    net = Net()
+    net.run(3000)
+    node = net.nodes["s1"]
+    node.members._suspect("p2", net.now_ms)
+    net.perform("s1", node._flush())
+    net.run(6000)
+    for name in EVERYBODY:
+        assert "p2" in net.records_at(name)
+
+
+def test_a_control_host_on_the_far_side_blames_itself() -> None:
+    """A control host is cut off alone for a long time.
+
+    It reaches nobody. If it declared all dead, that would flood the fleet
+    when the cut heals, and every host would have to refute it.
+    """
+    net = Net()
+    net.run(3000)
+    net.cut = {"c1"}
+    net.run(60_000)
+    dead = messages.HostState.DEAD
+    records = net.nodes["c1"].members.records.by_host.values()
+    assert [r.host for r in records if r.state == dead] == []
+    net.cut = set()
+    net.run(8000)
+    for name in EVERYBODY:
+        assert set(net.records_at(name)) == set(HOSTS)
+
+
+def test_a_healed_cut_takes_no_host_out_of_routing() -> None:
+    """Control hosts hear each other and declare a cut-off domain dead.
+
+    The word reaches the domain when the cut heals. Its proxies see each
+    other all the time; none may vanish from another's records.
+    """
+    net = Net()
+    net.run(3000)
+    net.cut = set(HOSTS)
+    net.run(8000)
+    net.cut = set()
+    records = net.nodes["s1"].members.records
+    dead = record_store.with_state(records.get("p2"), messages.HostState.DEAD)
+    node = net.nodes["p1"]
+    net.perform(
+        "p1", node.receive("s1", messages.RecordsDelta([dead]), net.now_ms)
+    )
+    assert "p2" in net.records_at("p1")
+    net.run(8000)
+    for name in EVERYBODY:
+        assert set(net.records_at(name)) == set(HOSTS)
+
+
+def test_a_drain_is_known_everywhere_within_three_seconds() -> None:
+    net = Net()
+    net.run(3000)
+    target = messages.TargetRecord(
+        "t", "tables", "v1", [], 4, messages.TargetState.READY
+    )
+    net.perform("p1", net.nodes["p1"].set_targets([target], net.now_ms))
+    net.run(1000)
+    net.cut = set(HOSTS)
+    net.run(5000)
+    drained = messages.TargetRecord(
+        "t", "tables", "v1", [], 4, messages.TargetState.DRAINING
+    )
+    net.perform("p1", net.nodes["p1"].set_targets([drained], net.now_ms))
+    net.run(3000)
+    for name in HOSTS:
+        record = net.nodes[name].members.records.get("p1")
+        assert record.targets == [drained]
+
+
+def test_an_unchecked_revision_is_never_put_in_force() -> None:
+    """A delta brings a route to a service that is not there."""
+    net = Net()
+    net.run(2000)
+    net.publish()
+    net.run(500)
+    node = net.nodes["p1"]
+    broken = node.config.held.copy()
+    route = messages.Route(
+        "r", "*", "/", [], "nowhere", "", "t", 1, messages.Repeat.ANY
+    )
+    broken.set(9, item_store.ROUTE + "r", route)
+    delta = broken.delta_since(1)
+    net.perform("p1", node.receive("s1", delta, net.now_ms))
+    assert node.config.in_force.revision == 1
+    assert "nowhere" in node.config.rejected
+    assert net.nodes["p1"].config.held.revision == 1
+
+
+def test_a_herd_is_held_back_at_the_giver() -> None:
+    net = Net()
+    node = net.nodes["s1"]
+    waits = [
+        node.admit(messages.Hello(host=f"x{n}", control=False), 0)
+        for n in range(200)
+    ]
+    assert waits[: nodes.JOIN_BURST] == [0] * nodes.JOIN_BURST
+    assert all(wait > 0 for wait in waits[nodes.JOIN_BURST :])
+    assert len(set(waits[nodes.JOIN_BURST :])) > 50
+
+
+class Fleet(stateful.RuleBasedStateMachine):
+    """Revisions never go down at any proxy, whatever happens."""
+
+    hosts = st.sampled_from(HOSTS)
+
+    @stateful.initialize(seed=st.integers(0, 1 << 30))
+    def begin(self, seed: int) -> None:
+        self.net = Net(seed)
+        self.net.run(2000)
+        self.fresh: set[str] = set()
+
+    @stateful.rule()
+    def a_new_revision(self) -> None:
+        self.net.publish()
+
+    @stateful.rule(at=st.integers(0, 99), keep=st.booleans())
+    def a_message_arrives(self, at: int, keep: bool) -> None:
+        self.net.deliver(at, keep)
+
+    @stateful.rule(at=st.integers(0, 99))
+    def a_message_is_lost(self, at: int) -> None:
+        if self.net.wire:
+            del self.net.wire[at % len(self.net.wire)]
+
+    @stateful.rule(for_ms=st.sampled_from([100, 1500, 6000]))
+    def time_passes(self, for_ms: int) -> None:
+        self.net.run(for_ms)
+
+    @stateful.rule(name=hosts)
+    def a_proxy_restarts(self, name: str) -> None:
+        self.net.crash(name)
+        self.net.boot(name)
+
+    @stateful.rule(whole=st.booleans(), name=hosts)
+    def a_cut(self, whole: bool, name: str) -> None:
+        self.net.cut = set(HOSTS) if whole else {name}
+
+    @stateful.rule()
+    def the_cut_heals(self) -> None:
+        self.net.cut = set()
+
+    @stateful.rule(name=hosts)
+    def a_link_breaks(self, name: str) -> None:
+        for pair in [pair for pair in self.net.links if name in pair][:1]:
+            self.net.break_link(pair)
+
+
+TestFleet = Fleet.TestCase
+TestFleet.settings = settings(max_examples=60, stateful_step_count=40)
--- /dev/null
+++ b/libs/moves/tests/test_state.py
@@ -0,0 +1,270 @@
+"""The agreed state: commands run at most once, and never in part."""
+
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies as st
+import pytest
+
+from trefoil_fleet import items as item_store
+from trefoil_moves import phases
+from trefoil_moves import state as states
+from trefoil_wire import frames
+from trefoil_wire import messages
+
+Outcome = messages.Outcome
+NOW_MS = 1_700_000_000_000
+
+
+def configuration(
+    version: str = "v1", route_service: str = "tables", resource: str = "pay"
+) -> messages.ApplyConfiguration:
+    return messages.ApplyConfiguration(
+        services=[messages.Service("tables", ["pay", "list"], version, 0.2)],
+        routes=[
+            messages.Route(
+                name="r",
+                host="*",
+                prefix="/",
+                methods=[],
+                service_name=route_service,
+                resource=resource,
+                tenant="t",
+                timeout_ms=1000,
+                repeat=messages.Repeat.ONCE,
+            )
+        ],
+        expected_revision=0,
+    )
+
+
+def command(
+    body: object,
+    number: str = "1",
+    operator: str = "ann",
+    issued_ms: int = NOW_MS,
+    stamped_ms: int = NOW_MS,
+) -> messages.Command:
+    kind, data = frames.pack_any(body)
+    return messages.Command(
+        command_id=number,
+        operator_name=operator,
+        issued_ms=issued_ms,
+        kind=kind,
+        body=data,
+        stamped_ms=stamped_ms,
+    )
+
+
+def move(to: str = "v2", start: str = "v1") -> messages.StartMove:
+    return messages.StartMove("tables", start, to, NOW_MS + 60_000, 50, 1000)
+
+
+def applied() -> states.State:
+    state = states.State()
+    state.apply(1, command(configuration()))
+    return state
+
+
+def shares_of(state: states.State) -> dict[str, int]:
+    record = state.items.get(item_store.SHARES + "tables")
+    return {share.version: share.permille for share in record.shares}
+
+
+def test_a_resend_gets_the_same_answer_and_runs_once() -> None:
+    """The answer is lost on its way and the operator sends again.
+
+    The command was agreed already; run twice, a second move would start.
+    """
+    state = applied()
+    first = state.apply(2, command(move(), "m"))
+    again = state.apply(3, command(move(), "m"))
+    assert again == first
+    assert len(state.moves) == 1
+
+
+def test_equal_numbers_have_one_winner() -> None:
+    """Two operators draw the same number for different commands."""
+    state = applied()
+    won = state.apply(2, command(move("v2"), "7", "ann"))
+    lost = state.apply(3, command(move("v3"), "7", "ben"))
+    assert won.outcome == Outcome.DONE
+    assert lost.outcome == Outcome.NOT_RUN
+    assert [m.to_version for m in state.moves.values()] == ["v2"]
+    assert state.answer(command(move("v2"), "7", "ann")) == won
+
+
+def test_a_cancelled_command_never_runs() -> None:
+    """An operator gives up on a pending command, which then arrives.
+
+    The cancel was told "done", so the command must not run any more.
+    """
+    state = applied()
+    state.apply(2, command(messages.CancelCommand("late"), "c"))
+    late = state.apply(3, command(move(), "late"))
+    assert late.outcome == Outcome.NOT_RUN
+    assert not state.moves
+
+
+def test_a_cancel_after_the_fact_is_not_run() -> None:
+    state = applied()
+    state.apply(2, command(move(), "m"))
+    cancel = state.apply(3, command(messages.CancelCommand("m"), "c"))
+    assert cancel.outcome == Outcome.NOT_RUN
+    assert len(state.moves) == 1
+
+
+@pytest.mark.parametrize(
+    ("case", "body", "reason"),
+    [
+        ("unknown service", configuration(route_service="x"), "no service x"),
+        ("unknown resource", configuration(resource="z"), "no resource z"),
+        ("wrong base", None, "expected revision 9"),
+        ("same version", move("v1"), "the same"),
+        ("not in force", move("v3", "v2"), "at version v1"),
+        ("no such service", messages.ReverseMove("x"), "no move runs"),
+    ],
+)
+def test_what_cannot_run_changes_nothing(
+    case: str, body: object, reason: str
+) -> None:
+    state = applied()
+    before = state.items.digest
+    if body is None:
+        body = configuration()
+        body.expected_revision = 9
+    past = state.apply(2, command(body, "x"))
+    assert past.outcome == Outcome.NOT_RUN
+    assert reason in past.reason
+    assert state.items.digest == before
+
+
+def test_two_moves_on_a_service_never_run_at_once() -> None:
+    state = applied()
+    state.apply(2, command(move("v2"), "a"))
+    second = state.apply(3, command(move("v3"), "b"))
+    assert second.outcome == Outcome.NOT_RUN
+    assert "move a runs" in second.reason
+
+
+def test_a_service_with_a_move_cannot_be_removed() -> None:
+    state = applied()
+    state.apply(2, command(move(), "a"))
+    empty = messages.ApplyConfiguration([], [], 0)
+    past = state.apply(3, command(empty, "b"))
+    assert past.outcome == Outcome.NOT_RUN
+    assert shares_of(state) == {"v1": 1000}
+
+
+def test_taking_back_is_a_new_revision() -> None:
+    """A bad version is taken back: the split is what it was before.
+
+    The revision still goes up, since no proxy goes back to an older one.
+    """
+    state = applied()
+    state.apply(2, command(move(), "a"))
+    step = messages.StepMove("a", 50, phases.TRIAL, "ready")
+    state.apply(3, command(step, ""))
+    assert shares_of(state) == {"v1": 950, "v2": 50}
+    state.apply(4, command(messages.ReverseMove("tables"), "r"))
+    assert shares_of(state) == {"v1": 1000}
+    assert state.items.revision == 4
+    assert state.moves["a"].outcome == Outcome.TAKEN_BACK
+
+
+def test_old_commands_are_refused_not_forgotten() -> None:
+    """A command is sent again two days later; its outcome is forgotten.
+
+    It may have run, so it must not run now, and "not run" would be a lie.
+    """
+    state = applied()
+    later_ms = NOW_MS + 2 * states.REMEMBER_MS
+    state.apply(2, command(move(), "m", stamped_ms=NOW_MS))
+    state.apply(
+        3,
+        command(
+            messages.DrainHost("h", True),
+            "d",
+            issued_ms=later_ms,
+            stamped_ms=later_ms,
+        ),
+    )
+    assert "m" not in state.past
+    assert "no longer kept" in state.refusal(command(move(), "m"))
+
+
+class Agreed(stateful.RuleBasedStateMachine):
+    """Commands in any order, resent, racing, with snapshots in between."""
+
+    numbers = st.sampled_from(["1", "2", "3", "4", "5", "6"])
+
+    @stateful.initialize()
+    def begin(self) -> None:
+        self.state = applied()
+        self.index = 1
+        self.told: dict[tuple[str, int], int] = {}
+        self.revision = self.state.items.revision
+
+    def _apply(self, body: object, number: str, operator: str) -> None:
+        self.index += 1
+        made = command(body, number, operator)
+        past = self.state.apply(self.index, made)
+        if past is None:
+            return
+        key = (number, states.command_digest(made))
+        assert self.told.setdefault(key, past.outcome) == past.outcome
+
+    @stateful.rule(
+        number=numbers,
+        operator=st.sampled_from(["ann", "ben"]),
+        to=st.sampled_from(["v1", "v2", "v3"]),
+        start=st.sampled_from(["v1", "v2"]),
+    )
+    def a_move(self, number: str, operator: str, to: str, start: str) -> None:
+        self._apply(move(to, start), number, operator)
+
+    @stateful.rule(number=numbers)
+    def a_reversal(self, number: str) -> None:
+        self._apply(messages.ReverseMove("tables"), number, "ann")
+
+    @stateful.rule(number=numbers, cancelled=numbers)
+    def a_cancel(self, number: str, cancelled: str) -> None:
+        self._apply(messages.CancelCommand(cancelled), number, "ann")
+
+    @stateful.rule(number=numbers, permille=st.sampled_from([20, 500, 1000]))
+    def a_step(self, number: str, permille: int) -> None:
+        step = messages.StepMove(number, permille, phases.RAMP, "")
+        self._apply(step, "", "leader")
+
+    @stateful.rule(
+        number=numbers,
+        outcome=st.sampled_from([Outcome.DONE, Outcome.TAKEN_BACK]),
+    )
+    def an_end(self, number: str, outcome: int) -> None:
+        self._apply(messages.EndMove(number, outcome, ""), "", "leader")
+
+    @stateful.rule()
+    def a_snapshot(self) -> None:
+        again = states.State.from_bytes(self.state.to_bytes())
+        assert again.to_bytes() == self.state.to_bytes()
+        self.state = again
+
+    @stateful.invariant()
+    def revisions_only_go_up(self) -> None:
+        if hasattr(self, "state"):
+            assert self.state.items.revision >= self.revision
+            self.revision = self.state.items.revision
+
+    @stateful.invariant()
+    def shares_are_whole(self) -> None:
+        if hasattr(self, "state"):
+            assert sum(shares_of(self.state).values()) == 1000
+            assert len(self.state.running_moves()) <= 1
+
+    @stateful.invariant()
+    def without_a_move_one_version_has_all(self) -> None:
+        if hasattr(self, "state") and not self.state.running_moves():
+            assert 1000 in shares_of(self.state).values()
+
+
+TestAgreed = Agreed.TestCase
+TestAgreed.settings = settings(max_examples=100, stateful_step_count=40)
--- a/libs/requests/src/trefoil_requests/routing.py
+++ b/libs/requests/src/trefoil_requests/routing.py
@@ -132,8 +132,6 @@
         for record in records.present():
             for target in record.targets or ():
                 hosts.setdefault(target.service_name, set()).add(record.host)
-                if record.state != messages.HostState.ALIVE:
-                    continue
                 if record.host in drained:
                     continue
                 if target.state != messages.TargetState.DRAINING:
