--- a/libs/moves/src/trefoil_moves/conductor.py
+++ b/libs/moves/src/trefoil_moves/conductor.py
@@ -18,6 +18,7 @@
 EXPECTED_WINDOWS = 600
 COMPARE_WINDOWS = 40
 COMPARE_SHARE = 250
+LEANING_FACTOR = 3
 FAINT_SHARE = 0.02
 WHOLE = 1000
 RAMP_RESERVE = 0.25
@@ -279,7 +280,10 @@
         return None
 
     def _decide_compare(self, now_ms: int) -> Decision:
-        if now_ms - self.step_started_ms < self.knobs.compare_ms:
+        limit_ms = self.knobs.compare_ms
+        if self.judge.leans_against():
+            limit_ms *= LEANING_FACTOR
+        if now_ms - self.step_started_ms < limit_ms:
             return None
         return Step(WHOLE, phases.WATCH, "the old version fares no better")
 
--- a/libs/moves/src/trefoil_moves/judge.py
+++ b/libs/moves/src/trefoil_moves/judge.py
@@ -14,14 +14,14 @@
 from . import evidence as evidences
 from . import sequential
 
-FADE = 0.9
+FADE = 0.95
 SLOW_QUANTILE = 0.9
 TAIL_QUANTILE = 0.95
 TAIL_BUCKETS = 3
 SLOW_BUCKETS = 1
 LEARN_LATENCIES = 40
-BASE_TOLERANCE = 0.01
-BASE_ALARM = 0.05
+BASE_TOLERANCE = 0.003
+BASE_ALARM = 0.016
 BASE_EVIDENCE = 5.0
 ALL_ROUTES = "*"
 
@@ -178,7 +178,7 @@
         case.old.merge(old)
         case.new.merge(new)
         case.old_ever.merge(old)
-        case.new_ever += new.requests
+        case.new_ever += sum(new.latencies.values())
 
     def _learn_slowness(self, case: RouteCase) -> None:
         """Set what counts as slow, from the old version alone.
@@ -248,6 +248,14 @@
         base = latency.quantile_bucket(case.old_ever.latencies, SLOW_QUANTILE)
         return base >= 0 and tail - base >= TAIL_BUCKETS
 
+    def leans_against(self) -> bool:
+        """Tell whether half of the evidence that condemns is there."""
+        half = self.threshold / 2
+        return any(
+            max(case.failures.evidence, case.slowness.evidence) >= half
+            for case in self.cases.values()
+        )
+
     def begin_compare(self) -> None:
         """Forget the alarms; both versions serve side by side again.
 
@@ -263,7 +271,11 @@
             case.old = evidences.Counts()
 
     def seen(self) -> dict[str, int]:
-        """Return how many requests of the new version each route had."""
+        """Return how many requests of the new version each route had.
+
+        Those of cold targets are left out: their latency is not judged, so
+        a slow version would pass its first steps unseen.
+        """
         return {
             route: case.new_ever
             for route, case in self.cases.items()
--- a/libs/moves/src/trefoil_moves/knobs.py
+++ b/libs/moves/src/trefoil_moves/knobs.py
@@ -17,11 +17,12 @@
             have shown at a step before the next.
         least_step_ms: Shortest time at a step.
         compare_ms: How long both versions serve side by side when a fault
-            shows after the whole share.
+            shows after the whole share; up to three times as long while
+            the evidence leans against the new one.
     """
 
     false_alarms: float = 0.005
-    tolerance: float = 0.01
+    tolerance: float = 0.005
     first_permille: int = 20
     step_growth: float = 2.5
     requests_per_step: int = 30
