--- a/libs/cli/src/trefoil_cli/client.py
+++ b/libs/cli/src/trefoil_cli/client.py
@@ -8,6 +8,7 @@
 
 COMMAND_PATH = "/v1/command"
 TIMEOUT_S = 8.0
+STAMP_DIGITS = 13
 
 
 class Unreachable(Exception):
@@ -36,6 +37,21 @@
     issued_ms: int
     document: str = ""
 
+    @classmethod
+    def numbered(
+        cls, text: str, number: str, operator: str, document: str = ""
+    ) -> typing.Self:
+        """Build a line from its number, which tells when it was issued.
+
+        A resend with the same number must be the same command to the last
+        byte, the time of issue included, or it would be another's.
+        """
+        stamp = number.partition("-")[0]
+        stamped = len(stamp) == STAMP_DIGITS and stamp.isdigit()
+        now_ms = int(time.time() * 1000)
+        issued_ms = int(stamp) if stamped else now_ms
+        return cls(text, number, operator, issued_ms, document)
+
     def to_json(self) -> str:
         """Return what is sent."""
         return json.dumps(
--- a/libs/cli/src/trefoil_cli/main.py
+++ b/libs/cli/src/trefoil_cli/main.py
@@ -101,15 +101,11 @@
             document = path.read_text(encoding="utf-8")
         except OSError as error:
             _fail(str(error), WRONG_LINE)
-    command_id = number or new_id(now_ms)
-    stamp = command_id.partition("-")[0]
-    issued_ms = int(stamp) if len(stamp) == 13 and stamp.isdigit() else now_ms
-    return client.Line(
-        text=text,
-        command_id=command_id,
-        operator=operator or getpass.getuser(),
-        issued_ms=issued_ms,
-        document=document,
+    return client.Line.numbered(
+        text,
+        number or new_id(now_ms),
+        operator or getpass.getuser(),
+        document,
     )
 
 
--- a/libs/emulator/src/trefoil_emulator/fleet.py
+++ b/libs/emulator/src/trefoil_emulator/fleet.py
@@ -296,18 +296,11 @@
         number: str = "",
         operator: str = "tester",
         wait_s: float = 20.0,
-        issued_ms: int = 0,
     ) -> dict[str, typing.Any]:
         """Say a line of the operators' language to a process."""
         self.numbers += 1
-        now_ms = int(time.time() * 1000)
-        line = client.Line(
-            text,
-            number or f"{now_ms}-{self.numbers}",
-            operator,
-            issued_ms or now_ms,
-            document,
-        )
+        number = number or f"{int(time.time() * 1000)}-{self.numbers}"
+        line = client.Line.numbered(text, number, operator, document)
         address = self.members[at].address("admin")
         return client.Client(address).settle(line, wait_s)
 
--- /dev/null
+++ b/libs/moves/tests/test_conductor.py
@@ -0,0 +1,207 @@
+"""The conductor's steps: by evidence, slots and the deadline."""
+
+import pytest
+
+from trefoil_moves import conductor as conductors
+from trefoil_moves import evidence as evidences
+from trefoil_moves import knobs as knob_store
+from trefoil_moves import phases
+from trefoil_wire import messages
+
+DEADLINE_MS = 100_000
+FULL = conductors.Capacity(48, 48, 4, [])
+NONE_READY = conductors.Capacity(48, 0, 0, [])
+FEW = conductors.Capacity(48, 12, 1, [])
+LACKING = conductors.Capacity(48, 48, 4, ["payments"])
+
+
+def a_move(
+    phase: str = phases.WAITING, permille: int = 0, watch_ms: int = 5000
+) -> messages.MoveRecord:
+    return messages.MoveRecord(
+        move_id="m",
+        service_name="s",
+        from_version="v1",
+        to_version="v2",
+        deadline_ms=DEADLINE_MS,
+        risk_permille=50,
+        watch_ms=watch_ms,
+        started_ms=0,
+        permille=permille,
+        phase=phase,
+        outcome=0,
+        reason="",
+        step_ms=0,
+        history=[],
+    )
+
+
+def conduct(
+    move: messages.MoveRecord,
+    capacity: conductors.Capacity = FULL,
+    *,
+    start_ms: int = 0,
+    until_ms: int = 200_000,
+    bad_from_ms: int = -1,
+    rate: int = 0,
+) -> list[tuple[int, object]]:
+    """Conduct a move; return its decisions with their times."""
+    conductor = conductors.Conductor(move, knob_store.Knobs(), start_ms)
+    totals = {"v1": [0, 0], "v2": [0, 0]}
+    decisions = []
+    for now_ms in range(start_ms, until_ms, 200):
+        if rate and now_ms % 1000 == 0:
+            bad = 0 <= bad_from_ms <= now_ms
+            conductor.hear(_report(move, totals, rate, bad, now_ms), now_ms)
+        decision = conductor.decide(
+            move, capacity, now_ms=now_ms, wall_ms=now_ms
+        )
+        if decision is None:
+            continue
+        decisions.append((now_ms, decision))
+        if isinstance(decision, conductors.End):
+            return decisions
+        move.permille = decision.permille
+        move.phase = decision.phase
+        move.history = move.history + [f"+0s {move.phase} : x"]
+        conductor.stepped(move, now_ms)
+    return decisions
+
+
+def _report(
+    move: messages.MoveRecord,
+    totals: dict[str, list[int]],
+    rate: int,
+    bad: bool,
+    now_ms: int,
+) -> messages.EvidenceReport:
+    new = rate * move.permille // 1000
+    totals["v1"][0] += rate - new
+    totals["v2"][0] += new
+    totals["v2"][1] += new // 2 if bad else 0
+    tallies = [
+        messages.Tally("r", version, "d", count, failed, {40: count})
+        for version, (count, failed) in totals.items()
+    ]
+    return messages.EvidenceReport("m", "h", 1, now_ms + 1, tallies, False)
+
+
+def shares(decisions: list[tuple[int, object]]) -> list[int]:
+    return [
+        decision.permille
+        for _, decision in decisions
+        if isinstance(decision, conductors.Step)
+    ]
+
+
+def ending(decisions: list[tuple[int, object]]) -> tuple[int, int]:
+    at_ms, decision = decisions[-1]
+    assert isinstance(decision, conductors.End)
+    return at_ms, decision.outcome
+
+
+def test_a_good_version_has_all_traffic_in_time() -> None:
+    decisions = conduct(a_move(), rate=500)
+    whole_ms = next(
+        at_ms for at_ms, d in decisions if getattr(d, "permille", 0) == 1000
+    )
+    assert shares(decisions) == sorted(shares(decisions))
+    assert whole_ms <= DEADLINE_MS
+    assert ending(decisions) == (whole_ms + 5000, messages.Outcome.DONE)
+
+
+def test_without_traffic_the_deadline_is_still_met() -> None:
+    """No request comes on the service at all until the deadline.
+
+    Nothing speaks against the version; the operator's date stands.
+    """
+    decisions = conduct(a_move())
+    assert ending(decisions)[1] == messages.Outcome.DONE
+    assert shares(decisions)[-1] == 1000
+
+
+@pytest.mark.parametrize(
+    ("case", "capacity", "outcome", "reason"),
+    [
+        (
+            "no targets",
+            NONE_READY,
+            messages.Outcome.NOT_RUN,
+            "no target of the new version",
+        ),
+        (
+            "no resource",
+            LACKING,
+            messages.Outcome.NOT_RUN,
+            "lack resources: payments",
+        ),
+        (
+            "few slots",
+            FEW,
+            messages.Outcome.TAKEN_BACK,
+            "12 slots, the old version 48",
+        ),
+    ],
+)
+def test_what_keeps_a_move_from_its_end(
+    case: str, capacity: conductors.Capacity, outcome: int, reason: str
+) -> None:
+    decisions = conduct(a_move(), capacity, rate=500)
+    assert ending(decisions) == (DEADLINE_MS, outcome)
+    assert reason in decisions[-1][1].reason
+    assert all(share <= 225 for share in shares(decisions))
+
+
+def test_targets_that_go_away_end_the_move() -> None:
+    move = a_move(phases.RAMP, 300)
+    decisions = conduct(move, NONE_READY, rate=500)
+    assert ending(decisions) == (0, messages.Outcome.TAKEN_BACK)
+
+
+def test_a_bad_version_keeps_its_small_share_until_it_is_taken_back() -> None:
+    decisions = conduct(a_move(), rate=500, bad_from_ms=0)
+    at_ms, outcome = ending(decisions)
+    assert outcome == messages.Outcome.TAKEN_BACK
+    assert at_ms <= 15_000
+    assert max(shares(decisions)) <= 50
+
+
+def test_a_fault_after_the_whole_share_asks_the_old_version() -> None:
+    """All traffic has moved, then half of the requests fail.
+
+    The old version has no traffic to compare with; a part goes back to it
+    for as long as it takes to tell a shared fault from the version's own.
+    """
+    decisions = conduct(a_move(watch_ms=60_000), rate=500, bad_from_ms=70_000)
+    asked_ms = next(
+        at_ms
+        for at_ms, d in decisions
+        if getattr(d, "phase", "") == phases.COMPARE
+    )
+    at_ms, outcome = ending(decisions)
+    assert outcome == messages.Outcome.TAKEN_BACK
+    assert asked_ms <= 73_000
+    assert at_ms <= asked_ms + 4000
+
+
+def test_a_new_leader_goes_on_from_the_agreed_step() -> None:
+    move = a_move(phases.RAMP, 300)
+    decisions = conduct(move, rate=500, start_ms=50_000)
+    assert shares(decisions)[0] > 300
+    assert ending(decisions)[1] == messages.Outcome.DONE
+
+
+def test_a_proxys_halt_takes_the_move_back() -> None:
+    move = a_move(phases.RAMP, 300)
+    conductor = conductors.Conductor(move, knob_store.Knobs(), 0)
+    halt = messages.EvidenceReport("m", "h7", 1, 1, [], True)
+    conductor.hear(halt, 0)
+    decision = conductor.decide(move, FULL, now_ms=0, wall_ms=0)
+    assert decision.outcome == messages.Outcome.TAKEN_BACK
+    assert "h7" in decision.reason
+
+
+def test_knobs_follow_the_profile() -> None:
+    assert knob_store.Knobs.from_profile("in-time").false_alarms < 0.005
+    assert knob_store.Knobs.from_profile("cautious").pace > 0.5
+    assert evidences.REPORT_MS == 500
