Hold the interfaces by tables of faults

Cause: malformed senders, admission, balancing and settings had no contract tests. Ruled out: circuits.web's own keep-alive rule; it takes "Connection: close, X-Hop" for an open connection (test_pieces_make_the_same_message failed), and a caller would wait for a close that never comes.

--- a/Makefile
+++ b/Makefile
@@ -16,6 +16,8 @@
 	$(BIN)/pip install -q -c constraints.txt setuptools wheel
 	$(BIN)/pip install -q -c constraints.txt --no-build-isolation \
 		$(LIBS:%=-e libs/%) -r requirements-dev.txt -r requirements-bench.txt
+	# Daemons would else compile the generated messages at every start.
+	$(BIN)/python -m compileall -q libs
 	touch $@
 
 demo: $(VENV)/ready
--- a/libs/daemon/src/trefoil_daemon/_http.py
+++ b/libs/daemon/src/trefoil_daemon/_http.py
@@ -149,8 +149,10 @@
             raise errors.ProtocolError(400, parser.errstr or "bad head")
         message = Message()
         self._take_first_line(message, parser)
-        message.keep_alive = parser.should_keep_alive()
         self._take_lines(message, head)
+        options = connection_options(message)
+        late = parser.get_version() == (1, 1) or b"keep-alive" in options
+        message.keep_alive = late and b"close" not in options
         self._take_length(message, parser)
         return message
 
@@ -170,14 +172,7 @@
 
     def _take_lines(self, message: Message, head: bytes) -> None:
         kept = []
-        lines = head.split(b"\r\n")[1:-2]
-        named = {
-            token.strip().lower()
-            for line in lines
-            if line[:11].lower() == b"connection:"
-            for token in line[11:].split(b",")
-        }
-        for line in lines:
+        for line in head.split(b"\r\n")[1:-2]:
             name, colon, value = line.partition(b":")
             lower = name.lower()
             if not colon or lower != lower.strip() or not lower:
@@ -185,9 +180,12 @@
             if lower == b"content-length" and lower in message.fields:
                 raise errors.ProtocolError(400, "two lengths")
             message.fields[lower] = value.strip()
-            if lower not in HOP_BY_HOP and lower not in named:
-                kept.append(line + b"\r\n")
-        message.headers = b"".join(kept)
+            if lower not in HOP_BY_HOP:
+                kept.append((lower, line))
+        named = connection_options(message)
+        message.headers = b"".join(
+            line + b"\r\n" for name, line in kept if name not in named
+        )
 
     def _take_length(
         self, message: Message, parser: parsers.HttpParser
@@ -256,6 +254,12 @@
         return message
 
 
+def connection_options(message: Message) -> set[bytes]:
+    """Return the words of a message's Connection field."""
+    field = message.fields.get(b"connection", b"")
+    return {word.strip().lower() for word in field.split(b",")}
+
+
 def request_bytes(
     method: str, path: str, headers: bytes, body: bytes, extra: bytes = b""
 ) -> bytes:
--- /dev/null
+++ b/libs/requests/tests/test_admission.py
@@ -0,0 +1,102 @@
+"""Admission before a target: slots, a short queue, refusals at once."""
+
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from trefoil_requests import admission
+
+FAR_MS = 10_000
+
+
+def test_free_slots_admit() -> None:
+    gate = admission.Admission(2)
+    assert gate.offer(1, FAR_MS, 0) == admission.Admitted()
+    assert gate.offer(2, FAR_MS, 0) == admission.Admitted()
+    assert gate.offer(3, FAR_MS, 0) == admission.Queued()
+    gate.finished(10)
+    assert gate.next_admitted() == 3
+
+
+def test_a_hopeless_request_is_refused_at_once() -> None:
+    """The queue would take longer than the request has."""
+    gate = admission.Admission(1)
+    gate.service_ms = 100
+    gate.offer(1, FAR_MS, 0)
+    gate.offer(2, FAR_MS, 0)
+    decision = gate.offer(3, 150, 0)
+    assert isinstance(decision, admission.Refused)
+    assert decision.retry_after_ms >= 100
+
+
+def test_the_queue_is_bounded() -> None:
+    gate = admission.Admission(2)
+    decisions = [gate.offer(n, FAR_MS, 0) for n in range(20)]
+    refused = [d for d in decisions if isinstance(d, admission.Refused)]
+    assert len(refused) == 20 - 2 - 2 * admission.QUEUE_PER_SLOT
+
+
+def test_what_waits_too_long_is_given_up_in_time() -> None:
+    """A request whose turn came too late would spend a slot on nobody."""
+    gate = admission.Admission(1)
+    gate.service_ms = 20
+    gate.offer(1, FAR_MS, 0)
+    gate.offer(2, 100, 0)
+    assert gate.expired(70) == []
+    assert gate.expired(81) == [2]
+    gate.finished()
+    assert gate.next_admitted() is None
+
+
+class Gate(stateful.RuleBasedStateMachine):
+    """Slots never run over, every request has one fate."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.gate = admission.Admission(3)
+        self.now_ms = 0
+        self.number = 0
+        self.running: set[int] = set()
+        self.queued: set[int] = set()
+
+    @stateful.rule(within_ms=st.integers(1, 200))
+    def offer(self, within_ms: int) -> None:
+        self.number += 1
+        decision = self.gate.offer(
+            self.number, self.now_ms + within_ms, self.now_ms
+        )
+        if isinstance(decision, admission.Admitted):
+            self.running.add(self.number)
+        elif isinstance(decision, admission.Queued):
+            self.queued.add(self.number)
+
+    @stateful.rule(took_ms=st.integers(1, 100))
+    def finish(self, took_ms: int) -> None:
+        if self.running:
+            self.running.pop()
+            self.gate.finished(took_ms)
+            following = self.gate.next_admitted()
+            if following is not None:
+                self.queued.remove(following)
+                self.running.add(following)
+
+    @stateful.rule()
+    def withdraw(self) -> None:
+        if self.queued:
+            assert self.gate.withdraw(self.queued.pop())
+
+    @stateful.rule(by_ms=st.integers(1, 100))
+    def time_passes(self, by_ms: int) -> None:
+        self.now_ms += by_ms
+        for number in self.gate.expired(self.now_ms):
+            self.queued.remove(number)
+
+    @stateful.invariant()
+    def bounded(self) -> None:
+        assert self.gate.running == len(self.running) <= 3
+        assert len(self.gate.queue) == len(self.queued)
+        assert len(self.queued) <= 3 * admission.QUEUE_PER_SLOT
+
+
+TestGate = Gate.TestCase
+TestGate.settings = settings(max_examples=60, stateful_step_count=40)
--- /dev/null
+++ b/libs/settings/tests/test_settings.py
@@ -0,0 +1,98 @@
+"""Settings and configuration: every finding, with its place, at once."""
+
+import pytest
+
+from trefoil_settings import configuration
+from trefoil_settings import settings
+
+PROXY = """\
+host: h1
+domain: ariana
+callers: 127.0.0.1:1
+peers: 127.0.0.1:2
+admin: 127.0.0.1:3
+controls: {c1: 127.0.0.1:4}
+seeds: {h1: 127.0.0.1:2}
+"""
+
+
+def test_defaults_are_filled_in_and_shown() -> None:
+    made = settings.parse(PROXY, "proxy").ok
+    assert (made.lease_ms, made.max_body_mib, made.region) == (
+        3000,
+        1,
+        "default",
+    )
+    shown = settings.render(made)
+    assert "lease: 3000ms" in shown
+    assert settings.parse(shown, "proxy").ok == made
+
+
+def test_findings_come_together_in_order() -> None:
+    text = PROXY.replace("127.0.0.1:1\n", "localhost\n")
+    text = text.replace("ariana", "a b").replace("{h1", "{'h 1'")
+    text += "colour: red\nlease: soon\nhost: twice\n"
+    found = settings.parse(text, "proxy", file="p.yaml").error
+    assert [str(finding).partition(": ")[0] for finding in found] == [
+        "p.yaml:2:9",
+        "p.yaml:3:10",
+        "p.yaml:7:9",
+        "p.yaml:8:1",
+        "p.yaml:9:8",
+        "p.yaml:10:1",
+    ]
+
+
+@pytest.mark.parametrize(
+    ("case", "text", "problem"),
+    [
+        ("empty", "", "the file is empty"),
+        ("not YAML", "a: [", "not YAML"),
+        ("a list", "- a", "expected a mapping"),
+        ("missing", "host: h", "'callers' is missing"),
+        ("tags", "!!python/object:os.system {}", "missing"),
+    ],
+)
+def test_what_is_no_settings_file(case: str, text: str, problem: str) -> None:
+    assert problem in str(settings.parse(text, "proxy").error)
+
+
+def test_a_control_process_must_be_among_the_controls() -> None:
+    text = (
+        "host: c9\ndomain: d\npeers: 127.0.0.1:1\nadmin: 127.0.0.1:2\n"
+        "controls: {c1: 127.0.0.1:1}\nvoters: [c1, c2]\n"
+        "data_folder: x\nelection: 100ms\n"
+    )
+    found = str(settings.parse(text, "control").error)
+    assert "lacks 'c9'" in found
+    assert "voter 'c2' has no address" in found
+    assert "twice heartbeat" in found
+
+
+DOCUMENT = """\
+services:
+  - {name: tables, version: v1, resources: [pay]}
+routes:
+  - {name: a, prefix: /a, service: tables, resource: pay}
+"""
+
+
+def test_a_route_runs_once_unless_it_says_otherwise() -> None:
+    made = configuration.parse(DOCUMENT).ok
+    assert made.routes[0].repeat == configuration.REPEAT["once"]
+    assert made.routes[0].timeout_ms == 2000
+
+
+@pytest.mark.parametrize(
+    ("change", "problem"),
+    [
+        (("service: tables", "service: x"), "4:5: there is no service 'x'"),
+        (("resource: pay}", "resource: z}"), "4:5: service 'tables' has no"),
+        (("/a", "a"), "4:5: prefix must start with /"),
+        (("name: a,", "name: a, methods: [GO],"), "'GO' is none of GET"),
+        (("version: v1", "version: v 1"), "2:29: 'v 1' is not a name"),
+    ],
+)
+def test_wrong_documents(change: tuple[str, str], problem: str) -> None:
+    text = DOCUMENT.replace(*change)
+    assert problem in str(configuration.parse(text).error)
