Hand reads straight from the poller to the transport

Change: DirectPoller calls the transport; the parser gets the header lines only where a body is chunked (the coding is looked for whatever its case, and must be one that the parser saw).

--- a/libs/daemon/src/trefoil_daemon/_http.py
+++ b/libs/daemon/src/trefoil_daemon/_http.py
@@ -141,6 +141,10 @@
         # characters \n would come out as a line break, and so as a header
         # that nobody sent. Doubled, they read back as they were.
         safe = head.replace(b"\\", b"\\\\")
+        if b"transfer-encoding" not in head.lower():
+            # Only chunked bodies need the parser to know the header lines;
+            # they are checked and passed on line by line below.
+            safe = safe[: safe.find(b"\r\n") + 2] + b"\r\n"
         try:
             parser.execute(safe, len(safe))
         except (ValueError, IndexError, TypeError) as error:
@@ -197,7 +201,8 @@
         if coding is not None:
             # A message with both would be cut differently by the next
             # server on its way, which lets a caller smuggle a request.
-            if length is not None or coding.lower() != b"chunked":
+            plain = coding.lower() == b"chunked" and parser.is_chunked()
+            if length is not None or not plain:
                 raise errors.ProtocolError(400, "unclear length")
             self.chunks = parser
             self.length = -1
--- a/libs/daemon/src/trefoil_daemon/pools.py
+++ b/libs/daemon/src/trefoil_daemon/pools.py
@@ -142,7 +142,10 @@
         )
 
     def _watch(self, port: int) -> silence.SilenceWatch:
-        return self.watches.setdefault(port, silence.SilenceWatch())
+        watch = self.watches.get(port)
+        if watch is None:
+            watch = self.watches[port] = silence.SilenceWatch()
+        return watch
 
     def _take(self, port: int, now_ms: int) -> TargetConnection:
         connections = self.idle.get(port)
--- a/libs/daemon/src/trefoil_daemon/runtime.py
+++ b/libs/daemon/src/trefoil_daemon/runtime.py
@@ -10,7 +10,6 @@
 
 import circuits
 from circuits.core import handlers
-from circuits.core import pollers
 
 from trefoil_model import clock as clocks
 from trefoil_model import effects as common
@@ -52,7 +51,7 @@
         """Build the parts; the engine is set by the daemon."""
         self.name_of_process = name
         self.system_clock = clock or clocks.SystemClock()
-        self.poller = pollers.EPoll().register(self)
+        self.poller = transports.DirectPoller().register(self)
         self.transport = transports.Transport(self.poller).register(self)
         self.log = logs.EventLog(name, log_level)
         self.metrics = metric_store.Metrics(name, statsd)
--- a/libs/daemon/src/trefoil_daemon/transport.py
+++ b/libs/daemon/src/trefoil_daemon/transport.py
@@ -7,11 +7,11 @@
 
 import collections.abc
 import errno
+import select
 import socket
 import typing
 
 import circuits
-from circuits.core import handlers
 from circuits.core import pollers
 
 READ_BYTES = 65536
@@ -112,14 +112,47 @@
             self.on_close(self)
 
 
+class DirectPoller(pollers.EPoll):
+    """An epoll poller that hands readiness straight to its transport.
+
+    An event for each read would wait in the queue behind the next poll and
+    costs a dispatch; under load that is an eighth of a call's processor time.
+    """
+
+    channel = "direct-poller"
+
+    def init(self, channel: str = channel) -> None:
+        """Start without a transport."""
+        self.transport: "Transport | None" = None
+
+    def _process(self, fileno: int, event: int) -> None:
+        fd = self._map.get(fileno)
+        if fd is None or fd == self._ctrl_recv or self.transport is None:
+            super()._process(fileno, event)
+            return
+        try:
+            if event & select.EPOLLIN:
+                self.transport.readable(fd)
+            elif event & self._disconnected_flag:
+                self.transport.broken(fd)
+            if event & select.EPOLLOUT:
+                self.transport.writable(fd)
+        except Exception:
+            # The runtime logs it; the stream that led to it must not stay
+            # half handled.
+            self.transport.broken(fd)
+            raise
+
+
 class Transport(circuits.BaseComponent):
     """The component that carries all streams of a process."""
 
     channel = "transport"
 
-    def init(self, poller: pollers.BasePoller) -> None:
+    def init(self, poller: DirectPoller) -> None:
         """Take the poller to watch sockets with."""
         self.poller = poller
+        poller.transport = self
         self.streams: dict[socket.socket, Stream] = {}
         self.listeners: dict[socket.socket, OnOpen] = {}
         self.refused_errors = 0
@@ -174,8 +207,8 @@
         self.poller.discard(stream.sock)
         stream.sock.close()
 
-    @handlers.handler("_read", priority=1)
-    def _on_read(self, sock: socket.socket) -> None:
+    def readable(self, sock: socket.socket) -> None:
+        """Take a connection or bytes."""
         on_open = self.listeners.get(sock)
         if on_open is not None:
             self._accept(sock, on_open)
@@ -207,8 +240,8 @@
             self.poller.addReader(self, sock)
             on_open(stream)
 
-    @handlers.handler("_write", priority=1)
-    def _on_write(self, sock: socket.socket) -> None:
+    def writable(self, sock: socket.socket) -> None:
+        """Go on with a connection or with bytes that wait."""
         stream = self.streams.get(sock)
         if stream is None:
             return
@@ -242,8 +275,8 @@
         if stream.closing:
             stream.close()
 
-    @handlers.handler("_disconnect", priority=1)
-    def _on_disconnect(self, sock: socket.socket) -> None:
+    def broken(self, sock: socket.socket) -> None:
+        """Close a connection that the kernel gave up."""
         stream = self.streams.get(sock)
         if stream is not None:
             stream.close()
--- a/libs/emulator/src/trefoil_emulator/target.py
+++ b/libs/emulator/src/trefoil_emulator/target.py
@@ -9,7 +9,6 @@
 
 import circuits
 from circuits.core import handlers
-from circuits.core import pollers
 import fire
 
 from trefoil_daemon import _http
@@ -49,7 +48,7 @@
         self.behaviour = behaviours.Behaviour.from_json(
             options.get("behave", "")
         )
-        self.poller = pollers.EPoll().register(self)
+        self.poller = transports.DirectPoller().register(self)
         self.transport = transports.Transport(self.poller).register(self)
         self.server = http_server.HttpServer(
             self.transport,
