Keep long-lived objects out of collections

Cause: one call in a thousand took 15 to 28 ms more through two hops, in every run at 300 calls/s; a full collection walks all objects of the libraries. Ruled out: the beat (50 ms apart, well under 1 ms each). Change: gc.freeze after start, higher thresholds.

--- a/libs/daemon/src/trefoil_daemon/control.py
+++ b/libs/daemon/src/trefoil_daemon/control.py
@@ -78,4 +78,5 @@
     """Run a control process until it is told to end."""
     daemon = ControlDaemon(settings.host, settings.log_level, settings.statsd)
     daemon.start_control(settings)
+    daemon.settle()
     daemon.run()
--- a/libs/daemon/src/trefoil_daemon/proxy.py
+++ b/libs/daemon/src/trefoil_daemon/proxy.py
@@ -115,6 +115,7 @@
     """Run a proxy until it is told to leave."""
     daemon = ProxyDaemon(settings.host, settings.log_level, settings.statsd)
     daemon.start_proxy(settings)
+    daemon.settle()
     daemon.run()
 
 
--- a/libs/daemon/src/trefoil_daemon/runtime.py
+++ b/libs/daemon/src/trefoil_daemon/runtime.py
@@ -4,6 +4,7 @@
 sockets, beats the engine's clock and ends on signals.
 """
 
+import gc
 import random
 import signal as signals
 import typing
@@ -23,6 +24,7 @@
 
 BEAT_S = 0.05
 FLUSH_MS = 10_000
+GC_THRESHOLDS = (20_000, 20, 100)
 
 
 class beat(circuits.Event):
@@ -65,6 +67,16 @@
             self
         )
 
+    def settle(self) -> None:
+        """Keep what lives as long as the process out of collections.
+
+        A full collection walks every object of the libraries and shows as a
+        pause of tens of milliseconds in one call of a thousand.
+        """
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(*GC_THRESHOLDS)
+
     # Events
 
     @handlers.handler("beat")
