--- a/bench/requests.py
+++ b/bench/requests.py
@@ -63,7 +63,7 @@
         service="small",
         version="v1",
         slots=SLOTS,
-        behave={"delay_ms": SMALL_MS, "jitter": 0},
+        behave={"delay_ms": SMALL_MS, "jitter": 0, "workers": SLOTS},
     )
     fleet.start()
     fleets.wait_for("a leader", fleet.leader)
--- a/libs/emulator/src/trefoil_emulator/behaviour.py
+++ b/libs/emulator/src/trefoil_emulator/behaviour.py
@@ -25,6 +25,8 @@
         cold_ms: Time from the start in which requests take longer.
         cold_factor: How many times longer.
         lie: Answer the health page as healthy whatever happens.
+        workers: Requests that are worked on at once, others wait; 0 for
+            all.
     """
 
     delay_ms: float = 5.0
@@ -41,6 +43,7 @@
     cold_ms: float = 0.0
     cold_factor: float = 8.0
     lie: bool = False
+    workers: int = 0
 
     @classmethod
     def from_json(cls, text: str) -> typing.Self:
--- a/libs/emulator/src/trefoil_emulator/target.py
+++ b/libs/emulator/src/trefoil_emulator/target.py
@@ -64,6 +64,7 @@
         self.under_way: dict[int, http_server.ServerConnection] = {}
         self.due: list[tuple[int, int, int]] = []
         self.numbers = itertools.count(1)
+        self.free_us: list[int] = []
         self.runs: dict[str, int] = {}
         self.served = 0
         self.cancelled = 0
@@ -108,9 +109,21 @@
         if took_ms < 1:
             self._finish(number)
             return
-        due_us = self.clock.now_us() + int(took_ms * 1000)
+        due_us = self._begin_us() + int(took_ms * 1000)
+        if self.behaviour.workers:
+            heapq.heapreplace(self.free_us, due_us)
         heapq.heappush(self.due, (due_us, number, 0))
 
+    def _begin_us(self) -> int:
+        """Return when a worker is free for the next request."""
+        now_us = self.clock.now_us()
+        workers = self.behaviour.workers
+        if not workers:
+            return now_us
+        if len(self.free_us) != workers:
+            self.free_us = [now_us] * workers
+        return max(now_us, self.free_us[0])
+
     def gone(self, connection: http_server.ServerConnection) -> None:
         """Note a request that its proxy cancelled."""
         for number, running in list(self.under_way.items()):
--- a/libs/requests/src/trefoil_requests/admission.py
+++ b/libs/requests/src/trefoil_requests/admission.py
@@ -5,7 +5,7 @@
 
 SERVICE_WEIGHT = 0.1
 FIRST_SERVICE_MS = 5.0
-QUEUE_PER_SLOT = 2
+QUEUE_PER_SLOT = 4
 MIN_RETRY_MS = 20
 
 
