Spare bytes and work in a large fleet

Ruled out: merging tallies at seeds; a child that restarts would have to be told apart inside the sum. Change: the pause between evidence reports grows by 3 ms a host (a halt tells at once); endpoints are rebuilt at most once a tick; reports travel without digests and failure domain.

--- a/libs/daemon/src/trefoil_daemon/proxy_process.py
+++ b/libs/daemon/src/trefoil_daemon/proxy_process.py
@@ -97,6 +97,7 @@
         self.route_service: dict[str, str] = {}
         self.leaving_since_ms = 0
         self.busy_origins: dict[str, set[int]] = {}
+        self.records_dirty = False
         self.relay = relays.Relay(settings.controls, carrier.tell)
 
     # Carrying out effects
@@ -127,6 +128,7 @@
 
     def records_changed(self) -> None:
         """Let routing look at the hosts' records again."""
+        self.records_dirty = False
         self.entry.records_changed(
             self.node.members.records, self.clock.now_ms()
         )
@@ -205,8 +207,9 @@
         uplink = self.node.overlay.uplink
         if uplink not in self.node.links:
             return
+        hosts = len(self.node.members.records.by_host)
         for collector in self.collectors.values():
-            report = collector.report(now_ms)
+            report = collector.report(now_ms, hosts)
             if report is not None:
                 self.carrier.link_send(uplink, report)
 
@@ -381,6 +384,8 @@
         """Let time pass."""
         now_ms, now_us = self.clock.now_ms(), self.now_us()
         self.perform(self.node.tick(now_ms))
+        if self.records_dirty:
+            self.records_changed()
         for name in self.announced.expired(now_ms):
             self.target_leaves(name, "lease ran out")
         self.perform(self.targets.tick(now_ms))
@@ -498,7 +503,9 @@
 
 @carry.register
 def _(effect: fleet_effects.RecordsChanged, process: ProxyProcess) -> None:
-    process.records_changed()
+    # Routing looks again at the next tick: a herd's return would else
+    # rebuild the endpoints for every single record.
+    process.records_dirty = True
 
 
 @carry.register
--- a/libs/fleet/src/trefoil_fleet/node.py
+++ b/libs/fleet/src/trefoil_fleet/node.py
@@ -189,7 +189,7 @@
             # What was reported while this link was away would else stay
             # unknown on its far side until the next refresh.
             self.reports.pass_again()
-        self._send(host, self._heartbeat([]))
+        self._send(host, self._heartbeat())
         return self._flush()
 
     def unlinked(
@@ -308,7 +308,6 @@
             revision=self.config.in_force.revision,
             rejected=self.config.rejected,
             age_ms=0,
-            domain=self.members.record.domain,
         )
         self.reports.hear(report, self.now_ms)
 
@@ -366,14 +365,13 @@
         if self.now_ms >= self.heartbeat_at_ms:
             self.heartbeat_at_ms = self.now_ms + HEARTBEAT_MS
             for peer in self.links:
-                self._send(peer, self._heartbeat([]))
+                self._send(peer, self._heartbeat())
 
-    def _heartbeat(self, reports: list[messages.Report]) -> messages.Heartbeat:
+    def _heartbeat(self) -> messages.Heartbeat:
         return messages.Heartbeat(
             revision=self.config.held.revision,
             config_digest=self.config.held.digest,
             records_digest=self.members.records.digest,
-            reports=reports or None,
         )
 
     def _pass_reports(self) -> None:
@@ -387,25 +385,29 @@
             return
         due = self.reports.take_pending(self.now_ms)
         for peer in peers:
-            self._send(peer, self._heartbeat(due))
+            self._send(peer, messages.Reports(due))
 
     # Messages
 
     def on_heartbeat(self, peer: str, beat: messages.Heartbeat) -> None:
-        """Compare digests, take reports."""
+        """Compare digests."""
         self.config.on_peer_revision(
             peer, beat.revision, beat.config_digest, self.now_ms
         )
         link = self.links.get(peer)
+        if link is not None:
+            self._compare_records(link, beat.records_digest)
+
+    def on_reports(self, peer: str, message: messages.Reports) -> None:
+        """Take reports of what is in force."""
+        link = self.links.get(peer)
         from_control = self.control and link is not None and link.control
-        for report in beat.reports or ():
+        for report in message.reports:
             news = self.reports.hear(report, self.now_ms)
             if news and from_control:
                 # Control hosts are linked all to all: passing on what one
                 # of them sent would go round for ever.
                 self.reports.pending.pop(report.host, None)
-        if link is not None:
-            self._compare_records(link, beat.records_digest)
 
     def _compare_records(self, link: Link, digest: int) -> None:
         """Repair records that differ though nothing moves."""
@@ -505,6 +507,11 @@
     node.on_heartbeat(peer, message)
 
 
+@handle.register
+def _(message: messages.Reports, node: Node, peer: str) -> None:
+    node.on_reports(peer, message)
+
+
 @handle.register
 def _(message: messages.ConfigDelta, node: Node, peer: str) -> None:
     node.config.on_delta(peer, message, node.now_ms)
--- a/libs/fleet/src/trefoil_fleet/reports.py
+++ b/libs/fleet/src/trefoil_fleet/reports.py
@@ -76,5 +76,4 @@
         revision=report.revision,
         rejected=report.rejected,
         age_ms=heard.age_ms(now_ms),
-        domain=report.domain,
     )
--- a/libs/moves/src/trefoil_moves/evidence.py
+++ b/libs/moves/src/trefoil_moves/evidence.py
@@ -12,6 +12,7 @@
 from trefoil_wire import messages
 
 REPORT_MS = 500
+REPORT_MS_PER_HOST = 3
 
 
 class TallyKey(typing.NamedTuple):
@@ -117,11 +118,22 @@
         self.window = {}
         return window
 
-    def report(self, now_ms: int) -> messages.EvidenceReport | None:
-        """Return the tallies that changed, if a report is due."""
-        if not self.changed or now_ms < self.report_at_ms:
+    def report(
+        self, now_ms: int, hosts: int = 0
+    ) -> messages.EvidenceReport | None:
+        """Return the tallies that changed, if a report is due.
+
+        Args:
+            now_ms: The time on the runtime's clock.
+            hosts: Size of the fleet. A seed passes on the reports of all
+                that it serves, so a large fleet reports less often; a proxy
+                that halted tells at once.
+        """
+        due = now_ms >= self.report_at_ms or self.halted
+        if not self.changed or not due:
             return None
-        self.report_at_ms = now_ms + REPORT_MS
+        pause_ms = max(REPORT_MS, hosts * REPORT_MS_PER_HOST)
+        self.report_at_ms = now_ms + pause_ms
         self.sequence += 1
         tallies = [
             messages.Tally(
--- a/libs/wire/src/trefoil_wire/frames.py
+++ b/libs/wire/src/trefoil_wire/frames.py
@@ -65,6 +65,7 @@
     messages.Noop,
     messages.ChangeVoters,
     messages.Report,
+    messages.Reports,
 )
 CODES: dict[type, int] = {kind: code for code, kind in enumerate(TYPES)}
 FACTORY = TCompactProtocol.TCompactProtocolAcceleratedFactory(
--- a/libs/wire/src/trefoil_wire/gen/ttypes.py
+++ b/libs/wire/src/trefoil_wire/gen/ttypes.py
@@ -4286,7 +4286,6 @@
      - revision
      - rejected
      - age_ms
-     - domain
 
     """
 
@@ -4296,17 +4295,15 @@
         'revision',
         'rejected',
         'age_ms',
-        'domain',
     )
 
 
-    def __init__(self, host=None, incarnation=None, revision=None, rejected=None, age_ms=None, domain=None,):
+    def __init__(self, host=None, incarnation=None, revision=None, rejected=None, age_ms=None,):
         self.host = host
         self.incarnation = incarnation
         self.revision = revision
         self.rejected = rejected
         self.age_ms = age_ms
-        self.domain = domain
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4342,11 +4339,6 @@
                     self.age_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
-            elif fid == 6:
-                if ftype == TType.STRING:
-                    self.domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4377,10 +4369,6 @@
             oprot.writeFieldBegin('age_ms', TType.I32, 5)
             oprot.writeI32(self.age_ms)
             oprot.writeFieldEnd()
-        if self.domain is not None:
-            oprot.writeFieldBegin('domain', TType.STRING, 6)
-            oprot.writeString(self.domain.encode('utf-8') if sys.version_info[0] == 2 else self.domain)
-            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4412,7 +4400,6 @@
      - revision
      - config_digest
      - records_digest
-     - reports
 
     """
 
@@ -4420,15 +4407,13 @@
         'revision',
         'config_digest',
         'records_digest',
-        'reports',
     )
 
 
-    def __init__(self, revision=None, config_digest=None, records_digest=None, reports=None,):
+    def __init__(self, revision=None, config_digest=None, records_digest=None,):
         self.revision = revision
         self.config_digest = config_digest
         self.records_digest = records_digest
-        self.reports = reports
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4454,17 +4439,6 @@
                     self.records_digest = iprot.readI64()
                 else:
                     iprot.skip(ftype)
-            elif fid == 4:
-                if ftype == TType.LIST:
-                    self.reports = []
-                    (_etype122, _size119) = iprot.readListBegin()
-                    for _i123 in range(_size119):
-                        _elem124 = Report()
-                        _elem124.read(iprot)
-                        self.reports.append(_elem124)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4487,8 +4461,78 @@
             oprot.writeFieldBegin('records_digest', TType.I64, 3)
             oprot.writeI64(self.records_digest)
             oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Reports(object):
+    """
+    Attributes:
+     - reports
+
+    """
+
+    __slots__ = (
+        'reports',
+    )
+
+
+    def __init__(self, reports=None,):
+        self.reports = reports
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.reports = []
+                    (_etype122, _size119) = iprot.readListBegin()
+                    for _i123 in range(_size119):
+                        _elem124 = Report()
+                        _elem124.read(iprot)
+                        self.reports.append(_elem124)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Reports')
         if self.reports is not None:
-            oprot.writeFieldBegin('reports', TType.LIST, 4)
+            oprot.writeFieldBegin('reports', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.reports))
             for iter125 in self.reports:
                 iter125.write(oprot)
@@ -7141,7 +7185,6 @@
     (3, TType.I64, 'revision', None, None, ),  # 3
     (4, TType.STRING, 'rejected', 'UTF8', None, ),  # 4
     (5, TType.I32, 'age_ms', None, None, ),  # 5
-    (6, TType.STRING, 'domain', 'UTF8', None, ),  # 6
 )
 all_structs.append(Heartbeat)
 Heartbeat.thrift_spec = (
@@ -7149,7 +7192,11 @@
     (1, TType.I64, 'revision', None, None, ),  # 1
     (2, TType.I64, 'config_digest', None, None, ),  # 2
     (3, TType.I64, 'records_digest', None, None, ),  # 3
-    (4, TType.LIST, 'reports', (TType.STRUCT, [Report, None], False), None, ),  # 4
+)
+all_structs.append(Reports)
+Reports.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'reports', (TType.STRUCT, [Report, None], False), None, ),  # 1
 )
 all_structs.append(RecordsDelta)
 RecordsDelta.thrift_spec = (
--- a/libs/wire/trefoil.thrift
+++ b/libs/wire/trefoil.thrift
@@ -161,12 +161,12 @@
 }
 struct Report {
   1: string host, 2: i64 incarnation, 3: i64 revision, 4: string rejected,
-  5: i32 age_ms, 6: string domain,
+  5: i32 age_ms,
 }
 struct Heartbeat {
   1: i64 revision, 2: i64 config_digest, 3: i64 records_digest,
-  4: list<Report> reports,
 }
+struct Reports { 1: list<Report> reports }
 struct RecordsDelta { 1: list<HostRecord> records }
 struct RecordVersion {
   1: string host, 2: i64 incarnation, 3: i64 sequence, 4: HostState state,
