--- a/bench/roles.py
+++ b/bench/roles.py
@@ -14,6 +14,7 @@
 import typing
 
 from trefoil_fleet import items as item_store
+from trefoil_fleet import node as nodes
 from trefoil_fleet import records as record_store
 from trefoil_moves import evidence as evidences
 from trefoil_moves import judge as judges
@@ -172,6 +173,36 @@
     }
 
 
+def link_costs() -> dict[str, float]:
+    """Return what a heartbeat costs a seed, both ways, and its size."""
+    node = nodes.Node(
+        record(1, 1),
+        control=False,
+        seeds={"host-0001": "127.0.0.1:1"},
+        controls={"c1": "127.0.0.1:2"},
+        now_ms=0,
+        rng=random.Random(1),
+    )
+    for n in range(2, 30):
+        node.linked(
+            f"host-{n:04}", control=False, served=True, revision=0, now_ms=0
+        )
+    beat = node._heartbeat()
+    reader = frames.FrameReader()
+    data = frames.encode(beat)
+
+    def both_ways() -> None:
+        for message in reader.feed(data):
+            node.receive("host-0002", message, 1000)
+        frames.encode(beat)
+
+    return {
+        "heartbeat_us": round(timed_ms(both_ways, 5000) * 1000, 1),
+        "heartbeat_bytes": len(data),
+        "children": 28,
+    }
+
+
 def move_costs() -> list[dict[str, float]]:
     """Return what a running move costs its leader and a proxy."""
     found = []
@@ -241,6 +272,7 @@
             )
         },
         "control": control_costs(),
+        "link": link_costs(),
         "moves": moves,
         "move_fit": fit(
             [(row["proxies"], row["leader_ms_a_second"]) for row in moves]
