Let both engines share what they carry alike

Cause: duplicates found the same links, greetings and effects in both engines, and the same operators' server in both daemons. Ruled out: one engine class for both; they share the fleet's half only.

--- /dev/null
+++ b/libs/daemon/src/trefoil_daemon/_fleet_process.py
@@ -0,0 +1,105 @@
+"""What both process engines share: the fleet core and its effects."""
+
+import functools
+import typing
+
+from trefoil_fleet import effects as fleet_effects
+from trefoil_fleet import node as nodes
+from trefoil_model import clock as clocks
+from trefoil_model import effects as common
+from trefoil_wire import messages
+
+from . import facade
+
+
+class FleetProcess:
+    """A process of the fleet: links in, effects out.
+
+    Args:
+        node: Its fleet core.
+        carrier: Carries its effects.
+        clock: The runtime's clock.
+    """
+
+    def __init__(
+        self,
+        node: nodes.Node,
+        carrier: facade.Carrier,
+        clock: clocks.Clock,
+    ) -> None:
+        self.node = node
+        self.carrier = carrier
+        self.clock = clock
+
+    def carry(self, effect: typing.Any) -> None:
+        """Carry out one effect; engines add their own kinds."""
+        carry(effect, self)
+
+    def perform(self, effects: list[typing.Any]) -> None:
+        """Carry out effects in order; durable ones are synced first."""
+        for effect in effects:
+            self.carry(effect)
+
+    def greeting(self, subscribe: bool) -> messages.Hello:
+        """Return the greeting of this process."""
+        hello = self.node.hello()
+        hello.subscribe = subscribe
+        return hello
+
+    def admit(self, hello: messages.Hello) -> int:
+        """Return 0 to serve a peer, else how long it should wait in ms."""
+        return self.node.admit(hello, self.clock.now_ms())
+
+    def link_up(self, host: str, hello: messages.Hello, served: bool) -> None:
+        """Note a subscribed link."""
+        self.perform(
+            self.node.linked(
+                host,
+                control=bool(hello.control),
+                served=served,
+                revision=hello.revision or 0,
+                now_ms=self.clock.now_ms(),
+            )
+        )
+
+    def link_down(self, host: str, retry_after_ms: int) -> None:
+        """Note a subscribed link that broke or was refused."""
+        self.perform(
+            self.node.unlinked(host, self.clock.now_ms(), retry_after_ms)
+        )
+
+
+@functools.singledispatch
+def carry(effect: typing.Any, process: FleetProcess) -> None:
+    """Carry out one effect."""
+    raise TypeError(f"no such effect: {type(effect).__name__}")
+
+
+@carry.register
+def _(effect: common.Send, process: FleetProcess) -> None:
+    process.carrier.link_send(effect.to, effect.message)
+
+
+@carry.register
+def _(effect: common.Note, process: FleetProcess) -> None:
+    process.carrier.note(effect)
+
+
+@carry.register
+def _(effect: common.Count, process: FleetProcess) -> None:
+    process.carrier.count(effect)
+
+
+@carry.register
+def _(effect: fleet_effects.Dial, process: FleetProcess) -> None:
+    process.carrier.dial(effect.host, effect.address)
+
+
+@carry.register
+def _(effect: fleet_effects.HangUp, process: FleetProcess) -> None:
+    process.carrier.hang_up(effect.host)
+
+
+@carry.register
+def _(effect: fleet_effects.Probe, process: FleetProcess) -> None:
+    process.carrier.probe(effect.host, effect.address)
--- a/libs/daemon/src/trefoil_daemon/control.py
+++ b/libs/daemon/src/trefoil_daemon/control.py
@@ -7,9 +7,7 @@
 from trefoil_store import disk as disks
 from trefoil_store import store as stores
 
-from . import admin
 from . import control_process
-from . import http_server
 from . import runtime
 
 ADMIN_BODY = 4 * 1024 * 1024
@@ -31,26 +29,12 @@
             rng=random.Random(),
             disk=disks.FolderDisk(settings.data_folder),
         )
-        operators = http_server.HttpServer(
-            self.transport,
-            admin.Admin(
-                self.engine,
-                clock,
-                self.metrics,
-                self.hub.bytes_out,
-                settings.host,
-            ),
-            clock,
-            max_body=ADMIN_BODY,
-            bad=self.bad_http,
-        )
-        self.http_servers = [operators]
         self.note(
             common.Note(
                 "control.started",
                 {
                     "identity": self.engine.raft.identity,
-                    "admin": operators.listen(settings.admin),
+                    "admin": self.serve_operators(settings.admin, ADMIN_BODY),
                     "peers": port,
                     "revision": self.engine.state.items.revision,
                 },
--- a/libs/daemon/src/trefoil_daemon/control_process.py
+++ b/libs/daemon/src/trefoil_daemon/control_process.py
@@ -23,6 +23,7 @@
 from trefoil_wire import frames
 from trefoil_wire import messages
 
+from . import _fleet_process
 from . import facade
 from . import operators
 from . import queries
@@ -65,7 +66,7 @@
     return stores.Store.create(disk, identity), why
 
 
-class ControlProcess:
+class ControlProcess(_fleet_process.FleetProcess):
     """One control process.
 
     Args:
@@ -88,13 +89,11 @@
         disk: disks.Disk,
     ) -> None:
         self.settings = settings
-        self.carrier = carrier
-        self.clock = clock
         self.rng = rng
         now_ms = clock.now_ms()
         self.store, why_new = open_store(disk, settings.host, rng)
         if why_new:
-            self.carrier.note(
+            carrier.note(
                 common.Note("store.new_identity", {"why": why_new}, "warning")
             )
         self.state = states.State()
@@ -121,7 +120,7 @@
             state=messages.HostState.ALIVE,
             targets=[],
         )
-        self.node = nodes.Node(
+        node = nodes.Node(
             record,
             control=True,
             seeds={},
@@ -129,6 +128,7 @@
             now_ms=now_ms,
             rng=rng,
         )
+        super().__init__(node, carrier, clock)
         self.node.config.publish(self.state.items.copy(), now_ms)
         self.quarantine = quarantines.Quarantine()
         self.knobs = knob_store.Knobs.from_profile(settings.profile)
@@ -142,41 +142,12 @@
         self.join_at_ms = now_ms
         self.decide_at_ms = now_ms
 
-    def perform(self, effects: list[typing.Any]) -> None:
-        """Carry out effects in order; durable ones are synced first."""
-        for effect in effects:
-            carry(effect, self)
+    def carry(self, effect: typing.Any) -> None:
+        """Carry out one effect."""
+        carry(effect, self)
 
     # Links
 
-    def greeting(self, subscribe: bool) -> messages.Hello:
-        """Return the greeting of this process."""
-        hello = self.node.hello()
-        hello.subscribe = subscribe
-        return hello
-
-    def admit(self, hello: messages.Hello) -> int:
-        """Return 0 to serve a peer, else how long it should wait in ms."""
-        return self.node.admit(hello, self.clock.now_ms())
-
-    def link_up(self, host: str, hello: messages.Hello, served: bool) -> None:
-        """Note a subscribed link."""
-        self.perform(
-            self.node.linked(
-                host,
-                control=bool(hello.control),
-                served=served,
-                revision=hello.revision or 0,
-                now_ms=self.clock.now_ms(),
-            )
-        )
-
-    def link_down(self, host: str, retry_after_ms: int) -> None:
-        """Note a subscribed link that broke or was refused."""
-        self.perform(
-            self.node.unlinked(host, self.clock.now_ms(), retry_after_ms)
-        )
-
     def link_message(self, host: str, message: typing.Any) -> None:
         """Take a message from a subscribed link."""
         receive(message, self, host)
@@ -560,7 +531,7 @@
 @functools.singledispatch
 def carry(effect: typing.Any, process: ControlProcess) -> None:
     """Carry out one effect."""
-    raise TypeError(f"no such effect: {type(effect).__name__}")
+    _fleet_process.carry(effect, process)
 
 
 @carry.register
@@ -568,26 +539,6 @@
     process.carrier.link_send(rafts.name_of(effect.to), effect.message)
 
 
-@carry.register
-def _(effect: common.Note, process: ControlProcess) -> None:
-    process.carrier.note(effect)
-
-
-@carry.register
-def _(effect: fleet_effects.Dial, process: ControlProcess) -> None:
-    process.carrier.dial(effect.host, effect.address)
-
-
-@carry.register
-def _(effect: fleet_effects.HangUp, process: ControlProcess) -> None:
-    process.carrier.hang_up(effect.host)
-
-
-@carry.register
-def _(effect: fleet_effects.Probe, process: ControlProcess) -> None:
-    process.carrier.probe(effect.host, effect.address)
-
-
 @carry.register
 def _(effect: fleet_effects.PutInForce, process: ControlProcess) -> None:
     pass
--- a/libs/daemon/src/trefoil_daemon/proxy.py
+++ b/libs/daemon/src/trefoil_daemon/proxy.py
@@ -1,14 +1,12 @@
 """``trefoilroute-proxy``: the daemon on each target host."""
 
 import random
-import typing
 
 from trefoil_model import effects as common
 from trefoil_requests import call as calls
 from trefoil_requests import effects as request_effects
 from trefoil_settings import settings as setting_store
 
-from . import admin
 from . import gateway
 from . import http_server
 from . import pools
@@ -47,27 +45,14 @@
             max_body=max_body,
             bad=self.bad_http,
         )
-        operators = http_server.HttpServer(
-            self.transport,
-            admin.Admin(
-                self.engine,
-                clock,
-                self.metrics,
-                self.hub.bytes_out,
-                settings.host,
-            ),
-            clock,
-            max_body=ADMIN_BODY,
-            bad=self.bad_http,
-        )
-        self.http_servers = [callers, operators]
+        self.http_servers = [callers]
         self.note(
             common.Note(
                 "proxy.started",
                 {
                     "domain": settings.domain,
                     "callers": callers.listen(settings.callers),
-                    "admin": operators.listen(settings.admin),
+                    "admin": self.serve_operators(settings.admin, ADMIN_BODY),
                     "peers": port,
                 },
             )
@@ -117,8 +102,3 @@
     daemon.start_proxy(settings)
     daemon.settle()
     daemon.run()
-
-
-def describe(settings: typing.Any) -> str:
-    """Return the settings in force as YAML."""
-    return setting_store.render(settings)
--- a/libs/daemon/src/trefoil_daemon/proxy_process.py
+++ b/libs/daemon/src/trefoil_daemon/proxy_process.py
@@ -22,6 +22,7 @@
 from trefoil_settings import settings as setting_store
 from trefoil_wire import messages
 
+from . import _fleet_process
 from . import announcements
 from . import facade
 from . import operators
@@ -35,7 +36,7 @@
 LINGER_MS = 1500
 
 
-class ProxyProcess:
+class ProxyProcess(_fleet_process.FleetProcess):
     """One proxy.
 
     Args:
@@ -56,8 +57,6 @@
         rng: random.Random,
     ) -> None:
         self.settings = settings
-        self.carrier = carrier
-        self.clock = clock
         now_ms = clock.now_ms()
         incarnation = clock.wall_ms()
         record = messages.HostRecord(
@@ -70,7 +69,7 @@
             state=messages.HostState.ALIVE,
             targets=[],
         )
-        self.node = nodes.Node(
+        node = nodes.Node(
             record,
             control=False,
             seeds=settings.seeds,
@@ -78,6 +77,7 @@
             now_ms=now_ms,
             rng=rng,
         )
+        super().__init__(node, carrier, clock)
         self.quarantine = quarantines.Quarantine()
         self.ledger = ledgers.Ledger(
             settings.host, incarnation, now_ms, clock.wall_ms()
@@ -102,10 +102,9 @@
 
     # Carrying out effects
 
-    def perform(self, effects: list[typing.Any]) -> None:
-        """Carry out effects in order."""
-        for effect in effects:
-            carry(effect, self)
+    def carry(self, effect: typing.Any) -> None:
+        """Carry out one effect."""
+        carry(effect, self)
 
     def now_us(self) -> int:
         """Return the time in microseconds."""
@@ -215,24 +214,6 @@
 
     # Links
 
-    def link_up(self, host: str, hello: messages.Hello, served: bool) -> None:
-        """Note a subscribed link."""
-        self.perform(
-            self.node.linked(
-                host,
-                control=bool(hello.control),
-                served=served,
-                revision=hello.revision or 0,
-                now_ms=self.clock.now_ms(),
-            )
-        )
-
-    def link_down(self, host: str, retry_after_ms: int) -> None:
-        """Note a subscribed link that broke or was refused."""
-        self.perform(
-            self.node.unlinked(host, self.clock.now_ms(), retry_after_ms)
-        )
-
     def link_message(self, host: str, message: typing.Any) -> None:
         """Take a message from a subscribed link."""
         match message:
@@ -447,53 +428,17 @@
         """Tell whether nothing runs here any more."""
         return not self.entry.live and not self.targets.running
 
-    def greeting(self, subscribe: bool) -> messages.Hello:
-        """Return the greeting of this process."""
-        hello = self.node.hello()
-        hello.subscribe = subscribe
-        return hello
-
     def admit(self, hello: messages.Hello) -> int:
         """Return 0 to serve a peer, else how long it should wait in ms."""
         if self.leaving_since_ms:
             return COLD_MS
-        return self.node.admit(hello, self.clock.now_ms())
+        return super().admit(hello)
 
 
 @functools.singledispatch
 def carry(effect: typing.Any, process: ProxyProcess) -> None:
     """Carry out one effect."""
-    raise TypeError(f"no such effect: {type(effect).__name__}")
-
-
-@carry.register
-def _(effect: common.Send, process: ProxyProcess) -> None:
-    process.carrier.link_send(effect.to, effect.message)
-
-
-@carry.register
-def _(effect: common.Note, process: ProxyProcess) -> None:
-    process.carrier.note(effect)
-
-
-@carry.register
-def _(effect: common.Count, process: ProxyProcess) -> None:
-    process.carrier.count(effect)
-
-
-@carry.register
-def _(effect: fleet_effects.Dial, process: ProxyProcess) -> None:
-    process.carrier.dial(effect.host, effect.address)
-
-
-@carry.register
-def _(effect: fleet_effects.HangUp, process: ProxyProcess) -> None:
-    process.carrier.hang_up(effect.host)
-
-
-@carry.register
-def _(effect: fleet_effects.Probe, process: ProxyProcess) -> None:
-    process.carrier.probe(effect.host, effect.address)
+    _fleet_process.carry(effect, process)
 
 
 @carry.register
--- a/libs/daemon/src/trefoil_daemon/runtime.py
+++ b/libs/daemon/src/trefoil_daemon/runtime.py
@@ -17,6 +17,8 @@
 from trefoil_requests import call as calls
 from trefoil_requests import effects as request_effects
 
+from . import admin
+from . import http_server
 from . import hub as hubs
 from . import logs
 from . import metrics as metric_store
@@ -77,6 +79,25 @@
         gc.freeze()
         gc.set_threshold(*GC_THRESHOLDS)
 
+    def serve_operators(self, address: str, max_body: int) -> int:
+        """Open the interface for targets and operators; return the port."""
+        interface = admin.Admin(
+            self.engine,
+            self.system_clock,
+            self.metrics,
+            self.hub.bytes_out,
+            self.name_of_process,
+        )
+        server = http_server.HttpServer(
+            self.transport,
+            interface,
+            self.system_clock,
+            max_body=max_body,
+            bad=self.bad_http,
+        )
+        self.http_servers.append(server)
+        return server.listen(address)
+
     # Events
 
     @handlers.handler("beat")
--- a/libs/quorum/tests/test_raft.py
+++ b/libs/quorum/tests/test_raft.py
@@ -4,6 +4,7 @@
 of them travel, and which processes crash, lose their disk or freeze.
 """
 
+import ast
 import random
 import typing
 
@@ -41,7 +42,7 @@
         self.applied: list[tuple[int, bytes]] = []
         if self.store.snapshot is not None:
             text = self.store.snapshot.state.decode()
-            self.applied = eval(text)
+            self.applied = ast.literal_eval(text)
         self.raft = rafts.Raft(
             self.store.hard_state.identity,
             voters=FIRST,
@@ -74,7 +75,9 @@
                 case effects.SaveSnapshot():
                     self.store.save_snapshot(effect.snapshot)
                 case effects.Restore():
-                    self.applied = eval(effect.snapshot.state.decode())
+                    self.applied = ast.literal_eval(
+                        effect.snapshot.state.decode()
+                    )
                 case effects.Apply():
                     entry = effect.entry
                     self.applied.append((entry.index, entry.command))
