--- a/libs/daemon/src/trefoil_daemon/control_process.py
+++ b/libs/daemon/src/trefoil_daemon/control_process.py
@@ -207,10 +207,9 @@
     ) -> None:
         command_id = command.command_id
         if command_id not in self.in_log:
-            reason = self._refusal(command)
-            if reason:
-                expired = messages.Outcome.EXPIRED
-                reply(operators.refusal(command_id, reason, expired))
+            refusal = self.state.refusal(command)
+            if refusal is not None:
+                reply(operators.refused(command_id, refusal))
                 return
         if not self._wait_for(command, reply):
             return
@@ -219,11 +218,6 @@
         self.in_log[command_id] = 0
         self._propose(command)
 
-    def _refusal(self, command: messages.Command) -> str:
-        if not command.command_id or not command.operator_name:
-            return "a command needs an id and an operator"
-        return self.state.refusal(command)
-
     def _wait_for(
         self, command: messages.Command, reply: operators.OnReply
     ) -> bool:
--- a/libs/daemon/src/trefoil_daemon/operators.py
+++ b/libs/daemon/src/trefoil_daemon/operators.py
@@ -8,6 +8,7 @@
 
 from trefoil_language import statements
 from trefoil_model import errors
+from trefoil_moves import state as states
 from trefoil_settings import configuration
 from trefoil_wire import frames
 from trefoil_wire import messages
@@ -84,12 +85,13 @@
     )
 
 
-def refusal(
-    command_id: str, reason: str, outcome: int = messages.Outcome.NOT_RUN
-) -> messages.CommandReply:
+def refused(command_id: str, refusal: states.Refusal) -> messages.CommandReply:
     """Return the answer to a command that was never appended."""
     return messages.CommandReply(
-        command_id=command_id, outcome=outcome, reason=reason, revision=0
+        command_id=command_id,
+        outcome=refusal.outcome,
+        reason=refusal.reason,
+        revision=0,
     )
 
 
--- a/libs/moves/src/trefoil_moves/state.py
+++ b/libs/moves/src/trefoil_moves/state.py
@@ -5,6 +5,7 @@
 leader stamps the time into the command.
 """
 
+import dataclasses
 import functools
 import typing
 
@@ -31,6 +32,14 @@
     return hashing.hash64(head.encode() + command.body)
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Refusal:
+    """Why a command is not agreed, and what its operator is told."""
+
+    outcome: int
+    reason: str
+
+
 class State:
     """What the control processes have agreed on so far."""
 
@@ -97,18 +106,23 @@
             stamped_ms=past.stamped_ms,
         )
 
-    def refusal(self, command: messages.Command) -> str:
-        """Return why a command can never be agreed; empty if it can.
+    def refusal(self, command: messages.Command) -> Refusal | None:
+        """Return why a command must not be agreed, None if it may.
 
         Past outcomes are dropped after a day. A resend of an older command
         would run again, so commands that old are refused; their outcome is
-        no longer known and the answer says so.
+        no longer known, and "not run" would be a guess.
         """
+        if not command.command_id or not command.operator_name:
+            reason = "a command needs an id and an operator"
+            return Refusal(Outcome.NOT_RUN, reason)
         if command.issued_ms < self.clock_ms - REMEMBER_MS:
-            return "issued over a day ago; its outcome is no longer kept"
+            reason = "issued over a day ago; its outcome is no longer kept"
+            return Refusal(Outcome.EXPIRED, reason)
         if len(self.past) >= MAX_PAST and command.command_id not in self.past:
-            return "the table of past commands is full"
-        return ""
+            reason = "the table of past commands is full"
+            return Refusal(Outcome.NOT_RUN, reason)
+        return None
 
     def apply(self, index: int, command: messages.Command) -> typing.Any:
         """Apply an agreed command once and return its recorded outcome.
@@ -125,9 +139,9 @@
         if known is not None:
             return known
         self.clock_ms = max(self.clock_ms, command.stamped_ms)
-        reason = self.refusal(command)
-        if reason:
-            outcome = Outcome.NOT_RUN
+        refusal = self.refusal(command)
+        if refusal is not None:
+            outcome, reason = refusal.outcome, refusal.reason
         else:
             outcome, reason = self._run(index, command)
         past = messages.PastCommand(
--- a/libs/moves/tests/test_state.py
+++ b/libs/moves/tests/test_state.py
@@ -189,7 +189,9 @@
         ),
     )
     assert "m" not in state.past
-    assert "no longer kept" in state.refusal(command(move(), "m"))
+    refusal = state.refusal(command(move(), "m"))
+    assert refusal.outcome == Outcome.EXPIRED
+    assert "no longer kept" in refusal.reason
 
 
 class Agreed(stateful.RuleBasedStateMachine):
