Give each host of a local fleet its own loopback address

Ruled out: retrying with another port; settings of others name it already. Change: hosts listen at 127.1.x.y; a proxy looks for its targets at the IP of its admin address.

--- a/libs/daemon/src/trefoil_daemon/pools.py
+++ b/libs/daemon/src/trefoil_daemon/pools.py
@@ -50,10 +50,12 @@
         transport: Carries the streams.
         owner: The process.
         clock: The runtime's clock.
+        ip: Address of this host, where its targets take requests.
         max_body: Largest body of an answer, in bytes.
     """
 
     __slots__ = (
+        "ip",
         "transport",
         "owner",
         "clock",
@@ -68,8 +70,11 @@
         transport: transports.Transport,
         owner: Owner,
         clock: clocks.Clock,
+        *,
+        ip: str,
         max_body: int,
     ) -> None:
+        self.ip = ip
         self.transport = transport
         self.owner = owner
         self.clock = clock
@@ -153,7 +158,7 @@
             connection = connections.pop()
             if not connection.stream.closed:
                 return connection
-        stream = self.transport.connect(f"127.0.0.1:{port}", self._opened)
+        stream = self.transport.connect(f"{self.ip}:{port}", self._opened)
         connection = TargetConnection(
             stream,
             port,
--- a/libs/daemon/src/trefoil_daemon/proxy.py
+++ b/libs/daemon/src/trefoil_daemon/proxy.py
@@ -35,7 +35,11 @@
             rng=random.Random(),
         )
         self.pools = pools.TargetPools(
-            self.transport, self.engine, clock, max_body
+            self.transport,
+            self.engine,
+            clock,
+            ip=settings.admin.rpartition(":")[0],
+            max_body=max_body,
         )
         self.gateway = gateway.Gateway(self.engine)
         callers = http_server.HttpServer(
--- a/libs/emulator/src/trefoil_emulator/fleet.py
+++ b/libs/emulator/src/trefoil_emulator/fleet.py
@@ -21,6 +21,7 @@
 from trefoil_cli import client
 
 LOOPBACK = "127.0.0.1"
+IPS_PER_BLOCK = 250
 STOP_S = 10.0
 
 
@@ -28,12 +29,12 @@
     """Something that was waited for did not come in time."""
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ports that the kernel has free, all different."""
+def free_ports(count: int, ip: str) -> list[int]:
+    """Return ports that the kernel has free at an address, all different."""
     socks = []
     for _ in range(count):
         sock = socket.socket()
-        sock.bind((LOOPBACK, 0))
+        sock.bind((ip, 0))
         socks.append(sock)
     ports = [sock.getsockname()[1] for sock in socks]
     for sock in socks:
@@ -41,6 +42,16 @@
     return ports
 
 
+def host_ip(number: int) -> str:
+    """Return a loopback address of its own for a host.
+
+    Connections go out from 127.0.0.1. If hosts listened there too, the port
+    that one was given could be taken by a connection before it starts.
+    """
+    block, place = divmod(number, IPS_PER_BLOCK)
+    return f"127.1.{block}.{place + 1}"
+
+
 def wait_for(
     what: str,
     condition: typing.Callable[[], typing.Any],
@@ -71,17 +82,19 @@
         command: Its command line.
         ports: Its ports by what they are for.
         domain: Its failure domain.
+        ip: Address of its host.
     """
 
     name: str
     command: list[str]
     ports: dict[str, int]
     domain: str = ""
+    ip: str = LOOPBACK
     process: subprocess.Popen | None = None
 
     def address(self, port: str) -> str:
         """Return the address of one of its ports."""
-        return f"{LOOPBACK}:{self.ports[port]}"
+        return f"{self.ip}:{self.ports[port]}"
 
     @property
     def pid(self) -> int:
@@ -120,17 +133,25 @@
         self.members: dict[str, Member] = {}
         self.seeds: dict[str, dict[str, str]] = {d: {} for d in domains}
         self.control_names = [f"control{n + 1}" for n in range(controls)]
+        self.hosts = 0
+        self.control_ips = {
+            name: self._new_ip() for name in self.control_names
+        }
         self.control_ports = {
-            name: dict(zip(("peers", "admin"), free_ports(2)))
-            for name in self.control_names
+            name: dict(zip(("peers", "admin"), free_ports(2, ip)))
+            for name, ip in self.control_ips.items()
         }
         self.numbers = 0
 
+    def _new_ip(self) -> str:
+        self.hosts += 1
+        return host_ip(self.hosts)
+
     @property
     def controls(self) -> dict[str, str]:
         """Return the control processes' addresses."""
         return {
-            name: f"{LOOPBACK}:{ports['peers']}"
+            name: f"{self.control_ips[name]}:{ports['peers']}"
             for name, ports in self.control_ports.items()
         }
 
@@ -140,11 +161,12 @@
         """Write the control processes' settings and prepare their data."""
         for at, name in enumerate(self.control_names):
             ports = self.control_ports[name]
+            ip = self.control_ips[name]
             settings = {
                 "host": name,
                 "domain": self.domains[at % len(self.domains)],
-                "peers": f"{LOOPBACK}:{ports['peers']}",
-                "admin": f"{LOOPBACK}:{ports['admin']}",
+                "peers": f"{ip}:{ports['peers']}",
+                "admin": f"{ip}:{ports['admin']}",
                 "controls": self.controls,
                 "voters": self.control_names,
                 "data_folder": str(self.folder / f"{name}.data"),
@@ -159,7 +181,7 @@
                 "trefoil_daemon.main", "run_control", "run", path
             )
             self.members[name] = Member(
-                name, command, ports, settings["domain"]
+                name, command, ports, settings["domain"], ip
             )
 
     def add_proxies(self, hosts: dict[str, str]) -> None:
@@ -168,33 +190,29 @@
         Args:
             hosts: Failure domain of each host by name.
         """
-        ports = {
-            host: dict(
-                zip(("callers", "peers", "admin"), free_ports(3), strict=True)
-            )
-            for host in hosts
-        }
+        kinds = ("callers", "peers", "admin")
         for host, domain in hosts.items():
+            ip = self._new_ip()
+            ports = dict(zip(kinds, free_ports(3, ip), strict=True))
+            self.members[host] = Member(host, [], ports, domain, ip)
             if len(self.seeds[domain]) < self.seeds_per_domain:
-                address = f"{LOOPBACK}:{ports[host]['peers']}"
-                self.seeds[domain][host] = address
-        for host, domain in hosts.items():
-            self._add_proxy(host, domain, ports[host])
+                self.seeds[domain][host] = f"{ip}:{ports['peers']}"
+        for host in hosts:
+            self._configure_proxy(self.members[host])
 
-    def _add_proxy(
-        self, host: str, domain: str, ports: dict[str, int]
-    ) -> None:
+    def _configure_proxy(self, member: Member) -> None:
         settings = {
-            "host": host,
-            "domain": domain,
+            "host": member.name,
+            "domain": member.domain,
             "controls": self.controls,
-            "seeds": self.seeds[domain],
+            "seeds": self.seeds[member.domain],
         } | self.proxy_extra
-        for kind, port in ports.items():
-            settings[kind] = f"{LOOPBACK}:{port}"
-        path = self._write(host, settings)
-        command = _python("trefoil_daemon.main", "run_proxy", "run", path)
-        self.members[host] = Member(host, command, ports, domain)
+        for kind in member.ports:
+            settings[kind] = member.address(kind)
+        path = self._write(member.name, settings)
+        member.command = _python(
+            "trefoil_daemon.main", "run_proxy", "run", path
+        )
 
     def add_target(
         self,
@@ -208,7 +226,8 @@
         behave: dict[str, typing.Any] | None = None,
     ) -> None:
         """Add a stand-in target on a host."""
-        port = free_ports(1)[0]
+        ip = self.members[host].ip
+        port = free_ports(1, ip)[0]
         command = [
             sys.executable,
             "-m",
@@ -217,6 +236,7 @@
             f"--service={service}",
             f"--version={version}",
             f"--proxy={self.members[host].address('admin')}",
+            f"--ip={ip}",
             f"--port={port}",
             f"--slots={slots}",
             f"--resources={resources},",
@@ -224,7 +244,7 @@
         ]
         self.numbers += 1
         self.members[name] = Member(
-            name, command, {"http": port}, self.members[host].domain
+            name, command, {"http": port}, self.members[host].domain, ip
         )
 
     def _write(self, name: str, settings: dict[str, typing.Any]) -> str:
--- a/libs/emulator/src/trefoil_emulator/target.py
+++ b/libs/emulator/src/trefoil_emulator/target.py
@@ -57,7 +57,7 @@
             max_body=MAX_BODY,
             bad=lambda why: None,
         )
-        self.port = self.server.listen(f"127.0.0.1:{options['port']}")
+        self.port = self.server.listen(f"{options['ip']}:{options['port']}")
         self.started_ms = self.clock.now_ms()
         self.announce_at_ms = 0
         self.state = "cold" if self.behaviour.cold_ms else "ready"
@@ -222,6 +222,7 @@
     service: str,
     version: str,
     proxy: str = "",
+    ip: str = "127.0.0.1",
     port: int = 0,
     slots: int = 12,
     resources: str = "",
@@ -236,6 +237,7 @@
         service: The service that it belongs to.
         version: Its version.
         proxy: Address of its proxy's interface for targets.
+        ip: Address of its host.
         port: Where it takes requests; 0 lets the kernel choose.
         slots: Requests that it runs at once.
         resources: Names of what it holds, separated by commas.
@@ -250,6 +252,7 @@
         "service": str(service),
         "version": str(version),
         "proxy": proxy,
+        "ip": ip,
         "port": port,
         "slots": slots,
         "resources": [str(word) for word in held if word],
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -94,7 +94,8 @@
     It gets an error or is closed; the process lives, and a caller on
     another connection is served as before.
     """
-    address = (fleets.LOOPBACK, fleet.members[name].ports[port])
+    member = fleet.members[name]
+    address = (member.ip, member.ports[port])
     with socket.create_connection(address, timeout=5) as stranger:
         try:
             stranger.sendall(data)
@@ -103,7 +104,7 @@
                 pass
         except OSError:
             pass
-    assert fleet.members[name].process.poll() is None
+    assert member.process.poll() is None
     assert fleet.call("h1", "/slots").status == 200
     assert fleet.leader() == "control1"
 
--- a/tests/test_request_processes.py
+++ b/tests/test_request_processes.py
@@ -196,9 +196,9 @@
 class SilentRelay:
     """A relay that can go silent on open connections, as a NAT does."""
 
-    def __init__(self, port: int) -> None:
-        self.target = port
-        self.listener = socket.create_server(("127.0.0.1", 0))
+    def __init__(self, ip: str, port: int) -> None:
+        self.target = (ip, port)
+        self.listener = socket.create_server((ip, 0))
         self.port = self.listener.getsockname()[1]
         self.silent_before = 0.0
         self.closing = False
@@ -214,7 +214,7 @@
                 inner, _ = self.listener.accept()
             except OSError:
                 return
-            outer = socket.create_connection(("127.0.0.1", self.target))
+            outer = socket.create_connection(self.target)
             born = time.monotonic()
             for one, other in ((inner, outer), (outer, inner)):
                 threading.Thread(
@@ -247,7 +247,8 @@
     Bytes vanish without an error while new connections work. Requests are
     served again within seconds, on fresh connections.
     """
-    relay = SilentRelay(fleet.members["t-h1"].ports["http"])
+    member = fleet.members["t-h1"]
+    relay = SilentRelay(member.ip, member.ports["http"])
     try:
         fleets.http(
             f"http://{fleet.members['h1'].address('admin')}"
