--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 BIN := $(VENV)/bin
 NAME ?= requests
 
-.PHONY: demo test lint format bench plots clean
+.PHONY: demo test lint format bench plots capacity clean
 
 $(VENV)/ready: constraints.txt requirements-dev.txt requirements-bench.txt \
 		$(LIBS:%=libs/%/pyproject.toml)
@@ -40,5 +40,12 @@
 plots: $(VENV)/ready
 	$(BIN)/python bench/plots.py
 
+# Redoes every figure of docs/CAPACITY.md (about a quarter of an hour).
+capacity: $(VENV)/ready
+	$(BIN)/python bench/roles.py | tail -1 > docs/data/roles.json
+	$(BIN)/python bench/requests.py | tail -1 > docs/data/requests.json
+	$(BIN)/python bench/convergence.py | tail -1 > docs/data/convergence.json
+	$(BIN)/python bench/plots.py
+
 clean:
 	rm -rf $(VENV) .run
