--- a/libs/requests/src/trefoil_requests/ledger.py
+++ b/libs/requests/src/trefoil_requests/ledger.py
@@ -8,6 +8,7 @@
 refused with the truth: it is not known whether the key ran before.
 """
 
+import collections
 import dataclasses
 import re
 import typing
@@ -24,6 +25,7 @@
 SYNC_PAUSE_MS = 500
 MAX_ENTRIES = 100_000
 MAX_ANSWER_BYTES = 8192
+MAX_ANSWERS_BYTES = 8 * 1024 * 1024
 TIMED_KEY = re.compile(r"(\d{13})-.")
 
 GRANTED = 1
@@ -104,6 +106,8 @@
         "synced",
         "sync_wanted",
         "sync_at_ms",
+        "answers",
+        "answer_bytes",
     )
 
     def __init__(
@@ -118,6 +122,8 @@
         self.synced = False
         self.sync_wanted: set[str] | None = None
         self.sync_at_ms = 0
+        self.answers: collections.deque[tuple[int, int]] = collections.deque()
+        self.answer_bytes = 0
 
     def vouches(self, issued_ms: int, now_ms: int) -> bool:
         """Tell whether a key unknown here was certainly never granted here.
@@ -142,8 +148,11 @@
         # majority from other keepers than the claimant before it.
         if not same_view or not self.vouches(claim.issued_ms, now_ms):
             return self._reply(claim, ABSTAIN)
+        self._drop_old(now_ms)
+        if len(self.kept) >= MAX_ENTRIES:
+            # Dropping a live key would let its resend run again.
+            return self._reply(claim, ABSTAIN)
         self.kept[claim.key] = Kept(claim.claim_id, claim.fingerprint, now_ms)
-        self._bound(now_ms)
         return self._reply(claim, GRANTED)
 
     def done(self, done: messages.ClaimDone) -> None:
@@ -151,6 +160,20 @@
         kept = self.kept.get(done.key)
         if kept is not None and kept.claim_id == done.claim_id:
             kept.answer = done.answer
+            self.answers.append((done.key, len(done.answer.body or b"")))
+            self.answer_bytes += self.answers[-1][1]
+            self._drop_answers()
+
+    def _drop_answers(self) -> None:
+        """Drop the oldest answers, not their keys, to bound the memory.
+
+        A resend of such a key is told that it ran, without the answer.
+        """
+        while self.answer_bytes > MAX_ANSWERS_BYTES:
+            key, size = self.answers.popleft()
+            self.answer_bytes -= size
+            if key in self.kept:
+                self.kept[key].answer = None
 
     def release(self, release: messages.ClaimRelease) -> None:
         """Drop a claim whose request certainly did not run."""
@@ -167,7 +190,6 @@
         self.sync_at_ms = now_ms + SYNC_PAUSE_MS
         if self.sync_wanted is None:
             self.sync_wanted = self._sharers()
-        self.sync_wanted |= self._sharers() & self.sync_wanted
         return sorted(self.sync_wanted)
 
     def _sharers(self) -> set[str]:
@@ -225,7 +247,7 @@
             return None
         return kept.answer
 
-    def _bound(self, now_ms: int) -> None:
+    def _drop_old(self, now_ms: int) -> None:
         """Drop what is past its keeping time; never a live key."""
         while self.kept:
             key, kept = next(iter(self.kept.items()))
--- /dev/null
+++ b/libs/requests/tests/test_ledger.py
@@ -0,0 +1,74 @@
+"""The keys that a keeper remembers, in bounded memory."""
+
+import pytest
+
+from trefoil_requests import ledger as ledgers
+from trefoil_wire import messages
+
+
+def keeper() -> ledgers.Ledger:
+    made = ledgers.Ledger("h1", 1, 0, 0)
+    made.sets.update({"s": ["h1", "h2", "h3"]}, 0)
+    return made
+
+
+def claim(key: int, claim_id: int = 1) -> messages.Claim:
+    return messages.Claim(
+        claim_id, key, 7, ["h1", "h2", "h3"], "s", 10 * ledgers.SKEW_MS
+    )
+
+
+def test_a_full_ledger_abstains_and_forgets_nothing(monkeypatch) -> None:
+    """More keys come than are kept; none that lives is dropped."""
+    monkeypatch.setattr(ledgers, "MAX_ENTRIES", 3)
+    made = keeper()
+    verdicts = [made.claim(claim(key), 0).verdict for key in range(5)]
+    assert verdicts == [1, 1, 1, ledgers.ABSTAIN, ledgers.ABSTAIN]
+    assert made.claim(claim(0, 2), 1).verdict == ledgers.TAKEN
+    later_ms = ledgers.KEEP_MS + 1
+    assert made.claim(claim(9), later_ms).verdict == ledgers.GRANTED
+
+
+def test_old_answers_go_before_their_keys(monkeypatch) -> None:
+    monkeypatch.setattr(ledgers, "MAX_ANSWERS_BYTES", 250)
+    made = keeper()
+    for key in range(3):
+        made.claim(claim(key, key), 0)
+        answer = messages.Answer(status=200, body=b"x" * 100)
+        made.done(messages.ClaimDone(key, key, answer))
+    replies = [made.claim(claim(key, 99), 1) for key in range(3)]
+    assert [r.verdict for r in replies] == [ledgers.TAKEN] * 3
+    assert [r.answer is None for r in replies] == [True, False, False]
+
+
+@pytest.mark.parametrize(
+    ("hosts", "verdict"),
+    [(["h1", "h2", "h3"], ledgers.GRANTED), (["h1", "h2"], ledgers.ABSTAIN)],
+)
+def test_a_claimant_with_another_view_gets_nothing(
+    hosts: list[str], verdict: int
+) -> None:
+    made = keeper()
+    asked = claim(1)
+    asked.keepers = hosts
+    assert made.claim(asked, 0).verdict == verdict
+
+
+def test_a_host_that_left_lately_stays_in_the_ranking() -> None:
+    """Else a key's keepers could change by two at once."""
+    sets = ledgers.KeeperSets()
+    sets.update({"s": ["a", "b", "c", "d"]}, 0)
+    before = sets.keepers("s", 5, 0)
+    sets.update({"s": [h for h in "abcd" if h != before[0]]}, 10)
+    assert sets.keepers("s", 5, 20) == before
+    after = sets.keepers("s", 5, 20 + ledgers.KEEP_MS)
+    assert before[0] not in after
+    assert set(before[1:]) <= set(after)
+
+
+@pytest.mark.parametrize(
+    ("key", "issued_ms"),
+    [("1796256000000-x", 1796256000000), ("179625600000-x", 0), ("abc", 0)],
+)
+def test_keys_tell_when_they_were_issued(key: str, issued_ms: int) -> None:
+    assert ledgers.issued_ms_of(key) == issued_ms
