Pass reports to the leader only

Cause: each report went from the control host that got it to every other one; at 8 control hosts a change at 860 proxies would cost 7 x 23 bytes a proxy. Ruled out: sending them to none and asking on a query; the age of a report would then be that of the query. Change: reports go to the leader, and once more to the next one.

--- a/libs/daemon/src/trefoil_daemon/control_process.py
+++ b/libs/daemon/src/trefoil_daemon/control_process.py
@@ -473,6 +473,7 @@
         """Let time pass."""
         now_ms = self.clock.now_ms()
         self.perform(self.raft.tick(now_ms))
+        self.node.follow(rafts.name_of(self.raft.leader))
         self.perform(self.node.tick(now_ms))
         self._decide()
         self._join(now_ms)
--- a/libs/fleet/src/trefoil_fleet/node.py
+++ b/libs/fleet/src/trefoil_fleet/node.py
@@ -78,6 +78,7 @@
         "join_tokens",
         "join_ms",
         "joins_per_s",
+        "leader",
         "rng",
         "out",
     )
@@ -122,6 +123,7 @@
         self.join_tokens = float(JOIN_BURST)
         self.join_ms = now_ms
         self.joins_per_s = joins_per_s
+        self.leader = ""
         self.rng = rng
         self.out: list[typing.Any] = []
         self.members.start(now_ms)
@@ -185,7 +187,7 @@
                 now_ms, recent_only=False, reply_wanted=True
             )
             self._send(host, summary)
-        if control == self.control or host == self.overlay.uplink:
+        if host in (self.leader, self.overlay.uplink):
             # What was reported while this link was away would else stay
             # unknown on its far side until the next refresh.
             self.reports.pass_again()
@@ -374,17 +376,23 @@
             records_digest=self.members.records.digest,
         )
 
+    def follow(self, leader: str) -> None:
+        """Pass reports to another leader from now on (control processes).
+
+        Only the leader answers for the fleet. Sent to every control host, a
+        change at 860 proxies would cost each of 8 hosts seven times over.
+        """
+        if leader != self.leader:
+            self.leader = leader
+            self.reports.pass_again()
+
     def _pass_reports(self) -> None:
-        """Send new reports towards the control hosts, or among them."""
-        if self.control:
-            peers = [link.host for link in self.links.values() if link.control]
-        else:
-            uplink = self.overlay.uplink
-            peers = [uplink] if uplink in self.links else []
-        if not peers:
-            return
-        due = self.reports.take_pending(self.now_ms)
-        for peer in peers:
+        """Send new reports to the uplink, or on to the leader."""
+        peer = self.leader if self.control else self.overlay.uplink
+        if peer == self.me:
+            self.reports.pending = {}
+        elif peer in self.links:
+            due = self.reports.take_pending(self.now_ms)
             self._send(peer, messages.Reports(due))
 
     # Messages
@@ -405,8 +413,8 @@
         for report in message.reports:
             news = self.reports.hear(report, self.now_ms)
             if news and from_control:
-                # Control hosts are linked all to all: passing on what one
-                # of them sent would go round for ever.
+                # Two control hosts that take each other for the leader
+                # would send a report to and fro.
                 self.reports.pending.pop(report.host, None)
 
     def _compare_records(self, link: Link, digest: int) -> None:
--- a/libs/fleet/tests/test_node.py
+++ b/libs/fleet/tests/test_node.py
@@ -422,6 +422,50 @@
     assert net.nodes["p1"].config.held.revision == 1
 
 
+def test_reports_go_to_the_leader_and_to_the_next_one() -> None:
+    """The leader dies; the next one must know what is in force where.
+
+    A report that was passed to the first is passed again to the next, not
+    only when its proxy refreshes it half a minute later.
+    """
+    record = messages.HostRecord(
+        host="c1",
+        domain="d",
+        region="r",
+        address="c1:1",
+        incarnation=1,
+        sequence=1,
+        state=messages.HostState.ALIVE,
+        targets=[],
+    )
+    controls = {name: f"{name}:1" for name in ("c1", "c2", "c3")}
+    node = nodes.Node(
+        record,
+        control=True,
+        seeds={},
+        controls=controls,
+        now_ms=0,
+        rng=random.Random(1),
+    )
+    for name in ("c2", "c3", "p1"):
+        node.linked(
+            name, control=name != "p1", served=True, revision=0, now_ms=0
+        )
+    told = []
+    for at_ms, leader in ((1000, "c2"), (2000, "c3"), (3000, "c1")):
+        if at_ms == 1000:
+            report = messages.Report("p1", 1, 7, "", 0)
+            node.receive("p1", messages.Reports([report]), 900)
+        node.follow(leader)
+        sent = [
+            (effect.to, effect.message.reports[0].revision)
+            for effect in node.tick(at_ms)
+            if isinstance(getattr(effect, "message", 0), messages.Reports)
+        ]
+        told.append(sent)
+    assert told == [[("c2", 7)], [("c3", 7)], []]
+
+
 def test_a_herd_is_held_back_at_the_giver() -> None:
     net = Net()
     node = net.nodes["s1"]
