Tell early that a request could not leave

Cause: a host without power answers no connection; its requests waited 3 s, past their callers' deadline, and were told as perhaps run though they had never left (read off hub.tick; no test had it). Ruled out: a shorter greeting time for subscribed links; a herd's giver is slow to greet.

--- a/libs/daemon/src/trefoil_daemon/hub.py
+++ b/libs/daemon/src/trefoil_daemon/hub.py
@@ -17,6 +17,7 @@
 from . import transport as transports
 
 GREETING_MS = 3000
+CONNECT_MS = 500
 PING_AFTER_MS = 500
 PING_IDLE_MS = 5000
 PING_ANSWER_MS = 1000
@@ -369,7 +370,7 @@
             unready = connection.outgoing and not connection.ready
             silent = not connection.greeted and not connection.outgoing
             if unready or silent:
-                if now_ms - connection.opened_ms > GREETING_MS:
+                if now_ms - connection.opened_ms > _opening_ms(connection):
                     connection.stream.close()
             elif not connection.subscribe and connection.outgoing:
                 self._watch_request_link(connection, now_ms)
@@ -397,3 +398,14 @@
         if quiet_ms >= (PING_AFTER_MS if busy else PING_IDLE_MS):
             connection.pinged_ms = now_ms
             self._write(connection, messages.Ping(connection.number))
+
+
+def _opening_ms(connection: Connection) -> int:
+    """Return how long a connection may take to open.
+
+    A host that lost power answers nothing, not even a refusal. A request
+    that waits for such a connection certainly did not run; told early, it
+    goes to another target while its caller still waits.
+    """
+    carries_requests = connection.outgoing and not connection.subscribe
+    return CONNECT_MS if carries_requests else GREETING_MS
