Let single knobs of moves be set beside the profile

Cause: operators could choose a profile only. Ruled out: every constant as a knob; six that an operator can name. Change: moves in the control settings; Knobs.from_settings. Before: three profiles.

--- a/libs/daemon/src/trefoil_daemon/control_process.py
+++ b/libs/daemon/src/trefoil_daemon/control_process.py
@@ -131,7 +131,7 @@
         super().__init__(node, carrier, clock)
         self.node.config.publish(self.state.items.copy(), now_ms)
         self.quarantine = quarantines.Quarantine()
-        self.knobs = knob_store.Knobs.from_profile(settings.profile)
+        self.knobs = knob_store.Knobs.from_settings(settings)
         self.conductors: dict[str, conductors.Conductor] = {}
         self.proposed: dict[str, int] = {}
         self.commands = operators.Waiters()
--- a/libs/moves/src/trefoil_moves/knobs.py
+++ b/libs/moves/src/trefoil_moves/knobs.py
@@ -3,6 +3,8 @@
 import dataclasses
 import typing
 
+from trefoil_settings import settings as setting_store
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Knobs:
@@ -48,3 +50,19 @@
         if profile == "cautious":
             return cls(requests_per_step=60, pace=0.6)
         return cls()
+
+    @classmethod
+    def from_settings(cls, settings: setting_store.ControlSettings) -> "Knobs":
+        """Return a profile's knobs with those that are set apart."""
+        chosen = settings.moves
+        given = {
+            "false_alarms": chosen.false_alarms,
+            "tolerance": chosen.tolerance,
+            "requests_per_step": chosen.requests_per_step,
+            "pace": chosen.pace,
+            "compare_ms": chosen.compare_ms,
+        }
+        if chosen.first_share is not None:
+            given["first_permille"] = max(int(chosen.first_share * 10), 1)
+        kept = {name: v for name, v in given.items() if v is not None}
+        return dataclasses.replace(cls.from_profile(settings.profile), **kept)
--- a/libs/settings/src/trefoil_settings/settings.py
+++ b/libs/settings/src/trefoil_settings/settings.py
@@ -50,6 +50,27 @@
     grace_ms: int
 
 
+@dataclasses.dataclass(slots=True)
+class MoveSettings:
+    """Knobs of moves that are set apart from the profile; None keeps it.
+
+    Args:
+        false_alarms: Share of good versions that may be taken back.
+        tolerance: Difference of failure rates that does not matter.
+        first_share: First share of traffic, in percent.
+        requests_per_step: Requests a route must have shown at a step.
+        pace: Share of the time to the deadline that steps are spread over.
+        compare_ms: How long the old version is asked again after a fault.
+    """
+
+    false_alarms: float | None = None
+    tolerance: float | None = None
+    first_share: float | None = None
+    requests_per_step: int | None = None
+    pace: float | None = None
+    compare_ms: int | None = None
+
+
 @dataclasses.dataclass(slots=True)
 class ControlSettings:
     """Settings of ``trefoilroute-control``.
@@ -70,6 +91,7 @@
         snapshot_entries: Log entries after which a snapshot is taken.
         profile: Which measure moves favour, ``balanced``, ``in-time`` or
             ``cautious``.
+        moves: Knobs that are set apart from the profile.
     """
 
     host: str
@@ -86,6 +108,7 @@
     election_ms: int
     snapshot_entries: int
     profile: str
+    moves: MoveSettings
 
 
 COMMON: tuple[tuple[str, schema.Field], ...] = (
@@ -116,6 +139,21 @@
     ),
 )
 
+MOVES = schema.Record(
+    (
+        (
+            "false_alarms",
+            schema.Field(schema.Number(0.0001, 0.2, whole=False)),
+        ),
+        ("tolerance", schema.Field(schema.Number(0, 0.2, whole=False))),
+        ("first_share", schema.Field(schema.Number(0.1, 100, whole=False))),
+        ("requests_per_step", schema.Field(schema.Number(1, 100_000))),
+        ("pace", schema.Field(schema.Number(0, 0.9, whole=False))),
+        ("compare", schema.Field(schema.Duration())),
+    ),
+    lambda compare, **rest: MoveSettings(compare_ms=compare, **rest),
+)
+
 CONTROL = schema.Record(
     COMMON
     + (
@@ -134,9 +172,13 @@
                 default="balanced",
             ),
         ),
+        ("moves", schema.Field(MOVES, default=None)),
     ),
-    lambda heartbeat, election, **rest: ControlSettings(
-        heartbeat_ms=heartbeat, election_ms=election, **rest
+    lambda heartbeat, election, moves, **rest: ControlSettings(
+        heartbeat_ms=heartbeat,
+        election_ms=election,
+        moves=moves or MoveSettings(),
+        **rest,
     ),
 )
 
@@ -191,13 +233,19 @@
 
 def render(value: typing.Any) -> str:
     """Return settings as YAML, defaults filled in; times in ms."""
-    shown = {}
+    return yaml.safe_dump(_shown(value), sort_keys=True)
+
+
+def _shown(value: typing.Any) -> dict[str, typing.Any]:
+    shown: dict[str, typing.Any] = {}
     for field in dataclasses.fields(value):
         content = getattr(value, field.name)
         name = field.name
-        if name.endswith("_ms"):
+        if dataclasses.is_dataclass(content):
+            content = _shown(content)
+        elif name.endswith("_ms") and content is not None:
             name = name.removesuffix("_ms")
             content = f"{content}ms"
-        if content != "":
+        if content not in ("", None, {}):
             shown[name] = content
-    return yaml.safe_dump(shown, sort_keys=True)
+    return shown
--- a/libs/settings/tests/test_settings.py
+++ b/libs/settings/tests/test_settings.py
@@ -69,6 +69,29 @@
     assert "twice heartbeat" in found
 
 
+CONTROL = """\
+host: c1
+domain: d
+peers: 127.0.0.1:1
+admin: 127.0.0.1:2
+controls: {c1: 127.0.0.1:1}
+voters: [c1]
+data_folder: x
+profile: cautious
+moves: {first_share: 2.5, compare: 20s}
+"""
+
+
+def test_knobs_of_moves_are_shown_and_checked() -> None:
+    made = settings.parse(CONTROL, "control").ok
+    assert (made.moves.first_share, made.moves.compare_ms) == (2.5, 20_000)
+    assert settings.parse(settings.render(made), "control").ok == made
+    wrong = CONTROL.replace("2.5", "250").replace("compare", "comparing")
+    found = [str(f) for f in settings.parse(wrong, "control").error]
+    assert "9:22: 250 is not between" in found[0]
+    assert "9:27: unknown key 'comparing'" in found[1]
+
+
 DOCUMENT = """\
 services:
   - {name: tables, version: v1, resources: [pay]}
