Let a dead target leave before its lease

Cause: after kill -9 of a target callers of other hosts saw 503 for up to 3 s (2 late ones in test_callers_are_answered_whatever_single_process_dies, which failed): its proxy refused what was led to it, and the retries spent the budget. Ruled out: a larger budget; it would feed storms.

--- a/libs/daemon/src/trefoil_daemon/proxy_process.py
+++ b/libs/daemon/src/trefoil_daemon/proxy_process.py
@@ -348,10 +348,19 @@
         )
 
     def target_unsent(self, request_id: int) -> None:
-        """Note a request that did not reach its local target."""
+        """Note a request that did not reach its local target.
+
+        A dead target's lease runs on for seconds. Requests would be led to
+        it, refused and led on, until the service's retry budget is spent
+        and callers see refusals. It leaves at once; if it lives, its next
+        renewal brings it back within a second.
+        """
+        entry = self.targets.running.get(request_id)
         self.perform(
             self.targets.on_target_unsent(request_id, self.clock.now_ms())
         )
+        if entry is not None:
+            self.target_leaves(entry.target, "it refuses connections")
 
     def target_broke(self, request_id: int) -> None:
         """Note a local target's connection that broke."""
--- a/libs/daemon/tests/test_proxy_process.py
+++ b/libs/daemon/tests/test_proxy_process.py
@@ -564,6 +564,32 @@
     assert (final.status, final.ran, net.runs) == (503, False, {})
 
 
+def test_a_dead_target_leaves_before_its_lease() -> None:
+    """A target dies; connections to it are refused, its lease runs on.
+
+    Requests led to it meanwhile spend the retry budget and callers see
+    refusals though other targets are free.
+    """
+    net = Net(hosts=["h1", "h2"])
+    for n in range(40):
+        net.call("h1", "/read", f"n{n}")
+        net.settle()
+        for host, request_id in net.running():
+            if host == "h1":
+                net.carriers["h1"].dispatched.pop(request_id)
+                net.processes["h1"].target_unsent(request_id)
+                net.share_records()
+            else:
+                net.target_answers(host, request_id)
+        net.settle()
+        for host, request_id in net.running():
+            net.target_answers(host, request_id)
+        net.settle()
+    finals = net.carriers["h1"].finals.values()
+    assert [f.status for f in finals] == [200] * 40
+    assert net.processes["h1"].announced.records() == []
+
+
 def test_a_crossed_update_never_runs_on_the_wrong_version() -> None:
     """A target is replaced by another version under the same name.
 
--- a/tests/test_request_processes.py
+++ b/tests/test_request_processes.py
@@ -110,6 +110,21 @@
     assert good >= 20
 
 
+def test_callers_are_answered_whatever_single_process_dies(fleet) -> None:
+    """A target, a seed proxy and the control process die, one by one.
+
+    Callers of the other proxies may see what ran on the dead; within two
+    seconds every request is answered again.
+    """
+    addresses = [fleet.members[h].address("callers") for h in ("h1", "h3")]
+    for victim in ("t-h2", "h2", "control1"):
+        fleet.kill(victim)
+        sender = load.Load(addresses, 60, seed=3)
+        asyncio.run(sender.run(4, [load.Shape(path="/slots")]))
+        late = [s for s in sender.samples if s.at_s > 2]
+        assert [s.status for s in late if s.status != 200] == [], victim
+
+
 def test_a_frozen_target_costs_only_its_own_requests(fleet) -> None:
     """A target stops answering without closing anything.
 
