Take out what nothing reads, measure processes in one place

Ruled out: splitting raft.py and control_process.py now, and one table for the processes' start in tests and benches; both want more than a last reading. Change: the dead parts are gone; Member.cpu_s and Member.rss_mb serve both benches and ask the system for its tick and page sizes. Before: the same two functions twice. Conclusion: kept, no change of behaviour.

--- a/bench/convergence.py
+++ b/bench/convergence.py
@@ -28,19 +28,6 @@
   - {name: list, prefix: /slots, service: tables, resource: listings,
      repeat: any}
 """
-TICKS = 100
-
-
-def cpu_s(pid: int) -> float:
-    """Return the processor time of a process in seconds."""
-    fields = pathlib.Path(f"/proc/{pid}/stat").read_text().split()
-    return (int(fields[13]) + int(fields[14])) / TICKS
-
-
-def rss_mb(pid: int) -> float:
-    """Return the resident memory of a process in MB."""
-    pages = pathlib.Path(f"/proc/{pid}/statm").read_text().split()[1]
-    return int(pages) * 4096 / 1e6
 
 
 def quantile(values: list[float], share: float) -> float:
@@ -103,7 +90,7 @@
     def spent(self, names: list[str]) -> float:
         """Return the processor time of processes in seconds."""
         members = self.fleet.members
-        return sum(cpu_s(members[name].pid) for name in names)
+        return sum(members[name].cpu_s for name in names)
 
     def at_rest(self, for_s: float) -> dict[str, typing.Any]:
         """Return what a fleet at rest costs."""
@@ -124,12 +111,10 @@
             "proxy_cpu_share": round(proxy_cpu / elapsed / self.size, 5),
             "control_cpu_share": round(control_cpu / elapsed / len(names), 5),
             "proxy_rss_mb": round(
-                sum(rss_mb(members[p].pid) for p in self.proxies) / self.size,
+                sum(members[p].rss_mb for p in self.proxies) / self.size,
                 1,
             ),
-            "control_rss_mb": round(
-                max(rss_mb(members[c].pid) for c in names), 1
-            ),
+            "control_rss_mb": round(max(members[c].rss_mb for c in names), 1),
         }
 
     def _grown(
--- a/bench/requests.py
+++ b/bench/requests.py
@@ -33,18 +33,6 @@
 SMALL_MS = 20.0
 
 
-def cpu_s(pid: int) -> float:
-    """Return the processor time of a process in seconds."""
-    fields = pathlib.Path(f"/proc/{pid}/stat").read_text().split()
-    return (int(fields[13]) + int(fields[14])) / 100
-
-
-def rss_mb(pid: int) -> float:
-    """Return the resident memory of a process in MB."""
-    pages = pathlib.Path(f"/proc/{pid}/statm").read_text().split()[1]
-    return int(pages) * 4096 / 1e6
-
-
 def build(fleet: fleets.LocalFleet) -> None:
     """Add one control process, two proxies and their targets."""
     fleet.add_controls()
@@ -102,15 +90,15 @@
     }
     found: dict[str, list[load.Sample]] = {path: [] for path in PATHS}
     spent = dict.fromkeys(PATHS, 0.0)
-    pids = [fleet.members[host].pid for host in ("near", "far")]
+    proxies = [fleet.members[host] for host in ("near", "far")]
     for turn in range(rounds):
         for path in PATHS:
-            before = sum(cpu_s(pid) for pid in pids)
+            before = sum(proxy.cpu_s for proxy in proxies)
             samples = ask(
                 addresses[path], rate, duration_s / rounds, "/x", turn
             )
             found[path].extend(samples)
-            spent[path] += sum(cpu_s(pid) for pid in pids) - before
+            spent[path] += sum(proxy.cpu_s for proxy in proxies) - before
     figures: dict[str, typing.Any] = {"rate": rate}
     for path in PATHS:
         samples = found[path]
@@ -180,7 +168,7 @@
                 report["goodput"].append(figures)
                 print(json.dumps(figures), flush=True)
         report["rss_mb"] = {
-            name: round(rss_mb(fleet.members[name].pid), 1)
+            name: round(fleet.members[name].rss_mb, 1)
             for name in ("control1", "near", "far")
         }
     print(json.dumps(report))
--- a/bench/traces.py
+++ b/bench/traces.py
@@ -187,7 +187,6 @@
         self.slots = slots
         self.free = [[0.0] * slots for _ in range(count)]
         self.down_until = [0.0] * count
-        self.in_flight: list[list[float]] = [[] for _ in range(count)]
 
     def busy(self, at: int, now_ms: float) -> int:
         """Return how many of a target's slots are in use."""
--- a/libs/daemon/src/trefoil_daemon/transport.py
+++ b/libs/daemon/src/trefoil_daemon/transport.py
@@ -155,7 +155,6 @@
         poller.transport = self
         self.streams: dict[socket.socket, Stream] = {}
         self.listeners: dict[socket.socket, OnOpen] = {}
-        self.refused_errors = 0
 
     def listen(self, address: str, on_open: OnOpen) -> int:
         """Take connections at an address; return the port."""
--- a/libs/emulator/src/trefoil_emulator/fleet.py
+++ b/libs/emulator/src/trefoil_emulator/fleet.py
@@ -23,6 +23,8 @@
 LOOPBACK = "127.0.0.1"
 IPS_PER_BLOCK = 250
 STOP_S = 10.0
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 
 
 class NeverCame(Exception):
@@ -101,6 +103,19 @@
         """Return its process id."""
         return self.process.pid
 
+    @property
+    def cpu_s(self) -> float:
+        """Return its processor time in seconds."""
+        stat = pathlib.Path(f"/proc/{self.pid}/stat").read_text()
+        fields = stat.split()
+        return (int(fields[13]) + int(fields[14])) / TICKS_PER_S
+
+    @property
+    def rss_mb(self) -> float:
+        """Return its resident memory in MB."""
+        pages = pathlib.Path(f"/proc/{self.pid}/statm").read_text().split()
+        return int(pages[1]) * PAGE_BYTES / 1e6
+
 
 class LocalFleet:
     """Processes of one deployment, their settings and logs in a folder.
--- a/libs/fleet/src/trefoil_fleet/distribution.py
+++ b/libs/fleet/src/trefoil_fleet/distribution.py
@@ -129,7 +129,7 @@
         self.peer_held.pop(peer, None)
         self.peer_lag_ms.pop(peer, None)
 
-    def tick(self, links: list[str], uplink: str, now_ms: int) -> None:
+    def tick(self, links: list[str], now_ms: int) -> None:
         """Repair peers that lag, put in force what is due."""
         for peer in links:
             self._repair(peer, now_ms)
--- a/libs/fleet/src/trefoil_fleet/node.py
+++ b/libs/fleet/src/trefoil_fleet/node.py
@@ -265,8 +265,7 @@
         heard_ms = {link.host: link.heard_ms for link in self.links.values()}
         self.members.settle_doubts(heard_ms, now_ms)
         self.members.tick(set(self.links), now_ms)
-        uplink = self.overlay.uplink
-        self.config.tick(list(self.links), uplink, now_ms)
+        self.config.tick(list(self.links), now_ms)
         self._beat()
         return self._flush()
 
--- a/libs/moves/src/trefoil_moves/evidence.py
+++ b/libs/moves/src/trefoil_moves/evidence.py
@@ -168,13 +168,12 @@
 class Merger:
     """The leader's sum of the reports of one move."""
 
-    __slots__ = ("by_host", "window", "halted_by", "last_ms")
+    __slots__ = ("by_host", "window", "halted_by")
 
     def __init__(self) -> None:
         self.by_host: dict[str, Reported] = {}
         self.window: Window = {}
         self.halted_by = ""
-        self.last_ms: dict[str, int] = {}
 
     def hear(self, report: messages.EvidenceReport, now_ms: int) -> None:
         """Take a report and add what is new in it to the window."""
@@ -184,7 +183,6 @@
         if known is None or report.incarnation > known.incarnation:
             known = Reported(report.incarnation, {})
             self.by_host[report.host] = known
-        self.last_ms[report.host] = now_ms
         if report.halted:
             self.halted_by = report.host
         for tally in report.tallies or ():
--- a/libs/requests/src/trefoil_requests/entry.py
+++ b/libs/requests/src/trefoil_requests/entry.py
@@ -10,7 +10,6 @@
 import typing
 
 from trefoil_fleet import records as record_store
-from trefoil_model import effects as common
 from trefoil_model import errors
 from trefoil_wire import messages
 
@@ -588,9 +587,3 @@
         out = self.out
         self.out = []
         return out
-
-
-def note_final(final: calls.Final) -> common.Count:
-    """Return the metric of a final answer."""
-    kind = "own" if final.own else "target"
-    return common.Count(f"answers.{kind}.{final.status}")
