--- a/libs/daemon/src/trefoil_daemon/_fleet_process.py
+++ b/libs/daemon/src/trefoil_daemon/_fleet_process.py
@@ -52,6 +52,7 @@
 
     def link_up(self, host: str, hello: messages.Hello, served: bool) -> None:
         """Note a subscribed link."""
+        self.node.meet(hello)
         self.perform(
             self.node.linked(
                 host,
--- a/libs/daemon/src/trefoil_daemon/_http.py
+++ b/libs/daemon/src/trefoil_daemon/_http.py
@@ -68,11 +68,13 @@
     Args:
         kind: ``REQUEST`` or ``RESPONSE``.
         max_body: Largest body in bytes.
+        max_head: Largest head in bytes.
     """
 
     __slots__ = (
         "kind",
         "max_body",
+        "max_head",
         "buffer",
         "message",
         "length",
@@ -81,8 +83,11 @@
         "chunk_bytes",
     )
 
-    def __init__(self, kind: int, max_body: int) -> None:
+    def __init__(
+        self, kind: int, max_body: int, max_head: int = MAX_HEAD_BYTES
+    ) -> None:
         self.kind = kind
+        self.max_head = max_head
         self.max_body = max_body
         self.buffer = b""
         self.message: Message | None = None
@@ -125,10 +130,10 @@
     def _read_head(self) -> bool:
         end = self.buffer.find(HEAD_END)
         if end < 0:
-            if len(self.buffer) > MAX_HEAD_BYTES:
+            if len(self.buffer) > self.max_head:
                 raise errors.ProtocolError(431, "the head is too large")
             return False
-        if end > MAX_HEAD_BYTES:
+        if end > self.max_head:
             raise errors.ProtocolError(431, "the head is too large")
         head = self.buffer[: end + len(HEAD_END)]
         self.buffer = self.buffer[end + len(HEAD_END) :]
--- a/libs/daemon/src/trefoil_daemon/admin.py
+++ b/libs/daemon/src/trefoil_daemon/admin.py
@@ -4,7 +4,6 @@
 import json
 import typing
 
-from trefoil_language import parser
 from trefoil_language import statements
 from trefoil_model import clock as clocks
 from trefoil_model import errors
@@ -135,8 +134,11 @@
         connection: http_server.ServerConnection,
         message: _http.Message,
     ) -> None:
-        asked = _envelope_of(message.body)
-        line, envelope = asked
+        # The grammar takes a tenth of a second to load; a process that was
+        # killed should serve callers before.
+        from trefoil_language import parser
+
+        line, envelope = _envelope_of(message.body)
         parsed = parser.parse(line)
         if parsed.is_error():
             raise errors.ProtocolError(400, str(parsed.error))
--- a/libs/daemon/src/trefoil_daemon/announcements.py
+++ b/libs/daemon/src/trefoil_daemon/announcements.py
@@ -15,6 +15,7 @@
     "draining": messages.TargetState.DRAINING,
 }
 MAX_TARGETS = 64
+MAX_FAREWELLS = 256
 MAX_RESOURCES = 256
 
 
@@ -25,10 +26,20 @@
     Args:
         record: What other hosts learn.
         port: Where the target takes requests on this host.
+        incarnation: When the target started, Unix time in milliseconds; 0
+            if it does not say.
+        sequence: Grows with each of its announcements; 0 if not told.
     """
 
     record: messages.TargetRecord
     port: int
+    incarnation: int = 0
+    sequence: int = 0
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """Return what tells a later announcement from an earlier one."""
+        return self.incarnation, self.sequence
 
 
 def parse(name: str, body: bytes) -> Announcement:
@@ -98,10 +109,11 @@
         lease_ms: How long an announcement counts without a renewal.
     """
 
-    __slots__ = ("lease_ms", "by_name", "until_ms")
+    __slots__ = ("lease_ms", "by_name", "until_ms", "farewells")
 
     def __init__(self, lease_ms: int) -> None:
         self.lease_ms = lease_ms
+        self.farewells: dict[str, int] = {}
         self.by_name: dict[str, Announcement] = {}
         self.until_ms: dict[str, int] = {}
 
@@ -114,10 +126,62 @@
         name = announcement.record.name
         if name not in self.by_name and len(self.by_name) >= MAX_TARGETS:
             raise errors.ProtocolError(429, "too many targets on this host")
+        if self._is_late(announcement):
+            return False
         old = self.by_name.get(name)
         self.by_name[name] = announcement
         self.until_ms[name] = now_ms + self.lease_ms
-        return old is None or old != announcement
+        if old is None:
+            return True
+        return (old.record, old.port) != (
+            announcement.record,
+            announcement.port,
+        )
+
+    def _is_late(self, announcement: Announcement) -> bool:
+        """Tell whether an announcement was overtaken on its way.
+
+        A word that was held up may arrive after its sender has said
+        farewell, or crashed and made room for another at its address. Taken
+        at its word, it would lead requests to a target that is not there.
+        """
+        name = announcement.record.name
+        if not announcement.incarnation:
+            return False
+        if announcement.incarnation <= self.farewells.get(name, 0):
+            return True
+        return any(
+            announcement.order < other.order
+            for other in self.by_name.values()
+            if other.record.name == name or other.port == announcement.port
+        )
+
+    def replaced_by(self, announcement: Announcement) -> list[str]:
+        """Return earlier targets at the port of one that started later."""
+        return [
+            name
+            for name, other in self.by_name.items()
+            if name != announcement.record.name
+            and other.port == announcement.port
+            and other.incarnation < announcement.incarnation
+        ]
+
+    def take_farewell(self, name: str, incarnation: int) -> bool:
+        """Note that a target leaves for good; False if it is too late.
+
+        Args:
+            name: Its name.
+            incarnation: The life that ends; 0 for the one that is known.
+        """
+        known = self.by_name.get(name)
+        if known is not None and incarnation:
+            if incarnation < known.incarnation:
+                return False
+        ended = incarnation or (known.incarnation if known else 0)
+        self.farewells[name] = max(self.farewells.get(name, 0), ended)
+        while len(self.farewells) > MAX_FAREWELLS:
+            del self.farewells[next(iter(self.farewells))]
+        return True
 
     def remove(self, name: str) -> bool:
         """Drop a target that leaves; return whether it was here."""
--- a/libs/daemon/src/trefoil_daemon/control.py
+++ b/libs/daemon/src/trefoil_daemon/control.py
@@ -1,6 +1,7 @@
 """``trefoilroute-control``: the daemon on the few hosts with a disk."""
 
 import random
+import typing
 
 from trefoil_model import effects as common
 from trefoil_settings import settings as setting_store
@@ -41,6 +42,10 @@
             )
         )
 
+    def reconfigure(self, settings: typing.Any) -> None:
+        """Take changed settings; the ports stay as they are."""
+        self.engine.reconfigure(settings)
+
 
 def initialise(settings: setting_store.ControlSettings) -> bool:
     """Prepare a data folder for a control process's first life.
--- a/libs/daemon/src/trefoil_daemon/control_process.py
+++ b/libs/daemon/src/trefoil_daemon/control_process.py
@@ -7,7 +7,7 @@
 from trefoil_fleet import effects as fleet_effects
 from trefoil_fleet import items as item_store
 from trefoil_fleet import node as nodes
-from trefoil_language import parser
+from trefoil_language import statements
 from trefoil_model import clock as clocks
 from trefoil_model import effects as common
 from trefoil_model import errors
@@ -32,6 +32,17 @@
 JOIN_MS = 1000
 DECIDE_MS = 200
 MAX_HOPS = 3
+FIRST_TERM = 1
+# Without a leader's word for this long, a process that the others may have
+# dropped asks to be let in; longer than any election.
+UNLED_MS = 3000
+
+
+Reads = tuple[typing.Callable[[], typing.Any], typing.Callable[[], typing.Any]]
+
+
+def _nothing() -> None:
+    """Do nothing."""
 
 
 def first_identity(name: str) -> str:
@@ -39,6 +50,30 @@
     return f"{name}#{FIRST}"
 
 
+def found_store(disk: disks.Disk, name: str, founders: list[str]) -> None:
+    """Prepare a founder's data folder for its first life.
+
+    Every founder writes the same first entry, which names them all as the
+    voters. Two halves that start apart share these voters, so only one of
+    them can have a majority.
+    """
+    store = stores.Store.create(disk, first_identity(name))
+    voters = [first_identity(founder) for founder in founders]
+    entry = messages.Entry(
+        index=1,
+        term=FIRST_TERM,
+        command=rafts.command_bytes(
+            messages.ChangeVoters(voters=sorted(voters), learners=[])
+        ),
+    )
+    store.save_hard_state(
+        messages.HardState(
+            term=FIRST_TERM, voted_for="", identity=first_identity(name)
+        )
+    )
+    store.append([entry])
+
+
 def open_store(
     disk: disks.Disk, name: str, rng: random.Random
 ) -> tuple[stores.Store, str]:
@@ -91,6 +126,9 @@
         self.settings = settings
         self.rng = rng
         now_ms = clock.now_ms()
+        if settings.found and settings.host in settings.founders:
+            if disk.read(stores.PROMISE) is None:
+                found_store(disk, settings.host, settings.founders)
         self.store, why_new = open_store(disk, settings.host, rng)
         if why_new:
             carrier.note(
@@ -109,6 +147,7 @@
             rng=rng,
             heartbeat_ms=settings.heartbeat_ms,
             election_ms=settings.election_ms,
+            least_voters=2 * settings.lost_disks + 1 if settings.join else 0,
         )
         record = messages.HostRecord(
             host=settings.host,
@@ -124,7 +163,7 @@
             record,
             control=True,
             seeds={},
-            controls=settings.controls,
+            controls=settings.known_controls,
             now_ms=now_ms,
             rng=rng,
         )
@@ -137,10 +176,17 @@
         self.commands = operators.Waiters()
         self.queries = operators.Waiters()
         self.in_log: dict[str, int] = {}
-        self.reads: dict[int, typing.Callable[[], None]] = {}
+        self.reads: dict[int, Reads] = {}
         self.read_number = 0
         self.join_at_ms = now_ms
         self.decide_at_ms = now_ms
+        self.asked: dict[str, str] = {}
+        self.listed_index = 0
+
+    def reconfigure(self, settings: setting_store.ControlSettings) -> None:
+        """Take changed settings."""
+        self.settings = settings
+        self.node.overlay.rejoin(settings.known_controls)
 
     def carry(self, effect: typing.Any) -> None:
         """Carry out one effect."""
@@ -192,16 +238,47 @@
         if self.raft.is_leader:
             self._submit_here(command, reply)
             return
-        leader = rafts.name_of(self.raft.leader)
-        if not leader or leader not in self.node.links or hops >= MAX_HOPS:
+        if hops >= MAX_HOPS:
             why = "no leader is known here"
             reply(operators.pending(command.command_id, why))
             return
         if self._wait_for(command, reply):
+            self._forward(command, hops)
+
+    def _forward(self, command: messages.Command, hops: int) -> None:
+        """Pass a command to the leader, if one is linked."""
+        leader = rafts.name_of(self.raft.leader)
+        if leader and leader in self.node.links:
+            self.asked[command.command_id] = leader
             self.carrier.link_send(
                 leader, messages.CommandRequest(command, hops + 1)
             )
 
+    def _pass_on_again(self) -> None:
+        """Ask the present leader what was asked of none or of another.
+
+        A leader that dies or steps down forgets who waits. Commands are
+        known by their ids and queries change nothing, so both may be sent
+        twice; without it every change of the leader would leave operators
+        without an answer until they ask again.
+        """
+        if not self.queries.by_id and not self.commands.by_id:
+            self.asked.clear()
+            return
+        leader = rafts.name_of(self.raft.leader)
+        if not leader:
+            return
+        for waiter in self.queries.all():
+            if self.asked.get(waiter.request.query_id) != leader:
+                self._route_query(waiter.request)
+        for waiter in self.commands.all():
+            command = waiter.request
+            if self.asked.get(command.command_id) != leader:
+                if self.raft.is_leader:
+                    self._propose_once(command)
+                else:
+                    self._forward(command, 0)
+
     def _submit_here(
         self, command: messages.Command, reply: operators.OnReply
     ) -> None:
@@ -211,12 +288,14 @@
             if refusal is not None:
                 reply(operators.refused(command_id, refusal))
                 return
-        if not self._wait_for(command, reply):
-            return
-        if command_id in self.in_log:
-            return
-        self.in_log[command_id] = 0
-        self._propose(command)
+        if self._wait_for(command, reply):
+            self._propose_once(command)
+
+    def _propose_once(self, command: messages.Command) -> None:
+        self.asked[command.command_id] = self.settings.host
+        if command.command_id not in self.in_log:
+            self.in_log[command.command_id] = 0
+            self._propose(command)
 
     def _wait_for(
         self, command: messages.Command, reply: operators.OnReply
@@ -252,21 +331,36 @@
     def ask(self, query: messages.Query, reply: operators.OnReply) -> None:
         """Take an operator's query."""
         until_ms = self.clock.now_ms() + operators.QUERY_MS
-        if not self.queries.add(query.query_id, query, reply, until_ms):
-            return
+        if self.queries.add(query.query_id, query, reply, until_ms):
+            self._route_query(query)
+
+    def _route_query(self, query: messages.Query) -> None:
+        """Answer a query if this process leads, else pass it on."""
+        query_id = query.query_id
         if self.raft.is_leader:
-            self.read(lambda: self._answer_query(query.query_id, True))
+            self.asked[query_id] = self.settings.host
+            self.read(
+                lambda: self._answer_query(query_id, True),
+                lambda: self.asked.pop(query_id, None),
+            )
             return
         leader = rafts.name_of(self.raft.leader)
         hops = query.hops or 0
         if leader in self.node.links and hops < MAX_HOPS:
-            onward = messages.Query(query.query_id, query.line, hops + 1)
+            self.asked[query_id] = leader
+            onward = messages.Query(
+                query_id, query.line, hops + 1, query.kind, query.subject
+            )
             self.carrier.link_send(leader, onward)
 
-    def read(self, then: typing.Callable[[], None]) -> None:
+    def read(
+        self,
+        then: typing.Callable[[], typing.Any],
+        failed: typing.Callable[[], typing.Any] = _nothing,
+    ) -> None:
         """Do something once the state is known to be the newest."""
         self.read_number += 1
-        self.reads[self.read_number] = then
+        self.reads[self.read_number] = (then, failed)
         self.perform(self.raft.read(self.read_number, self.clock.now_ms()))
 
     def _answer_query(self, query_id: str, confirmed: bool) -> None:
@@ -276,16 +370,14 @@
     def _query_reply(
         self, query: messages.Query, confirmed: bool
     ) -> messages.QueryReply:
-        parsed = parser.parse(query.line)
-        if parsed.is_error():
-            return messages.QueryReply(
-                query.query_id, False, str(parsed.error)
-            )
+        statement, problem = statement_of(query)
+        if statement is None:
+            return messages.QueryReply(query.query_id, False, problem)
         knowledge = queries.Knowledge(
             self.state, self.node, self.raft, self.clock.now_ms()
         )
-        body = queries.render(parsed.ok, knowledge, confirmed=confirmed)
-        return messages.QueryReply(query.query_id, True, body)
+        body = queries.render(statement, knowledge, confirmed=confirmed)
+        return messages.QueryReply(query.query_id, True, body, confirmed)
 
     def on_query_reply(self, reply: messages.QueryReply) -> None:
         """Pass on the leader's reply."""
@@ -335,6 +427,32 @@
             self.node.publish(self.state.items.copy(), self.clock.now_ms())
         )
 
+    def _list_controls(self, now_ms: int) -> None:
+        """Tell the fleet which control hosts there are."""
+        raft = self.raft
+        if raft.config_index > raft.commit:
+            return
+        number = raft.config_index + 1
+        if number <= self.listed_index:
+            return
+        names = {rafts.name_of(i) for i in raft.voters + raft.learners}
+        hosts = [self._control_host(name) for name in sorted(names)]
+        known = [host for host in hosts if host is not None]
+        if len(known) == len(hosts):
+            self.listed_index = number
+            listed = messages.ControlHosts(number, known)
+            self.perform(self.node.list_controls(listed, now_ms))
+
+    def _control_host(self, name: str) -> messages.ControlHost | None:
+        record = self.node.members.record
+        if name == self.settings.host:
+            return messages.ControlHost(name, record.address, record.domain)
+        domain = self.node.overlay.domains.get(name)
+        if domain is None:
+            return None
+        address = self.node.overlay.controls.get(name, "")
+        return messages.ControlHost(name, address, domain)
+
     def _compact(self, index: int) -> None:
         applied = index - self.raft.log.base_index
         if applied >= self.settings.snapshot_entries:
@@ -477,6 +595,8 @@
         self.perform(self.node.tick(now_ms))
         self._decide()
         self._join(now_ms)
+        self._pass_on_again()
+        self._list_controls(now_ms)
         for waiter in self.commands.expired(now_ms):
             why = "not agreed yet"
             waiter.reply(operators.pending(waiter.request.command_id, why))
@@ -486,7 +606,10 @@
     def _join(self, now_ms: int) -> None:
         raft = self.raft
         known = raft.identity in raft.voters + raft.learners
-        if known or now_ms < self.join_at_ms:
+        # A host that was dropped while it was away does not hear of that:
+        # in its own log it is a voter still.
+        unled = not raft.is_leader and now_ms - raft.heard_ms >= UNLED_MS
+        if (known and not unled) or now_ms < self.join_at_ms:
             return
         self.join_at_ms = now_ms + JOIN_MS
         request = messages.JoinRequest(
@@ -494,10 +617,27 @@
             name=self.settings.host,
             address=self.node.members.record.address,
         )
-        for name in self.settings.controls:
+        for name in self.node.overlay.controls:
             self.carrier.link_send(name, request)
 
 
+def statement_of(query: messages.Query) -> tuple[typing.Any, str]:
+    """Return what a query asks; None and why if it can't be read."""
+    match query.kind:
+        case messages.QueryKind.DOCUMENT:
+            return statements.ShowDocument(), ""
+        case messages.QueryKind.MOVE:
+            return statements.MoveDone(query.subject), ""
+    # The grammar takes a tenth of a second to load, which a process that
+    # was killed should not spend before it votes again.
+    from trefoil_language import parser
+
+    parsed = parser.parse(query.line)
+    if parsed.is_error():
+        return None, str(parsed.error)
+    return parsed.ok, ""
+
+
 def logged(command: messages.Command) -> messages.CommandRequest:
     """Return a command as the message that is logged."""
     return messages.CommandRequest(command=command, hops=0)
@@ -578,14 +718,16 @@
 
 @carry.register
 def _(effect: quorum_effects.ReadReady, process: ControlProcess) -> None:
-    then = process.reads.pop(effect.read_id, None)
-    if then is not None:
-        then()
+    found = process.reads.pop(effect.read_id, None)
+    if found is not None:
+        found[0]()
 
 
 @carry.register
 def _(effect: quorum_effects.ReadFailed, process: ControlProcess) -> None:
-    process.reads.pop(effect.read_id, None)
+    found = process.reads.pop(effect.read_id, None)
+    if found is not None:
+        found[1]()
 
 
 @functools.singledispatch
--- a/libs/daemon/src/trefoil_daemon/facade.py
+++ b/libs/daemon/src/trefoil_daemon/facade.py
@@ -10,6 +10,7 @@
 from trefoil_model import effects as common
 from trefoil_requests import call as calls
 from trefoil_requests import effects as request_effects
+from trefoil_wire import messages
 
 
 class Carrier(typing.Protocol):
@@ -42,6 +43,15 @@
     def abort(self, request_id: int) -> None:
         """Stop waiting for a local target."""
 
+    def limit_callers(self, limits: messages.CallerLimits) -> None:
+        """Take the configuration's limits for callers."""
+
+    def check_target(self, effect: request_effects.CheckTarget) -> None:
+        """Find out whether a local target takes connections.
+
+        The engine's ``target_checked`` is told.
+        """
+
     def note(self, note: common.Note) -> None:
         """Write a log line."""
 
--- a/libs/daemon/src/trefoil_daemon/gateway.py
+++ b/libs/daemon/src/trefoil_daemon/gateway.py
@@ -5,13 +5,11 @@
 from trefoil_requests import call as calls
 
 from . import _http
+from . import dialect as dialects
 from . import http_server
 
 KEY_HEADER = b"idempotency-key"
-DEADLINE_HEADER = b"x-trefoil-deadline-ms"
-RETRIED_HEADER = b"x-trefoil-retried"
 MAX_KEY = 256
-OWN_HEADERS = (DEADLINE_HEADER, RETRIED_HEADER)
 
 
 class Process(typing.Protocol):
@@ -29,12 +27,28 @@
 
     Args:
         process: The process engine.
+        dialect: The headers' names.
+        service: Service of this host's own target.
     """
 
-    __slots__ = ("process", "waiting")
+    __slots__ = ("process", "dialect", "service", "own", "waiting")
 
-    def __init__(self, process: Process) -> None:
+    def __init__(
+        self,
+        process: Process,
+        dialect: dialects.Dialect = dialects.DEFAULT,
+        service: str = "",
+    ) -> None:
         self.process = process
+        self.dialect = dialect
+        self.service = service
+        named = (
+            dialect.deadline,
+            dialect.retried,
+            dialect.caller_service,
+            dialect.target,
+        )
+        self.own = frozenset(name.lower() for name in named if name)
         self.waiting: dict[int, http_server.ServerConnection] = {}
 
     def take(
@@ -56,15 +70,35 @@
             method=message.method,
             host=host.partition(":")[0].lower(),
             path=message.path,
-            headers=_without_own(message),
+            headers=self._headers_of(message),
             body=message.body,
             key=key,
-            deadline_ms=_number(message.field(DEADLINE_HEADER)),
-            retried=message.field(RETRIED_HEADER) == "1",
+            deadline_ms=_number(message.field(self.dialect.deadline.lower())),
+            retried=message.field(self.dialect.retried.lower()) == "1",
+            caller_id=message.field(self.dialect.request_id.lower()),
         )
         self.waiting[connection.number] = connection
         self.process.call(call)
 
+    def _headers_of(self, message: _http.Message) -> bytes:
+        """Return the header lines for the target.
+
+        Lines that the proxies set themselves are dropped: a caller could
+        else name itself as another service.
+        """
+        headers = message.headers
+        if any(name in message.fields for name in self.own):
+            lines = headers.split(b"\r\n")[:-1]
+            headers = b"".join(
+                line + b"\r\n"
+                for line in lines
+                if line.partition(b":")[0].lower() not in self.own
+            )
+        if self.dialect.caller_service and self.service:
+            service = self.service.encode("latin-1", "replace")
+            headers += self.dialect.caller_service + b": " + service + b"\r\n"
+        return headers
+
     def gone(self, connection: http_server.ServerConnection) -> None:
         """Note a caller that went away before its answer."""
         if self.waiting.pop(connection.number, None) is not None:
@@ -83,25 +117,19 @@
         ran = b"unknown" if final.ran else b"not-run"
         headers = b"X-Trefoil-Outcome: " + ran + b"\r\n"
         if final.retry_after_ms:
-            seconds = -(-final.retry_after_ms // 1000)
-            headers += b"Retry-After: %d\r\n" % seconds
+            headers += b"Retry-After: %s\r\n" % self._seconds(
+                final.retry_after_ms
+            )
             headers += b"X-Trefoil-Retry-After-Ms: %d\r\n" % (
                 final.retry_after_ms
             )
         connection.answer_own(final.status, final.reason, headers)
 
+    def _seconds(self, wait_ms: int) -> bytes:
+        if self.dialect.retry_fractions:
+            return b"%.3f" % (wait_ms / 1000)
+        return b"%d" % -(-wait_ms // 1000)
+
 
 def _number(text: str) -> int:
     return int(text) if text.isascii() and text.isdigit() else 0
-
-
-def _without_own(message: _http.Message) -> bytes:
-    """Drop the lines that the target's proxy sets itself."""
-    if not any(name in message.fields for name in OWN_HEADERS):
-        return message.headers
-    lines = message.headers.split(b"\r\n")[:-1]
-    return b"".join(
-        line + b"\r\n"
-        for line in lines
-        if line.partition(b":")[0].lower() not in OWN_HEADERS
-    )
--- a/libs/daemon/src/trefoil_daemon/http_server.py
+++ b/libs/daemon/src/trefoil_daemon/http_server.py
@@ -16,6 +16,24 @@
 MAX_AHEAD_BYTES = 256 * 1024
 
 
+@dataclasses.dataclass(slots=True)
+class SenderLimits:
+    """What senders may do; the configuration may change it at any time.
+
+    Args:
+        max_head: Largest head in bytes.
+        max_body: Largest body in bytes.
+        head_ms: Longest time that a request may take to come whole.
+        idle_ms: How long a connection without a request is kept; 0 keeps it
+            for ever.
+    """
+
+    max_head: int = _http.MAX_HEAD_BYTES
+    max_body: int = 1024 * 1024
+    head_ms: int = HEAD_MS
+    idle_ms: int = 0
+
+
 class Handler(typing.Protocol):
     """What takes the requests of a server."""
 
@@ -85,7 +103,7 @@
         transport: Carries the streams.
         handler: Takes the requests.
         clock: The runtime's clock.
-        max_body: Largest body in bytes.
+        limits: What senders may do.
         bad: Called with the reason when a sender is malformed.
     """
 
@@ -93,7 +111,7 @@
         "transport",
         "handler",
         "clock",
-        "max_body",
+        "limits",
         "bad",
         "connections",
         "numbers",
@@ -106,13 +124,13 @@
         handler: Handler,
         clock: clocks.Clock,
         *,
-        max_body: int,
+        limits: SenderLimits,
         bad: typing.Callable[[str], None],
     ) -> None:
         self.transport = transport
         self.handler = handler
         self.clock = clock
-        self.max_body = max_body
+        self.limits = limits
         self.bad = bad
         self.connections: set[ServerConnection] = set()
         self.numbers = itertools.count(1)
@@ -130,7 +148,9 @@
             self,
             next(self.numbers),
             stream,
-            _http.MessageReader(_http.REQUEST, self.max_body),
+            _http.MessageReader(
+                _http.REQUEST, self.limits.max_body, self.limits.max_head
+            ),
             since_ms=self.clock.now_ms(),
         )
         stream.owner = connection
@@ -140,6 +160,8 @@
 
     def _data(self, stream: transports.Stream, data: bytes) -> None:
         connection = stream.owner
+        if not connection.reader.started:
+            connection.since_ms = self.clock.now_ms()
         if connection.request is not None:
             # The next request came before this one's answer. It waits in
             # the buffer; a sender that goes on is held back by the kernel.
@@ -180,20 +202,28 @@
             self.handler.gone(connection)
 
     def tick(self) -> None:
-        """Close connections that are stuck in the middle of a request.
+        """Close connections that are stuck in a request, or long unused.
 
         Senders that trickle a head would else hold connections for ever.
         """
         now_ms = self.clock.now_ms()
+        idle_ms = self.limits.idle_ms
         for connection in list(self.connections):
-            waits = connection.request is None and connection.reader.started
-            if waits and now_ms - connection.since_ms > HEAD_MS:
-                self._malformed(
-                    connection,
-                    errors.ProtocolError(408, "the request is not whole"),
-                )
-            elif not connection.reader.started:
-                connection.since_ms = now_ms
+            if connection.request is not None:
+                continue
+            waited_ms = now_ms - connection.since_ms
+            if connection.reader.started:
+                if waited_ms > self.limits.head_ms:
+                    self._malformed(
+                        connection,
+                        errors.ProtocolError(408, "the request is not whole"),
+                    )
+            elif idle_ms and waited_ms > idle_ms:
+                connection.stream.close()
+
+    def close_politely(self) -> None:
+        """Let each connection end with its next answer (shutdown)."""
+        self.closing = True
 
     def close_idle(self) -> None:
         """Close the connections that wait for no answer (shutdown)."""
--- a/libs/daemon/src/trefoil_daemon/logs.py
+++ b/libs/daemon/src/trefoil_daemon/logs.py
@@ -48,7 +48,7 @@
 
 
 class EventLog:
-    """Writes events to standard error.
+    """Writes events to standard output.
 
     Args:
         process: Name of the process, on every line.
@@ -62,7 +62,7 @@
         self.level = LEVELS[level]
         self.logger = logbook.Logger(process)
         handler = logbook.StreamHandler(
-            sys.stderr, level=self.level, format_string=FORMAT
+            sys.stdout, level=self.level, format_string=FORMAT
         )
         self.logger.handlers.append(handler)
 
--- a/libs/daemon/src/trefoil_daemon/operators.py
+++ b/libs/daemon/src/trefoil_daemon/operators.py
@@ -47,6 +47,10 @@
         self.by_id.setdefault(key, []).append(Waiter(request, reply, until_ms))
         return True
 
+    def all(self) -> list[Waiter]:
+        """Return the first of those who wait for each id."""
+        return [waiters[0] for waiters in self.by_id.values()]
+
     def take(self, key: str) -> list[Waiter]:
         """Return those who wait for an id, and forget them."""
         return self.by_id.pop(key, [])
@@ -82,16 +86,18 @@
         outcome=past.outcome,
         reason=past.reason,
         revision=past.revision,
+        cause=past.cause or messages.Cause.OTHER,
     )
 
 
-def refused(command_id: str, refusal: states.Refusal) -> messages.CommandReply:
+def refused(command_id: str, refusal: states.Ruling) -> messages.CommandReply:
     """Return the answer to a command that was never appended."""
     return messages.CommandReply(
         command_id=command_id,
         outcome=refusal.outcome,
         reason=refusal.reason,
         revision=0,
+        cause=refusal.cause,
     )
 
 
--- a/libs/daemon/src/trefoil_daemon/pools.py
+++ b/libs/daemon/src/trefoil_daemon/pools.py
@@ -10,11 +10,13 @@
 from trefoil_wire import messages
 
 from . import _http
+from . import dialect as dialects
 from . import transport as transports
 
 IDLE_MS = 5000
-DEADLINE_HEADER = b"X-Trefoil-Deadline-Ms: %d\r\n"
-RETRIED_HEADER = b"X-Trefoil-Retried: 1\r\n"
+# A target closes a connection at the end of the time that it states; a
+# request that is on its way then is lost. One beat and a slow loop fit in.
+KEEP_ALIVE_MARGIN_MS = 1000
 
 
 class Owner(typing.Protocol):
@@ -29,6 +31,9 @@
     def target_broke(self, request_id: int) -> None:
         """Note a connection that broke under a request."""
 
+    def target_checked(self, target: str, accepts: bool) -> None:
+        """Take whether a target takes connections."""
+
 
 @dataclasses.dataclass(slots=True, eq=False)
 class TargetConnection:
@@ -39,7 +44,7 @@
     reader: _http.MessageReader
     request: messages.Request | None = None
     waiting: bytes = b""
-    idle_since_ms: int = 0
+    idle_until_ms: int = 0
     started_ms: int = 0
 
 
@@ -52,9 +57,11 @@
         clock: The runtime's clock.
         ip: Address of this host, where its targets take requests.
         max_body: Largest body of an answer, in bytes.
+        dialect: The headers' names.
     """
 
     __slots__ = (
+        "dialect",
         "ip",
         "transport",
         "owner",
@@ -73,7 +80,9 @@
         *,
         ip: str,
         max_body: int,
+        dialect: dialects.Dialect = dialects.DEFAULT,
     ) -> None:
+        self.dialect = dialect
         self.ip = ip
         self.transport = transport
         self.owner = owner
@@ -88,9 +97,12 @@
         request = effect.request
         now_ms = self.clock.now_ms()
         left_ms = max(effect.deadline_at_ms - now_ms, 1)
-        extra = DEADLINE_HEADER % left_ms
-        if request.retried:
-            extra += RETRIED_HEADER
+        extra = b"%s: %d\r\n" % (self.dialect.deadline, left_ms)
+        if request.retried and self.dialect.retried:
+            extra += self.dialect.retried + b": 1\r\n"
+        if self.dialect.target:
+            name = request.target.encode("latin-1", "replace")
+            extra += self.dialect.target + b": " + name + b"\r\n"
         data = _http.request_bytes(
             request.method,
             request.path,
@@ -122,7 +134,7 @@
         now_ms = self.clock.now_ms()
         for connections in self.idle.values():
             for connection in list(connections):
-                if now_ms - connection.idle_since_ms > IDLE_MS:
+                if now_ms > connection.idle_until_ms:
                     # A connection that idles long may have been forgotten
                     # by what stands between; a fresh one costs 1 ms.
                     connection.stream.close()
@@ -143,9 +155,21 @@
                 status=502,
                 reason="the connection to the target went silent",
                 ran=True,
+                unusable=True,
             )
         )
 
+    def check(self, target: str, port: int) -> None:
+        """Connect once and tell whether the target takes connections."""
+        stream = self.transport.connect(
+            f"{self.ip}:{port}", lambda stream: stream.close()
+        )
+
+        def told(stream: transports.Stream) -> None:
+            self.owner.target_checked(target, not stream.connecting)
+
+        stream.on_close = told
+
     def _watch(self, port: int) -> silence.SilenceWatch:
         watch = self.watches.get(port)
         if watch is None:
@@ -184,12 +208,33 @@
             return
         try:
             message = connection.reader.feed(data)
+            while message is not None and not self._answers(
+                connection, message
+            ):
+                message = connection.reader.next()
         except errors.ProtocolError as error:
             self._bad_answer(connection, error)
             return
         if message is not None:
             self._answered(connection, message)
 
+    def _answers(
+        self, connection: TargetConnection, message: _http.Message
+    ) -> bool:
+        """Tell whether a message is the answer to the request that waits.
+
+        A target may send an answer twice, or late: it then stands where
+        the next one is expected, and would be given to another caller.
+        """
+        if message.status < 200:
+            return False
+        wanted = connection.request.caller_id
+        if not wanted or not self.dialect.request_id:
+            return True
+        name = self.dialect.request_id.lower()
+        given = message.fields.get(name)
+        return given is None or given == wanted.encode("latin-1", "replace")
+
     def _bad_answer(
         self, connection: TargetConnection, error: errors.ProtocolError
     ) -> None:
@@ -204,6 +249,7 @@
                 status=502,
                 reason=f"the target's answer is malformed: {error.reason}",
                 ran=True,
+                unusable=True,
             )
         )
 
@@ -212,15 +258,12 @@
     ) -> None:
         request = connection.request
         now_ms = self.clock.now_ms()
-        if message.status < 200:
-            connection.reader.message = None
-            return
         connection.request = None
         self.busy.pop(request.request_id, None)
         self._watch(connection.port).answered(request.request_id, now_ms)
         clean = not connection.reader.started
         if message.keep_alive and clean and not connection.stream.closed:
-            connection.idle_since_ms = now_ms
+            connection.idle_until_ms = now_ms + _idle_ms(message)
             self.idle.setdefault(connection.port, []).append(connection)
         else:
             connection.stream.close()
@@ -244,8 +287,9 @@
         request = connection.request
         if request is None:
             return
-        message = connection.reader.end()
-        if message is not None:
+        # A reset may have swallowed the rest of a body without a length.
+        message = connection.reader.end() if stream.ended else None
+        if message is not None and self._answers(connection, message):
             self._answered(connection, message)
             return
         connection.request = None
@@ -255,3 +299,12 @@
             self.owner.target_unsent(request.request_id)
         else:
             self.owner.target_broke(request.request_id)
+
+
+def _idle_ms(message: _http.Message) -> int:
+    """Return how long a connection may idle after an answer."""
+    for part in message.field(b"keep-alive").split(","):
+        name, _, value = part.strip().partition("=")
+        if name.lower() == "timeout" and value.isdigit():
+            return max(int(value) * 1000 - KEEP_ALIVE_MARGIN_MS, 0)
+    return IDLE_MS
--- a/libs/daemon/src/trefoil_daemon/proxy.py
+++ b/libs/daemon/src/trefoil_daemon/proxy.py
@@ -1,25 +1,33 @@
 """``trefoilroute-proxy``: the daemon on each target host."""
 
 import random
+import typing
 
 from trefoil_model import effects as common
 from trefoil_requests import call as calls
 from trefoil_requests import effects as request_effects
 from trefoil_settings import settings as setting_store
+from trefoil_wire import messages
 
+from . import dialect as dialects
 from . import gateway
 from . import http_server
 from . import pools
 from . import proxy_process
+from . import readiness
 from . import runtime
 
 MIB = 1024 * 1024
 ADMIN_BODY = MIB
+# What other proxies sent before they heard of a shutdown arrives in this.
+LEAST_LEAVE_MS = 1500
 
 
 class ProxyDaemon(runtime.Runtime):
     """The proxy's runtime."""
 
+    dialect = dialects.DEFAULT
+
     def start_proxy(self, settings: setting_store.ProxySettings) -> None:
         """Open the ports and build the engine."""
         self.settings = settings
@@ -33,6 +41,7 @@
             carrier=self,
             clock=clock,
             rng=random.Random(),
+            not_run_header=self.dialect.not_run,
         )
         self.pools = pools.TargetPools(
             self.transport,
@@ -40,28 +49,60 @@
             clock,
             ip=settings.admin.rpartition(":")[0],
             max_body=max_body,
+            dialect=self.dialect,
+        )
+        self.gateway = gateway.Gateway(
+            self.engine, self.dialect, settings.service
         )
-        self.gateway = gateway.Gateway(self.engine)
-        callers = http_server.HttpServer(
+        self.callers = http_server.HttpServer(
             self.transport,
             self.gateway,
             clock,
-            max_body=max_body,
+            limits=http_server.SenderLimits(max_body=max_body),
             bad=self.bad_http,
         )
-        self.http_servers = [callers]
+        self.http_servers = [self.callers]
+        if settings.ready:
+            self._serve_readiness(settings.ready)
         self.note(
             common.Note(
                 "proxy.started",
                 {
+                    "host": settings.host,
                     "domain": settings.domain,
-                    "callers": callers.listen(settings.callers),
+                    "callers": self.callers.listen(settings.callers),
                     "admin": self.serve_operators(settings.admin, ADMIN_BODY),
                     "peers": port,
+                    "incarnation": self.engine.node.members.record.incarnation,
                 },
             )
         )
 
+    def _serve_readiness(self, address: str) -> None:
+        server = http_server.HttpServer(
+            self.transport,
+            readiness.Readiness(self.engine),
+            self.system_clock,
+            limits=http_server.SenderLimits(max_body=0),
+            bad=self.bad_http,
+        )
+        self.http_servers.append(server)
+        server.listen(address)
+
+    def reconfigure(self, settings: typing.Any) -> None:
+        """Take changed settings; the ports stay as they are."""
+        self.settings = settings
+        self.engine.reconfigure(settings)
+        self.gateway.service = settings.service
+
+    def limit_callers(self, limits: messages.CallerLimits) -> None:
+        """Take the configuration's limits for callers."""
+        kept = self.callers.limits
+        kept.max_head = limits.max_head_bytes or kept.max_head
+        kept.max_body = limits.max_body_bytes or kept.max_body
+        kept.head_ms = limits.head_timeout_ms or kept.head_ms
+        kept.idle_ms = limits.idle_timeout_ms or kept.idle_ms
+
     def after_beat(self) -> None:
         """Watch target connections; end a shutdown that is through."""
         self.pools.tick()
@@ -69,9 +110,12 @@
         if not since_ms:
             return
         waited_ms = self.system_clock.now_ms() - since_ms
-        linger = proxy_process.LINGER_MS
-        done = self.engine.idle and waited_ms >= linger
-        if done or waited_ms >= self.settings.grace_ms:
+        if waited_ms >= self.settings.linger_ms:
+            self.engine.refuse_calls()
+            self.callers.close_idle()
+        over = waited_ms >= max(self.settings.linger_ms, LEAST_LEAVE_MS)
+        idle = over and self.engine.idle
+        if idle or waited_ms >= self.settings.grace_ms:
             self.note(
                 common.Note(
                     "proxy.left",
@@ -81,9 +125,13 @@
             raise SystemExit(0)
 
     def leave(self) -> None:
-        """Begin a graceful shutdown."""
+        """Begin a graceful shutdown.
+
+        Callers go on sending until they have heard of it, so requests are
+        still taken for a while; each answer closes its connection.
+        """
         self.engine.leave()
-        self.http_servers[0].close_idle()
+        self.callers.close_politely()
 
     def finish(self, final: calls.Final) -> None:
         """Give a caller its final answer."""
@@ -99,6 +147,10 @@
         """Stop waiting for a local target."""
         self.pools.abort(request_id)
 
+    def check_target(self, effect: request_effects.CheckTarget) -> None:
+        """Find out whether a local target takes connections."""
+        self.pools.check(effect.target, effect.port)
+
 
 def run(settings: setting_store.ProxySettings) -> None:
     """Run a proxy until it is told to leave."""
--- a/libs/daemon/src/trefoil_daemon/proxy_process.py
+++ b/libs/daemon/src/trefoil_daemon/proxy_process.py
@@ -33,7 +33,6 @@
 GUARD_WINDOWS = 600
 GUARD_FLEET = 860
 COLD_MS = 5000
-LINGER_MS = 1500
 
 
 class ProxyProcess(_fleet_process.FleetProcess):
@@ -45,6 +44,8 @@
         carrier: Carries its effects.
         clock: The runtime's clock.
         rng: Its random generator.
+        not_run_header: Header by which a target says that it did not run a
+            request.
     """
 
     def __init__(
@@ -55,6 +56,7 @@
         carrier: facade.Carrier,
         clock: clocks.Clock,
         rng: random.Random,
+        not_run_header: bytes = target_side.NOT_RUN_HEADER,
     ) -> None:
         self.settings = settings
         now_ms = clock.now_ms()
@@ -73,7 +75,7 @@
             record,
             control=False,
             seeds=settings.seeds,
-            controls=settings.controls,
+            controls=settings.known_controls,
             now_ms=now_ms,
             rng=rng,
         )
@@ -89,7 +91,9 @@
             quarantine=self.quarantine,
             rng=rng,
         )
-        self.targets = target_side.TargetSide(self.quarantine, rng)
+        self.targets = target_side.TargetSide(
+            self.quarantine, rng, not_run_header.lower()
+        )
         self.announced = announcements.Announcements(settings.lease_ms)
         self.collectors: dict[str, evidences.Collector] = {}
         self.guards: dict[str, judges.Judge] = {}
@@ -98,7 +102,7 @@
         self.leaving_since_ms = 0
         self.busy_origins: dict[str, set[int]] = {}
         self.records_dirty = False
-        self.relay = relays.Relay(settings.controls, carrier.tell)
+        self.relay = relays.Relay(settings.known_controls, carrier.tell)
 
     # Carrying out effects
 
@@ -121,6 +125,8 @@
         }
         self.records_changed()
         self._update_collectors(table)
+        if table.limits is not None:
+            self.carrier.limit_callers(table.limits)
         self.carrier.note(
             common.Note("config.in_force", {"revision": items.revision})
         )
@@ -128,9 +134,17 @@
     def records_changed(self) -> None:
         """Let routing look at the hosts' records again."""
         self.records_dirty = False
-        self.entry.records_changed(
-            self.node.members.records, self.clock.now_ms()
-        )
+        records = self.node.members.records
+        self.entry.records_changed(records, self.clock.now_ms())
+        if self.settings.retry_slack:
+            proxies = max(len(records.present()), 1)
+            self.entry.share_slack(self.settings.retry_slack / proxies)
+
+    def reconfigure(self, settings: setting_store.ProxySettings) -> None:
+        """Take changed settings."""
+        self.settings = settings
+        self.node.overlay.rejoin(settings.known_controls)
+        self.records_dirty = True
 
     def _update_collectors(self, table: routing.RouteTable) -> None:
         for service, shares in table.shares.items():
@@ -311,6 +325,8 @@
     def announce(self, announcement: announcements.Announcement) -> None:
         """Take a target's announcement or renewal."""
         now_ms = self.clock.now_ms()
+        for name in self.announced.replaced_by(announcement):
+            self.target_leaves(name, "another started at its port")
         if self.announced.put(announcement, now_ms):
             self.targets.put_target(announcement.record, announcement.port)
             self._publish_targets(now_ms)
@@ -325,6 +341,17 @@
                 )
             )
 
+    def target_says_farewell(self, name: str, incarnation: int) -> bool:
+        """Take a target's word that this life of it ends.
+
+        Returns:
+            False if the word is late: the target has started again.
+        """
+        if not self.announced.take_farewell(name, incarnation):
+            return False
+        self.target_leaves(name, "it said so")
+        return True
+
     def target_leaves(self, name: str, why: str) -> bool:
         """Drop a target; return whether it was here."""
         now_ms = self.clock.now_ms()
@@ -362,6 +389,10 @@
         if entry is not None:
             self.target_leaves(entry.target, "it refuses connections")
 
+    def target_checked(self, target: str, accepts: bool) -> None:
+        """Take whether a local target takes connections."""
+        self.perform(self.targets.on_target_checked(target, accepts))
+
     def target_broke(self, request_id: int) -> None:
         """Note a local target's connection that broke."""
         self.perform(
@@ -411,15 +442,16 @@
     def leave(self) -> None:
         """Begin a graceful shutdown.
 
-        New work is refused as not run, what runs goes on to its end; the
-        record without targets keeps others from sending more.
+        The record without targets keeps others from sending more; what
+        they sent before they heard of it still runs. Callers are served
+        until ``refuse_calls``.
         """
         if self.leaving_since_ms:
             return
         now_ms = self.clock.now_ms()
         self.leaving_since_ms = now_ms
-        self.entry.draining = True
-        self.targets.leaving = True
+        if not self.settings.linger_ms:
+            self.refuse_calls()
         self._publish_targets(now_ms)
         self.perform(self.node.leave(now_ms))
         self.carrier.note(
@@ -432,6 +464,11 @@
             )
         )
 
+    def refuse_calls(self) -> None:
+        """Refuse new work as not run; what runs goes on to its end."""
+        self.entry.draining = True
+        self.targets.leaving = True
+
     @property
     def idle(self) -> bool:
         """Tell whether nothing runs here any more."""
@@ -482,6 +519,11 @@
     process.carrier.dispatch(effect)
 
 
+@carry.register
+def _(effect: request_effects.CheckTarget, process: ProxyProcess) -> None:
+    process.carrier.check_target(effect)
+
+
 @carry.register
 def _(effect: request_effects.Abort, process: ProxyProcess) -> None:
     process.carrier.abort(effect.dispatch_id)
--- a/libs/daemon/src/trefoil_daemon/queries.py
+++ b/libs/daemon/src/trefoil_daemon/queries.py
@@ -138,6 +138,20 @@
     }
 
 
+@answer.register
+def _(statement: statements.ShowDocument, known: Knowledge) -> list[Row]:
+    document = known.state.document
+    if document is None:
+        return []
+    return [
+        {
+            "number": document.number,
+            "base": document.base,
+            "text": document.text.decode("utf-8", "replace"),
+        }
+    ]
+
+
 @answer.register
 def _(statement: statements.ShowMoves, known: Knowledge) -> list[Row]:
     return [
@@ -180,7 +194,10 @@
         return [{"problem": f"no move of {statement.service} is known"}]
     row = _move_row(move, known)
     return [
-        {key: row[key] for key in ("service", "outcome", "share", "reason")}
+        {
+            key: row[key]
+            for key in ("service", "to", "outcome", "share", "reason")
+        }
     ]
 
 
--- a/libs/daemon/src/trefoil_daemon/runtime.py
+++ b/libs/daemon/src/trefoil_daemon/runtime.py
@@ -16,12 +16,14 @@
 from trefoil_model import effects as common
 from trefoil_requests import call as calls
 from trefoil_requests import effects as request_effects
+from trefoil_wire import messages
 
 from . import admin
 from . import http_server
 from . import hub as hubs
 from . import logs
 from . import metrics as metric_store
+from . import reload
 from . import transport as transports
 
 BEAT_S = 0.05
@@ -65,6 +67,7 @@
         self.flush_at_ms = 0
         self.rng = random.Random()
         self.http_servers: list[typing.Any] = []
+        self.reloader: reload.Reloader | None = None
         circuits.Timer(BEAT_S, beat(), self.channel, persist=True).register(
             self
         )
@@ -79,20 +82,23 @@
         gc.freeze()
         gc.set_threshold(*GC_THRESHOLDS)
 
-    def serve_operators(self, address: str, max_body: int) -> int:
-        """Open the interface for targets and operators; return the port."""
-        interface = admin.Admin(
+    def interface(self) -> http_server.Handler:
+        """Return what answers targets and operators."""
+        return admin.Admin(
             self.engine,
             self.system_clock,
             self.metrics,
             self.hub.bytes_out,
             self.name_of_process,
         )
+
+    def serve_operators(self, address: str, max_body: int) -> int:
+        """Open the interface for targets and operators; return the port."""
         server = http_server.HttpServer(
             self.transport,
-            interface,
+            self.interface(),
             self.system_clock,
-            max_body=max_body,
+            limits=http_server.SenderLimits(max_body=max_body),
             bad=self.bad_http,
         )
         self.http_servers.append(server)
@@ -107,11 +113,35 @@
         for server in self.http_servers:
             server.tick()
         now_ms = self.system_clock.now_ms()
+        if self.reloader is not None:
+            self._reload(now_ms)
         if now_ms >= self.flush_at_ms:
             self.flush_at_ms = now_ms + FLUSH_MS
             self.metrics.flush()
         self.after_beat()
 
+    def watch_settings(self, reloader: "reload.Reloader") -> None:
+        """Take changed settings from now on, on SIGHUP and by themselves."""
+        self.reloader = reloader
+        signals.signal(signals.SIGHUP, lambda *_: reloader.hasten())
+
+    def _reload(self, now_ms: int) -> None:
+        changed = self.reloader.poll(now_ms)
+        if changed is None:
+            return
+        if changed.is_error():
+            why = str(changed.error)
+            self.note(common.Note("settings.wrong", {"why": why}, "error"))
+            return
+        self.reconfigure(changed.ok)
+        self.note(common.Note("settings.reloaded"))
+
+    def reconfigure(self, settings: typing.Any) -> None:
+        """Take changed settings."""
+
+    def limit_callers(self, limits: messages.CallerLimits) -> None:
+        """Take the configuration's limits for callers (proxies only)."""
+
     def after_beat(self) -> None:
         """Do what a daemon adds to each beat."""
 
@@ -185,6 +215,9 @@
     def abort(self, request_id: int) -> None:
         """Stop waiting for a local target (proxies only)."""
 
+    def check_target(self, effect: request_effects.CheckTarget) -> None:
+        """Find out whether a local target takes connections (proxies)."""
+
     def note(self, note: common.Note) -> None:
         """Write a log line."""
         self.log.note(note)
--- a/libs/daemon/src/trefoil_daemon/transport.py
+++ b/libs/daemon/src/trefoil_daemon/transport.py
@@ -32,6 +32,9 @@
         transport: The component that carries it.
         sock: Its socket, non-blocking.
         connecting: Whether the connection is still being made.
+
+    ``ended`` tells that the peer closed its side in order; a connection that
+    was reset may have lost bytes.
     """
 
     __slots__ = (
@@ -39,6 +42,7 @@
         "sock",
         "connecting",
         "closed",
+        "ended",
         "closing",
         "pending",
         "on_data",
@@ -55,6 +59,7 @@
         self.sock = sock
         self.connecting = connecting
         self.closed = False
+        self.ended = False
         self.closing = False
         self.pending = bytearray()
         self.on_data: OnData | None = None
@@ -222,6 +227,7 @@
                 stream.close()
             return
         if not data:
+            stream.ended = True
             stream.close()
         elif stream.on_data is not None:
             stream.on_data(stream, data)
--- a/libs/daemon/tests/test_proxy_process.py
+++ b/libs/daemon/tests/test_proxy_process.py
@@ -97,6 +97,14 @@
         """Close the connection under a request."""
         self.dispatched.pop(request_id, None)
 
+    def check_target(self, effect: request_effects.CheckTarget) -> None:
+        """Tell that the target takes no connections: it crashed."""
+        process = self.net.processes[self.host]
+        process.target_checked(effect.target, False)
+
+    def limit_callers(self, limits: messages.CallerLimits) -> None:
+        """Ignore."""
+
     def note(self, note: common.Note) -> None:
         """Keep a log line."""
         self.notes.append(note)
--- a/libs/emulator/src/trefoil_emulator/target.py
+++ b/libs/emulator/src/trefoil_emulator/target.py
@@ -54,7 +54,7 @@
             self.transport,
             self,
             self.clock,
-            max_body=MAX_BODY,
+            limits=http_server.SenderLimits(max_body=MAX_BODY),
             bad=lambda why: None,
         )
         self.port = self.server.listen(f"{options['ip']}:{options['port']}")
--- a/libs/fleet/src/trefoil_fleet/items.py
+++ b/libs/fleet/src/trefoil_fleet/items.py
@@ -16,12 +16,16 @@
 ROUTE = "route/"
 SHARES = "shares/"
 DRAIN = "drain/"
+LIMITS = "limits/callers"
 KINDS: dict[str, type] = {
     SERVICE: messages.Service,
     ROUTE: messages.Route,
     SHARES: messages.Shares,
     DRAIN: messages.Drain,
+    "limits/": messages.CallerLimits,
 }
+# What a configuration document holds; the rest comes by other commands.
+OF_DOCUMENT = (SERVICE, ROUTE, "limits/")
 MAX_TOMBSTONES = 512
 
 
--- a/libs/fleet/src/trefoil_fleet/node.py
+++ b/libs/fleet/src/trefoil_fleet/node.py
@@ -79,6 +79,7 @@
         "join_ms",
         "joins_per_s",
         "leader",
+        "control_hosts",
         "rng",
         "out",
     )
@@ -97,7 +98,12 @@
         self.me = record.host
         self.control = control
         self.overlay = overlays.Overlay(
-            self.me, control=control, seeds=seeds, controls=controls, rng=rng
+            self.me,
+            domain=record.domain,
+            control=control,
+            seeds=seeds,
+            controls=controls,
+            rng=rng,
         )
         self.members = memberships.Membership(
             record,
@@ -124,6 +130,7 @@
         self.join_ms = now_ms
         self.joins_per_s = joins_per_s
         self.leader = ""
+        self.control_hosts = messages.ControlHosts(0, [])
         self.rng = rng
         self.out: list[typing.Any] = []
         self.members.start(now_ms)
@@ -187,6 +194,8 @@
                 now_ms, recent_only=False, reply_wanted=True
             )
             self._send(host, summary)
+        if self.control_hosts.number:
+            self._send(host, self.control_hosts)
         if host in (self.leader, self.overlay.uplink):
             # What was reported while this link was away would else stay
             # unknown on its far side until the next refresh.
@@ -235,6 +244,29 @@
         self.config.publish(items, now_ms)
         return self._flush()
 
+    def meet(self, hello: messages.Hello) -> None:
+        """Note the greeting of a control process."""
+        self.overlay.meet(hello)
+
+    def list_controls(
+        self, listed: messages.ControlHosts, now_ms: int
+    ) -> list[typing.Any]:
+        """Take a newer list of control hosts and pass it on."""
+        self.now_ms = now_ms
+        self._learn_controls(listed, "")
+        return self._flush()
+
+    def _learn_controls(
+        self, listed: messages.ControlHosts, source: str
+    ) -> None:
+        if listed.number <= self.control_hosts.number:
+            return
+        self.control_hosts = listed
+        self.overlay.learn(listed, self.now_ms)
+        for peer in self.links:
+            if peer != source:
+                self._send(peer, listed)
+
     def set_targets(
         self, targets: list[messages.TargetRecord], now_ms: int
     ) -> list[typing.Any]:
@@ -335,7 +367,7 @@
         left = self.overlay.go_home(self.now_ms)
         if left and left in self.links:
             self.out.append(effects.HangUp(left))
-        for host in self.overlay.wanted(spare=spare):
+        for host in self.overlay.wanted(spare=spare, now_ms=self.now_ms):
             if host in self.links:
                 continue
             if self.overlay.may_dial(host, self.now_ms):
@@ -551,6 +583,11 @@
     node.on_floor_query(peer, message)
 
 
+@handle.register
+def _(message: messages.ControlHosts, node: Node, peer: str) -> None:
+    node._learn_controls(message, peer)
+
+
 @handle.register
 def _(message: messages.FloorReply, node: Node, peer: str) -> None:
     node.on_floor_reply(message)
--- a/libs/fleet/src/trefoil_fleet/overlay.py
+++ b/libs/fleet/src/trefoil_fleet/overlay.py
@@ -3,16 +3,25 @@
 Control hosts serve seeds, the seeds of a failure domain serve its other
 proxies, and the seeds of a domain link to each other. A proxy whose seeds
 are all away falls back to a control host and looks for a seed again later.
+In a fleet without seeds every proxy links to a control host, one of its own
+failure domain where there is one.
 """
 
 import random
 
 from trefoil_model import hashing
+from trefoil_wire import messages
 
 RETRY_MS = 200
 RETRY_MAX_MS = 3000
 HOME_AGAIN_MS = 15_000
 SPARE_LINK_MS = 1500
+# A control host that just learned of a nearer one moves soon, but a fleet
+# that learned of it together does not move in step.
+MOVE_HOME_MS = (300, 1500)
+# Long enough for the peer's own dial (one beat and a round trip), short
+# beside an election.
+STRANGER_MS = 400
 
 
 class Overlay:
@@ -20,22 +29,29 @@
 
     Args:
         me: Name of this host.
+        domain: Failure domain of this host.
         control: Whether this is a control process.
         seeds: Address of each seed of the failure domain by name.
-        controls: Address of each control process by name.
+        controls: Address of each control process by name, as the settings
+            tell; more are learned from those that answer.
         rng: Draws the jitter that spreads herds.
     """
 
     __slots__ = (
         "me",
+        "domain",
         "control",
         "seeds",
+        "given",
         "controls",
+        "domains",
+        "list_number",
         "rng",
         "uplinks",
-        "at",
+        "current",
         "retry_at_ms",
         "failures",
+        "unlinked_ms",
         "home_at_ms",
     )
 
@@ -43,20 +59,26 @@
         self,
         me: str,
         *,
+        domain: str = "",
         control: bool,
         seeds: dict[str, str],
         controls: dict[str, str],
         rng: random.Random,
     ) -> None:
         self.me = me
+        self.domain = domain
         self.control = control
         self.seeds = seeds
-        self.controls = controls
+        self.given = dict(controls)
+        self.controls = dict(controls)
+        self.domains: dict[str, str] = {}
+        self.list_number = 0
         self.rng = rng
         self.uplinks = self._uplinks()
-        self.at = 0
+        self.current = 0
         self.retry_at_ms: dict[str, int] = {}
         self.failures: dict[str, int] = {}
+        self.unlinked_ms: dict[str, int] = {}
         self.home_at_ms = 0
 
     @property
@@ -65,9 +87,11 @@
         return self.me in self.seeds
 
     def _uplinks(self) -> list[str]:
-        controls = list(hashing.rank(self.me, self.controls))
         if self.control:
             return []
+        ranked = hashing.rank(self.me, self.controls)
+        near = [n for n in ranked if self.domains.get(n) == self.domain]
+        controls = near + [n for n in ranked if n not in near]
         if self.is_seed:
             return controls
         return list(hashing.rank(self.me, self.seeds)) + controls
@@ -75,26 +99,70 @@
     @property
     def uplink(self) -> str:
         """Return the peer that serves this process, or its candidate."""
-        return (
-            self.uplinks[self.at % len(self.uplinks)] if self.uplinks else ""
-        )
+        if not self.uplinks:
+            return ""
+        return self.uplinks[self.current % len(self.uplinks)]
 
     def address(self, host: str) -> str:
         """Return a seed's or control process's address."""
         return self.seeds.get(host) or self.controls.get(host, "")
 
-    def wanted(self, *, spare: bool) -> list[str]:
+    # Control hosts that the settings do not name
+
+    def rejoin(self, controls: dict[str, str]) -> None:
+        """Take the control hosts of changed settings."""
+        self.given = dict(controls)
+        self._set_controls(controls | self.controls)
+
+    def meet(self, hello: messages.Hello) -> None:
+        """Note a control process that greeted this one."""
+        if not hello.control or hello.host == self.me or not hello.address:
+            return
+        self.domains[hello.host] = hello.domain or ""
+        self._set_controls(self.controls | {hello.host: hello.address})
+
+    def learn(self, listed: messages.ControlHosts, now_ms: int) -> bool:
+        """Take a list of control hosts; return whether it is news.
+
+        Hosts that the settings name stay known: if all that are listed are
+        gone, they are the way back.
+        """
+        if listed.number <= self.list_number:
+            return False
+        self.list_number = listed.number
+        hosts = [h for h in listed.hosts if h.name != self.me]
+        found = {h.name: h.address for h in hosts if h.address}
+        self.domains.update({h.name: h.domain or "" for h in hosts})
+        self._set_controls(self.given | found)
+        if self.uplinks and self.uplink != self.uplinks[0]:
+            pause_ms = int(self.rng.uniform(*MOVE_HOME_MS))
+            self.home_at_ms = min(
+                self.home_at_ms or now_ms + pause_ms, now_ms + pause_ms
+            )
+        return True
+
+    def _set_controls(self, controls: dict[str, str]) -> None:
+        before = self.uplink
+        self.controls = controls
+        self.uplinks = self._uplinks()
+        if before in self.uplinks:
+            self.current = self.uplinks.index(before)
+
+    # Links
+
+    def wanted(self, *, spare: bool, now_ms: int = 0) -> list[str]:
         """Return the peers to keep a link to.
 
         Args:
             spare: Link to every seed as well, to hear their word of the
                 floor while no control host answers.
+            now_ms: The time on the runtime's clock.
         """
         wanted = set()
         if self.uplinks:
             wanted.add(self.uplink)
         if self.control:
-            wanted |= {name for name in self.controls if name > self.me}
+            wanted |= self._wanted_controls(now_ms)
         if self.is_seed:
             wanted |= {name for name in self.seeds if name > self.me}
         if spare:
@@ -102,6 +170,20 @@
         wanted.discard(self.me)
         return sorted(wanted)
 
+    def _wanted_controls(self, now_ms: int) -> set[str]:
+        """Return the control hosts to dial.
+
+        Of two that know each other the one with the lesser name dials, so
+        that they do not replace each other's links. One that the other does
+        not know yet would never be dialled: after a pause it dials itself.
+        """
+        wanted = set()
+        for name in self.controls:
+            since_ms = self.unlinked_ms.setdefault(name, now_ms)
+            if name > self.me or now_ms - since_ms >= STRANGER_MS:
+                wanted.add(name)
+        return wanted
+
     def may_dial(self, host: str, now_ms: int) -> bool:
         """Tell whether a dial is due, and hold the next one back."""
         if now_ms < self.retry_at_ms.get(host, 0):
@@ -115,13 +197,14 @@
         Retries wait longer each time and are jittered: a herd that lost the
         same seed would else knock in step.
         """
+        self.unlinked_ms[host] = now_ms
         count = self.failures.get(host, 0) + 1
         self.failures[host] = count
         pause = min(RETRY_MS << min(count - 1, 4), RETRY_MAX_MS)
         pause = max(int(pause * self.rng.uniform(0.5, 1.5)), retry_after_ms)
         self.retry_at_ms[host] = now_ms + pause
         if host == self.uplink and not retry_after_ms:
-            self.at += 1
+            self.current += 1
 
     def linked(self, host: str, now_ms: int) -> None:
         """Note a link that works."""
@@ -140,10 +223,10 @@
         Returns:
             The uplink that was given up, empty if none was.
         """
-        away = self.uplinks and self.at % len(self.uplinks) != 0
+        away = self.uplinks and self.current % len(self.uplinks) != 0
         if not away or now_ms < self.home_at_ms:
             return ""
         old = self.uplink
-        self.at = 0
+        self.current = 0
         self.home_at_ms = now_ms + HOME_AGAIN_MS
         return old
--- a/libs/language/src/trefoil_language/parser.py
+++ b/libs/language/src/trefoil_language/parser.py
@@ -156,6 +156,10 @@
         """Build ``ShowBytes``."""
         return statements.ShowBytes()
 
+    def show_document(self, parts: list[str]) -> typing.Any:
+        """Build ``ShowDocument``."""
+        return statements.ShowDocument()
+
     def apply(self, parts: list[str]) -> typing.Any:
         """Build ``Apply``."""
         expected = int(parts[1]) if len(parts) > 1 else 0
@@ -179,10 +183,12 @@
 
     def move(self, parts: list[typing.Any]) -> typing.Any:
         """Build ``Move``."""
+        names = [part for part in parts if isinstance(part, str)]
         options: dict[str, typing.Any] = {}
-        for part in parts[3:]:
+        for part in parts[len(names) :]:
             options.update(part)
-        return statements.Move(*parts[:3], **options)
+        from_version = names[1] if len(names) > 2 else ""
+        return statements.Move(names[0], from_version, names[-1], **options)
 
     def reverse(self, parts: list[str]) -> typing.Any:
         """Build ``Reverse``."""
--- a/libs/language/src/trefoil_language/statements.py
+++ b/libs/language/src/trefoil_language/statements.py
@@ -71,6 +71,11 @@
     """Ask one process for the control bytes it sent, by kind."""
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class ShowDocument:
+    """Ask for the document that the configuration was made from."""
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Apply:
     """Apply the configuration document that comes with the line.
@@ -90,7 +95,7 @@
 
     Args:
         service: The service.
-        from_version: The version in force.
+        from_version: The version in force; empty for whichever is.
         to_version: The new version.
         deadline_in_ms: Time left until the deadline; 0 if ``deadline`` is
             set.
--- a/libs/moves/src/trefoil_moves/state.py
+++ b/libs/moves/src/trefoil_moves/state.py
@@ -28,28 +28,31 @@
 
 def command_digest(command: messages.Command) -> int:
     """Return a hash of what an operator asked, stamps left out."""
-    head = f"{command.operator_name}\0{command.issued_ms}\0{command.kind}\0"
+    issued_ms = 0 if command.content_id else command.issued_ms
+    head = f"{command.operator_name}\0{issued_ms}\0{command.kind}\0"
     return hashing.hash64(head.encode() + command.body)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
-class Refusal:
-    """Why a command is not agreed, and what its operator is told."""
+class Ruling:
+    """What came of a command, and what its operator is told."""
 
     outcome: int
     reason: str
+    cause: int = messages.Cause.OTHER
 
 
 class State:
     """What the control processes have agreed on so far."""
 
-    __slots__ = ("items", "moves", "past", "clock_ms")
+    __slots__ = ("items", "moves", "past", "clock_ms", "document")
 
     def __init__(self) -> None:
         self.items = item_store.Items()
         self.moves: dict[str, messages.MoveRecord] = {}
         self.past: dict[str, messages.PastCommand] = {}
         self.clock_ms = 0
+        self.document: messages.Document | None = None
 
     @classmethod
     def from_bytes(cls, data: bytes) -> typing.Self:
@@ -60,6 +63,7 @@
         state.moves = {move.move_id: move for move in saved.moves}
         state.past = {past.command_id: past for past in saved.commands}
         state.clock_ms = saved.clock_ms
+        state.document = saved.document
         return state
 
     def to_bytes(self) -> bytes:
@@ -71,6 +75,7 @@
                 items=list(self.items.by_key.values()),
                 moves=list(self.moves.values()),
                 commands=list(self.past.values()),
+                document=self.document,
             )
         )
 
@@ -104,9 +109,10 @@
             reason="the command id was taken by another command",
             revision=past.revision,
             stamped_ms=past.stamped_ms,
+            cause=messages.Cause.CONFLICT,
         )
 
-    def refusal(self, command: messages.Command) -> Refusal | None:
+    def refusal(self, command: messages.Command) -> Ruling | None:
         """Return why a command must not be agreed, None if it may.
 
         Past outcomes are dropped after a day. A resend of an older command
@@ -115,13 +121,14 @@
         """
         if not command.command_id or not command.operator_name:
             reason = "a command needs an id and an operator"
-            return Refusal(Outcome.NOT_RUN, reason)
-        if command.issued_ms < self.clock_ms - REMEMBER_MS:
+            return Ruling(Outcome.NOT_RUN, reason)
+        dated = not command.content_id
+        if dated and command.issued_ms < self.clock_ms - REMEMBER_MS:
             reason = "issued over a day ago; its outcome is no longer kept"
-            return Refusal(Outcome.EXPIRED, reason)
+            return Ruling(Outcome.EXPIRED, reason)
         if len(self.past) >= MAX_PAST and command.command_id not in self.past:
             reason = "the table of past commands is full"
-            return Refusal(Outcome.NOT_RUN, reason)
+            return Ruling(Outcome.NOT_RUN, reason)
         return None
 
     def apply(self, index: int, command: messages.Command) -> typing.Any:
@@ -140,27 +147,26 @@
             return known
         self.clock_ms = max(self.clock_ms, command.stamped_ms)
         refusal = self.refusal(command)
-        if refusal is not None:
-            outcome, reason = refusal.outcome, refusal.reason
-        else:
-            outcome, reason = self._run(index, command)
+        if refusal is None:
+            refusal = self._run(index, command)
         past = messages.PastCommand(
             command_id=command.command_id,
             digest=command_digest(command),
-            outcome=outcome,
-            reason=reason,
+            outcome=refusal.outcome,
+            reason=refusal.reason,
             revision=self.items.revision,
             stamped_ms=self.clock_ms,
+            cause=refusal.cause,
         )
         self._remember(past)
         return past
 
-    def _run(self, index: int, command: messages.Command) -> tuple[int, str]:
+    def _run(self, index: int, command: messages.Command) -> Ruling:
         try:
             body = frames.unpack_any(command.kind, command.body)
             return run(body, self, index, command)
         except (errors.FrameError, KeyError, TypeError) as error:
-            return Outcome.NOT_RUN, f"malformed command: {error}"
+            return Ruling(Outcome.NOT_RUN, f"malformed command: {error}")
 
     def _remember(self, past: messages.PastCommand) -> None:
         self.past[past.command_id] = past
@@ -216,9 +222,9 @@
 @functools.singledispatch
 def run(
     body: typing.Any, state: State, index: int, command: messages.Command
-) -> tuple[int, str]:
+) -> Ruling:
     """Run one kind of command and return its outcome and reason."""
-    return Outcome.NOT_RUN, f"not a command: {type(body).__name__}"
+    return Ruling(Outcome.NOT_RUN, f"not a command: {type(body).__name__}")
 
 
 @run.register
@@ -227,30 +233,62 @@
     state: State,
     index: int,
     command: messages.Command,
-) -> tuple[int, str]:
+) -> Ruling:
     current = configuration_revision(state.items)
     if body.expected_revision and body.expected_revision != current:
-        return Outcome.NOT_RUN, (
+        return Ruling(
+            Outcome.NOT_RUN,
             f"expected revision {body.expected_revision}, "
-            f"but {current} is in force"
+            f"but {current} is in force",
+            messages.Cause.CONFLICT,
         )
+    if body.document is not None:
+        refused = _document_refusal(state.document, body.document)
+        if refused is not None:
+            return refused
     candidate = state.items.copy()
     _put_configuration(candidate, index, body)
     found = check.problems(candidate) + _move_problems(state, candidate)
     if found:
-        return Outcome.NOT_RUN, "; ".join(found)
+        return Ruling(
+            Outcome.NOT_RUN, "; ".join(found), messages.Cause.INVALID
+        )
     state.items = candidate
-    return Outcome.DONE, f"revision {candidate.revision}"
+    state.document = body.document
+    return Ruling(Outcome.DONE, f"revision {candidate.revision}")
+
+
+def _document_refusal(
+    current: messages.Document | None, offered: messages.Document
+) -> Ruling | None:
+    """Return why a numbered document may not follow the one in force.
+
+    Two writers who build on the same document would else overwrite each
+    other; the second is told that another one is in force.
+    """
+    number = current.number if current is not None else 0
+    if offered.base != number:
+        return Ruling(
+            Outcome.NOT_RUN,
+            f"builds on document {offered.base}, but {number} is in force",
+            messages.Cause.CONFLICT,
+        )
+    if offered.number <= number:
+        return Ruling(
+            Outcome.NOT_RUN,
+            f"document {offered.number} is not above {number}",
+            messages.Cause.INVALID,
+        )
+    return None
 
 
 def configuration_revision(items: item_store.Items) -> int:
     """Return the revision at which services or routes last changed."""
-    prefixes = (item_store.SERVICE, item_store.ROUTE)
     return max(
         (
             item.revision
             for item in items.by_key.values()
-            if item.key.startswith(prefixes)
+            if item.key.startswith(item_store.OF_DOCUMENT)
         ),
         default=0,
     )
@@ -270,10 +308,12 @@
             )
     for route in body.routes:
         wanted[item_store.ROUTE + route.name] = route
+    if body.limits is not None:
+        wanted[item_store.LIMITS] = body.limits
     names = {service.name for service in body.services}
     for key, item in list(items.by_key.items()):
         kind, _, name = key.partition("/")
-        owned = kind + "/" in (item_store.SERVICE, item_store.ROUTE)
+        owned = kind + "/" in item_store.OF_DOCUMENT
         orphan = kind + "/" == item_store.SHARES and name not in names
         if not item.deleted and (orphan or (owned and key not in wanted)):
             items.delete(index, key)
@@ -300,28 +340,34 @@
     state: State,
     index: int,
     command: messages.Command,
-) -> tuple[int, str]:
+) -> Ruling:
     name = body.service_name
     shares = state.items.get(item_store.SHARES + name)
     if shares is None:
-        return Outcome.NOT_RUN, f"there is no service {name}"
+        return Ruling(Outcome.NOT_RUN, f"there is no service {name}")
     running = state.running_move(name)
     if running is not None:
-        return Outcome.NOT_RUN, f"move {running.move_id} runs on {name}"
+        return Ruling(
+            Outcome.NOT_RUN, f"move {running.move_id} runs on {name}"
+        )
     present = {s.version for s in shares.shares if s.permille}
-    if body.from_version not in present:
+    from_version = body.from_version or version_in_force(shares)
+    if from_version not in present:
         there = ", ".join(sorted(present))
-        return Outcome.NOT_RUN, f"{name} is at version {there}"
-    if body.to_version == body.from_version:
-        return Outcome.NOT_RUN, "both versions are the same"
-    if body.deadline_ms <= state.clock_ms:
-        return Outcome.NOT_RUN, "the deadline has passed"
+        return Ruling(Outcome.NOT_RUN, f"{name} is at version {there}")
+    if body.to_version == from_version:
+        return Ruling(Outcome.NOT_RUN, "both versions are the same")
+    deadline_ms = body.deadline_ms
+    if body.duration_ms:
+        deadline_ms = state.clock_ms + body.duration_ms
+    if deadline_ms <= state.clock_ms:
+        return Ruling(Outcome.NOT_RUN, "the deadline has passed")
     move = messages.MoveRecord(
         move_id=command.command_id,
         service_name=name,
-        from_version=body.from_version,
+        from_version=from_version,
         to_version=body.to_version,
-        deadline_ms=body.deadline_ms,
+        deadline_ms=deadline_ms,
         risk_permille=body.risk_permille,
         watch_ms=body.watch_ms,
         started_ms=state.clock_ms,
@@ -334,7 +380,34 @@
     )
     state.moves[move.move_id] = move
     state.note(move, "started")
-    return Outcome.DONE, f"move {move.move_id} runs"
+    return Ruling(Outcome.DONE, f"move {move.move_id} runs")
+
+
+def version_in_force(shares: messages.Shares) -> str:
+    """Return the version with the greatest share of a service."""
+    return max(shares.shares, key=lambda share: share.permille).version
+
+
+@run.register
+def _(
+    body: messages.AdoptVersion,
+    state: State,
+    index: int,
+    command: messages.Command,
+) -> Ruling:
+    """Take a version that targets announced for the one in force.
+
+    A document need not name versions. Without an agreed one, targets of a
+    version that no move has brought in yet would get traffic as soon as
+    they start.
+    """
+    shares = state.items.get(item_store.SHARES + body.service_name)
+    if shares is None or version_in_force(shares):
+        return Ruling(Outcome.NOT_RUN, "a version is in force already")
+    if state.running_move(body.service_name) is not None:
+        return Ruling(Outcome.NOT_RUN, "a move runs")
+    state.set_shares(index, body.service_name, {body.version: 1000}, "")
+    return Ruling(Outcome.DONE, f"version {body.version}")
 
 
 @run.register
@@ -343,10 +416,10 @@
     state: State,
     index: int,
     command: messages.Command,
-) -> tuple[int, str]:
+) -> Ruling:
     move = state.moves.get(body.move_id)
     if move is None or move.outcome:
-        return Outcome.NOT_RUN, "no such move runs"
+        return Ruling(Outcome.NOT_RUN, "no such move runs")
     if body.permille != move.permille:
         rest = 1000 - body.permille
         state.set_shares(
@@ -359,7 +432,7 @@
     move.phase = body.phase
     move.step_ms = state.clock_ms
     state.note(move, body.reason)
-    return Outcome.DONE, ""
+    return Ruling(Outcome.DONE, "")
 
 
 @run.register
@@ -368,12 +441,12 @@
     state: State,
     index: int,
     command: messages.Command,
-) -> tuple[int, str]:
+) -> Ruling:
     move = state.moves.get(body.move_id)
     if move is None or move.outcome:
-        return Outcome.NOT_RUN, "no such move runs"
+        return Ruling(Outcome.NOT_RUN, "no such move runs")
     state.end_move(index, move, body.outcome, body.reason)
-    return Outcome.DONE, ""
+    return Ruling(Outcome.DONE, "")
 
 
 @run.register
@@ -382,13 +455,13 @@
     state: State,
     index: int,
     command: messages.Command,
-) -> tuple[int, str]:
+) -> Ruling:
     move = state.running_move(body.service_name)
     if move is None:
-        return Outcome.NOT_RUN, f"no move runs on {body.service_name}"
+        return Ruling(Outcome.NOT_RUN, f"no move runs on {body.service_name}")
     reason = f"reversed by {command.operator_name}"
     state.end_move(index, move, Outcome.TAKEN_BACK, reason)
-    return Outcome.DONE, f"move {move.move_id} taken back"
+    return Ruling(Outcome.DONE, f"move {move.move_id} taken back")
 
 
 @run.register
@@ -397,16 +470,16 @@
     state: State,
     index: int,
     command: messages.Command,
-) -> tuple[int, str]:
+) -> Ruling:
     key = item_store.DRAIN + body.host
     present = state.items.get(key) is not None
     if present == body.draining:
-        return Outcome.DONE, "nothing to change"
+        return Ruling(Outcome.DONE, "nothing to change")
     if body.draining:
         state.items.set(index, key, messages.Drain(host=body.host))
     else:
         state.items.delete(index, key)
-    return Outcome.DONE, f"revision {index}"
+    return Ruling(Outcome.DONE, f"revision {index}")
 
 
 @run.register
@@ -415,11 +488,11 @@
     state: State,
     index: int,
     command: messages.Command,
-) -> tuple[int, str]:
+) -> Ruling:
     past = state.past.get(body.cancelled_id)
     if past is not None:
         name = Outcome._VALUES_TO_NAMES[past.outcome].lower()
-        return Outcome.NOT_RUN, f"it has an outcome already: {name}"
+        return Ruling(Outcome.NOT_RUN, f"it has an outcome already: {name}")
     state._remember(
         messages.PastCommand(
             command_id=body.cancelled_id,
@@ -430,4 +503,4 @@
             stamped_ms=state.clock_ms,
         )
     )
-    return Outcome.DONE, f"{body.cancelled_id} will never run"
+    return Ruling(Outcome.DONE, f"{body.cancelled_id} will never run")
--- a/libs/quorum/src/trefoil_quorum/raft.py
+++ b/libs/quorum/src/trefoil_quorum/raft.py
@@ -22,6 +22,9 @@
 ELECTION_MS = 600
 BATCH_ENTRIES = 128
 CATCH_UP_ENTRIES = 2
+# A frozen or cut-off host is back within seconds on most occasions; one
+# that stays away longer only raises the majority that the others must make.
+GONE_MS = 8000
 CHANGE_VOTERS_CODE = frames.CODES[messages.ChangeVoters]
 
 
@@ -84,6 +87,8 @@
         heartbeat_ms: Pause between a leader's rounds.
         election_ms: Shortest silence before an election; the longest is
             twice that.
+        least_voters: How many voters stay when others are gone for long;
+            0 keeps all.
     """
 
     __slots__ = (
@@ -95,6 +100,7 @@
         "rng",
         "heartbeat_ms",
         "election_ms",
+        "least_voters",
         "role",
         "leader",
         "commit",
@@ -127,7 +133,9 @@
         rng: random.Random | None = None,
         heartbeat_ms: int = HEARTBEAT_MS,
         election_ms: int = ELECTION_MS,
+        least_voters: int = 0,
     ) -> None:
+        self.least_voters = least_voters
         self.identity = identity
         self.first_voters = sorted(voters)
         self.hard_state = hard_state
@@ -408,6 +416,7 @@
         if self.now_ms >= self.heartbeat_at_ms:
             self._broadcast()
         self._promote_learner()
+        self._drop_gone_voter()
 
     def _quorum_heard(self) -> bool:
         since = self.now_ms - 2 * self.election_ms
@@ -659,7 +668,7 @@
                 for entry in reversed(self.log.entries)
                 if entry.command[0] == CHANGE_VOTERS_CODE
             ),
-            0,
+            self.log.base_index,
         )
         if self.is_leader:
             self._sync_progress()
@@ -721,6 +730,29 @@
             self._change(voters + [learner], learners)
             return
 
+    def _drop_gone_voter(self) -> None:
+        """Take the vote of a host that has been silent for long.
+
+        Hosts that are lost for good and replaced would else count for ever:
+        after two replacements of four, all four that live must agree, and
+        the next loss stops every command. One that comes back asks to be
+        let in again.
+        """
+        keeps_all = not self.least_voters
+        if keeps_all or len(self.voters) <= self.least_voters:
+            return
+        if self.config_index > self.commit:
+            return
+        for voter in self._others():
+            progress = self.progress.get(voter)
+            if progress and self.now_ms - progress.acked_ms >= GONE_MS:
+                left = [peer for peer in self.voters if peer != voter]
+                self.out.append(
+                    common.Note("quorum.voter_dropped", {"voter": voter})
+                )
+                self._change(left, self.learners)
+                return
+
     def _flush(self) -> list[typing.Any]:
         out = self.out
         self.out = []
--- a/libs/requests/src/trefoil_requests/budget.py
+++ b/libs/requests/src/trefoil_requests/budget.py
@@ -22,6 +22,11 @@
         self.reserve = reserve
         self.tokens = reserve
 
+    def limit(self, reserve: float) -> None:
+        """Change how many retries may be saved up."""
+        self.reserve = reserve
+        self.tokens = min(self.tokens, reserve)
+
     def deposit(self) -> None:
         """Note a first attempt."""
         self.tokens = min(self.tokens + self.ratio, self.reserve)
--- a/libs/requests/src/trefoil_requests/call.py
+++ b/libs/requests/src/trefoil_requests/call.py
@@ -9,8 +9,12 @@
     404: "Not Found",
     405: "Method Not Allowed",
     409: "Conflict",
+    408: "Request Timeout",
     413: "Content Too Large",
+    421: "Misdirected Request",
     422: "Unprocessable Content",
+    429: "Too Many Requests",
+    431: "Request Header Fields Too Large",
     500: "Internal Server Error",
     502: "Bad Gateway",
     503: "Service Unavailable",
@@ -33,6 +37,8 @@
         deadline_ms: What the caller allows, 0 without a limit.
         retried: Whether a proxy before this one already retries the chain
             that this call belongs to.
+        caller_id: The caller's own id of the request, for logs; empty
+            without one.
     """
 
     call_id: int
@@ -44,6 +50,7 @@
     key: str = ""
     deadline_ms: int = 0
     retried: bool = False
+    caller_id: str = ""
 
     def fingerprint(self) -> int:
         """Return a hash by which a resend of the request is known."""
--- a/libs/requests/src/trefoil_requests/effects.py
+++ b/libs/requests/src/trefoil_requests/effects.py
@@ -49,6 +49,14 @@
     dispatch_id: int
 
 
+@dataclasses.dataclass(slots=True)
+class CheckTarget:
+    """Find out whether a target of this host takes connections."""
+
+    target: str
+    port: int
+
+
 @dataclasses.dataclass(slots=True)
 class Reply:
     """Send an answer back to the proxy that forwarded the request."""
--- a/libs/requests/src/trefoil_requests/entry.py
+++ b/libs/requests/src/trefoil_requests/entry.py
@@ -21,7 +21,9 @@
 from . import quarantine as quarantines
 from . import routing
 
-MAX_ATTEMPTS = 3
+# Refusals of targets' proxies cost no run and no retry budget, but each
+# costs its caller a round trip.
+MAX_PLACEMENTS = 5
 COME_BACK_MS = 1000
 NO_TARGET_MS = 100
 FIRST_FAILED_STATUS = 400
@@ -38,11 +40,13 @@
     started_us: int
     deadline_at_ms: int
     claim: messages.Claim | None = None
+    service: str = ""
     version: str = ""
     endpoint: routing.Endpoint | None = None
     request_id: int = 0
     sent_us: int = 0
     attempts: int = 0
+    sends: int = 0
     crashes: int = 0
     may_have_run: bool = False
     retry_after_ms: int = 0
@@ -67,6 +71,7 @@
         "ledger",
         "quarantine",
         "rng",
+        "reserve",
         "table",
         "endpoints",
         "balancer",
@@ -94,6 +99,7 @@
         self.ledger = ledger
         self.quarantine = quarantine
         self.rng = rng
+        self.reserve = budget.RESERVE
         self.table: routing.RouteTable | None = None
         self.endpoints = routing.Endpoints()
         self.balancer = balancers.Balancer(domain, rng)
@@ -113,10 +119,20 @@
         self.table = table
         self.budgets = {
             name: self.budgets.get(name)
-            or budget.RetryBudget(service.retry_budget)
+            or budget.RetryBudget(service.retry_budget, self.reserve)
             for name, service in table.services.items()
         }
 
+    def share_slack(self, reserve: float) -> None:
+        """Take this proxy's part of the retries beyond the budgets.
+
+        All proxies together must keep to one slack for each service. Their
+        parts are equal, so that the sum holds while some are cut off.
+        """
+        self.reserve = reserve
+        for found in self.budgets.values():
+            found.limit(reserve)
+
     def records_changed(
         self, records: record_store.Records, now_ms: int
     ) -> None:
@@ -144,12 +160,13 @@
             fingerprint=call.fingerprint(),
             started_us=now_us,
             deadline_at_ms=now_ms + timeout_ms,
+            service=routing.draw_service(route, self.rng),
         )
         self.live[call.call_id] = live
         if self.quarantine.refuses(live.fingerprint, now_ms):
             self._finish_quarantined(live)
             return self._flush()
-        self.budgets[route.service_name].deposit()
+        self.budgets[live.service].deposit()
         if route.repeat == messages.Repeat.ONCE and call.key:
             self._claim(live, now_ms)
         else:
@@ -182,7 +199,7 @@
         )
 
     def _claim(self, live: Live, now_ms: int) -> None:
-        service = live.route.service_name
+        service = live.service
         issued_ms = ledgers.issued_ms_of(live.call.key)
         key = ledgers.key_of(service, live.call.key)
         claim = messages.Claim(
@@ -231,6 +248,7 @@
         live.endpoint = endpoint
         live.version = endpoint.target.version
         live.attempts += 1
+        live.sends += 1
         live.tried.add(endpoint.key)
         live.request_id = self._next_id()
         live.sent_us = now_us
@@ -249,6 +267,8 @@
             fingerprint=live.fingerprint,
             version=live.version,
             retried=live.call.retried or live.attempts > 1,
+            priority=route.priority or 0,
+            caller_id=live.call.caller_id,
         )
         self.out.append(
             effects.Forward(endpoint.host, endpoint.address, request)
@@ -261,15 +281,16 @@
         away or shedding must not cost callers an answer that another
         version with a share can give.
         """
-        service = live.route.service_name
+        service = live.service
         if self.table is None or service not in self.table.shares:
             return None
         halted = self.halted.get(service, frozenset())
+        named = {s.version for s in self.table.shares[service].shares}
         first = self.table.draw_version(service, self.rng, halted)
         others = [v for v in self.table.versions(service) if v != first]
         for version in [first] + [v for v in others if v not in halted]:
             holding = self.endpoints.holding(
-                service, version, live.route.resource
+                service, version, live.route.resource, named
             )
             endpoint = self.balancer.pick(
                 holding,
@@ -299,6 +320,8 @@
             self._on_refused(live, answer, now_ms, now_us)
         elif answer.crashed:
             self._on_crashed(live, answer, now_ms, now_us)
+        elif answer.unusable:
+            self._on_unusable(live, answer, now_ms, now_us)
         else:
             self._on_served(live, answer, now_ms, now_us)
         return self._flush()
@@ -348,7 +371,7 @@
         live.retry_after_ms = max(live.retry_after_ms, answer.retry_after_ms)
         if answer.status == 422:
             self._finish_quarantined(live)
-        elif self._may_retry(live, now_ms):
+        elif self._may_place_again(live, answer, now_ms):
             self._attempt(live, now_ms, now_us)
         else:
             self._finish_no_target(live)
@@ -373,6 +396,24 @@
         else:
             self._finish_lost(live, 502, "the target broke off")
 
+    def _on_unusable(
+        self,
+        live: Live,
+        answer: messages.Answer,
+        now_ms: int,
+        now_us: int,
+    ) -> None:
+        """Ask again where that is safe: what came can't be passed on."""
+        latency_us = now_us - live.sent_us
+        self.balancer.answered(live.endpoint.key, latency_us)
+        self._observe(live, latency_us, True, now_ms)
+        live.may_have_run = True
+        repeatable = live.route.repeat != messages.Repeat.ONCE
+        if repeatable and self._may_retry(live, now_ms):
+            self._attempt(live, now_ms, now_us)
+        else:
+            self._finish_lost(live, 502, answer.reason or "no whole answer")
+
     def on_unsent(
         self, request_id: int, now_ms: int, now_us: int
     ) -> list[typing.Any]:
@@ -380,7 +421,8 @@
         live = self._take_attempt(request_id)
         if live is not None:
             self.balancer.lost(live.endpoint.key, now_ms)
-            if self._may_retry(live, now_ms):
+            live.attempts -= 1
+            if live.sends < MAX_PLACEMENTS and now_ms < live.deadline_at_ms:
                 self._attempt(live, now_ms, now_us)
             else:
                 self._finish_no_target(live)
@@ -408,14 +450,30 @@
             return None
         return live
 
+    def _may_place_again(
+        self, live: Live, answer: messages.Answer, now_ms: int
+    ) -> bool:
+        """Tell whether a call that was refused may go to another target.
+
+        A refusal by the target's proxy reached no target, so it neither
+        feeds a storm nor counts as an attempt. One by the target itself
+        took its time and is a retry like others.
+        """
+        if answer.shed:
+            return self._may_retry(live, now_ms)
+        live.attempts -= 1
+        if live.sends >= MAX_PLACEMENTS:
+            return False
+        return now_ms < live.deadline_at_ms
+
     def _may_retry(self, live: Live, now_ms: int) -> bool:
-        if live.call.retried or live.attempts >= MAX_ATTEMPTS:
+        if live.call.retried or live.attempts >= live.route.max_attempts:
             # A proxy nearer to the caller retries this chain already;
             # retrying here too would multiply with each level.
             return False
         if now_ms >= live.deadline_at_ms:
             return False
-        return self.budgets[live.route.service_name].withdraw()
+        return self.budgets[live.service].withdraw()
 
     def _observe(
         self, live: Live, latency_us: int, failed: bool, now_ms: int
@@ -493,7 +551,8 @@
         wait_ms = live.retry_after_ms or NO_TARGET_MS
         reason = "no target can take it in time"
         if live.may_have_run:
-            self._finish_lost(live, 503, reason, wait_ms)
+            # 503 says that it did not run; an earlier attempt may have.
+            self._finish_lost(live, 502, reason, wait_ms)
             return
         self._not_run(live, 503, reason, wait_ms)
 
--- a/libs/requests/src/trefoil_requests/routing.py
+++ b/libs/requests/src/trefoil_requests/routing.py
@@ -1,5 +1,6 @@
 """Routing: which route a request takes, to which targets it may lead."""
 
+import collections.abc
 import dataclasses
 import random
 
@@ -9,6 +10,8 @@
 from trefoil_wire import messages
 
 ANY = "*"
+# The version that stands for all that no other share of its service names.
+UNNAMED = ""
 
 
 @dataclasses.dataclass(slots=True)
@@ -27,19 +30,31 @@
 
 
 class RouteTable:
-    """The routes of one configuration, most specific first.
+    """The routes of one configuration.
 
     Args:
         items: The configuration in force.
     """
 
-    __slots__ = ("revision", "routes", "shares", "services", "drained")
+    __slots__ = (
+        "revision",
+        "routes",
+        "places",
+        "shares",
+        "services",
+        "drained",
+        "limits",
+    )
 
     def __init__(self, items: item_store.Items) -> None:
         self.revision = items.revision
-        self.routes = sorted(
-            items.all(item_store.ROUTE),
-            key=lambda r: (r.host == ANY, -len(r.prefix), r.name),
+        self.routes = sorted(items.all(item_store.ROUTE), key=_specific_first)
+        self.places: dict[tuple[str, str], list[messages.Route]] = {}
+        for route in self.routes:
+            place = (route.host, route.prefix.rstrip("/"))
+            self.places.setdefault(place, []).append(route)
+        self.limits: messages.CallerLimits | None = items.get(
+            item_store.LIMITS
         )
         self.services: dict[str, messages.Service] = {
             service.name: service for service in items.all(item_store.SERVICE)
@@ -56,13 +71,8 @@
             ProtocolError: No route takes it (404), or none with its method
                 (405).
         """
-        bare = path.partition("?")[0]
         elsewhere = False
-        for route in self.routes:
-            if route.host not in (ANY, host):
-                continue
-            if not _under(bare, route.prefix):
-                continue
+        for route in self._candidates(host, path.partition("?")[0]):
             if not route.methods or method in route.methods:
                 return route
             elsewhere = True
@@ -70,6 +80,24 @@
             raise errors.ProtocolError(405, f"no route takes {method} here")
         raise errors.ProtocolError(404, "no route takes this path")
 
+    def _candidates(
+        self, host: str, path: str
+    ) -> collections.abc.Iterator[messages.Route]:
+        """Return the routes over a path, the most specific first.
+
+        One look-up a segment of the path: hundreds of routes would else be
+        compared with each request's path one by one.
+        """
+        for name in (host, ANY):
+            at = path
+            while True:
+                for route in self.places.get((name, at), ()):
+                    if _under(path, route.prefix):
+                        yield route
+                if not at:
+                    break
+                at = at[: at.rfind("/")] if "/" in at else ""
+
     def draw_version(
         self, service: str, rng: random.Random, halted: frozenset[str]
     ) -> str:
@@ -111,12 +139,31 @@
     )
 
 
+def _specific_first(route: messages.Route) -> tuple[int, str]:
+    return -len(route.prefix), route.name
+
+
+def draw_service(route: messages.Route, rng: random.Random) -> str:
+    """Return the service that a call on a route goes to, by weight."""
+    if not route.backends:
+        return route.service_name
+    weights = [backend.weight for backend in route.backends]
+    return rng.choices(route.backends, weights)[0].service_name
+
+
 class Endpoints:
     """The targets that requests may be led to, by service and version."""
 
-    __slots__ = ("by_version", "by_key", "hosts_of", "first_seen_ms")
+    __slots__ = (
+        "by_version",
+        "by_service",
+        "by_key",
+        "hosts_of",
+        "first_seen_ms",
+    )
 
     def __init__(self) -> None:
+        self.by_service: dict[str, list[Endpoint]] = {}
         self.by_version: dict[tuple[str, str], list[Endpoint]] = {}
         self.by_key: dict[str, Endpoint] = {}
         self.hosts_of: dict[str, list[str]] = {}
@@ -127,6 +174,7 @@
     ) -> None:
         """Take in the hosts' records."""
         self.by_version = {}
+        self.by_service = {}
         self.by_key = {}
         hosts: dict[str, set[str]] = {}
         for record in records.present():
@@ -150,14 +198,29 @@
         endpoint = Endpoint(record.host, record.domain, record.address, target)
         version = (target.service_name, target.version)
         self.by_version.setdefault(version, []).append(endpoint)
+        self.by_service.setdefault(target.service_name, []).append(endpoint)
         self.by_key[endpoint.key] = endpoint
         self.first_seen_ms.setdefault(endpoint.key, now_ms)
 
     def holding(
-        self, service: str, version: str, resource: str
+        self,
+        service: str,
+        version: str,
+        resource: str,
+        named: collections.abc.Container[str] = (),
     ) -> list[Endpoint]:
-        """Return the targets of a version that hold a resource."""
+        """Return the targets of a version that hold a resource.
+
+        Args:
+            service: Name of the service.
+            version: The version; ``UNNAMED`` stands for all but ``named``.
+            resource: The resource, empty for any.
+            named: Versions that the service's shares name.
+        """
         found = self.by_version.get((service, version), [])
+        if version == UNNAMED:
+            every = self.by_service.get(service, [])
+            found = [e for e in every if e.target.version not in named]
         if not resource:
             return found
         return [e for e in found if resource in e.target.resources]
--- a/libs/requests/src/trefoil_requests/target_side.py
+++ b/libs/requests/src/trefoil_requests/target_side.py
@@ -18,8 +18,9 @@
 CRASH_GATHER_MS = 50
 RECENT_REQUESTS = 4096
 LEAVING_RETRY_MS = 100
-SHED_STATUS = 503
-NOT_RUN_HEADER = b"x-trefoil-not-run:"
+NOT_RUN_HEADER = b"x-trefoil-not-run"
+# A target at a reused address that is not the one named answers this.
+MISDIRECTED = 421
 
 
 @dataclasses.dataclass(slots=True)
@@ -49,6 +50,7 @@
 
     since_ms: int
     victims: list[Running]
+    checking: bool = False
 
 
 class TargetSide:
@@ -57,9 +59,12 @@
     Args:
         quarantine: Requests known to crash targets.
         rng: Draws the ids of crash notices.
+        not_run_header: Header by which a target says that it did not run a
+            request.
     """
 
     __slots__ = (
+        "not_run_header",
         "quarantine",
         "rng",
         "targets",
@@ -71,8 +76,12 @@
     )
 
     def __init__(
-        self, quarantine: quarantines.Quarantine, rng: random.Random
+        self,
+        quarantine: quarantines.Quarantine,
+        rng: random.Random,
+        not_run_header: bytes = NOT_RUN_HEADER,
     ) -> None:
+        self.not_run_header = not_run_header + b":"
         self.quarantine = quarantine
         self.rng = rng
         self.targets: dict[str, LocalTarget] = {}
@@ -208,11 +217,10 @@
         entry = self.running.get(answer.request_id)
         if entry is None:
             return []
-        shed = (
-            answer.status == SHED_STATUS
-            and NOT_RUN_HEADER in (answer.headers or b"").lower()
-        )
+        said_so = self.not_run_header in (answer.headers or b"").lower()
+        shed = said_so or answer.status == MISDIRECTED
         answer.ran = not shed
+        answer.shed = shed
         self._release(entry, now_ms, took=not shed)
         self.out.append(effects.Reply(entry.origin, answer))
         return self._flush()
@@ -259,10 +267,43 @@
                 self._time_out(entry, now_ms)
         for name, crash in list(self.crashes.items()):
             if now_ms - crash.since_ms >= CRASH_GATHER_MS:
-                del self.crashes[name]
-                self._tell_crash(crash)
+                self._settle(name, crash)
+        return self._flush()
+
+    def _settle(self, name: str, crash: Crash) -> None:
+        """Find out whether a target crashed or only broke answers off.
+
+        A target that lives and breaks one answer in fifty off would else
+        have its callers' requests refused everywhere as its killers.
+        """
+        target = self.targets.get(name)
+        if target is None:
+            del self.crashes[name]
+            self._tell_crash(crash)
+        elif not crash.checking:
+            crash.checking = True
+            self.out.append(effects.CheckTarget(name, target.port))
+
+    def on_target_checked(self, name: str, accepts: bool) -> list[typing.Any]:
+        """Take whether a target whose connections broke takes new ones."""
+        crash = self.crashes.pop(name, None)
+        if crash is not None and accepts:
+            self._tell_broken(crash)
+        elif crash is not None:
+            self._tell_crash(crash)
         return self._flush()
 
+    def _tell_broken(self, crash: Crash) -> None:
+        for victim in crash.victims:
+            answer = messages.Answer(
+                request_id=victim.request.request_id,
+                status=502,
+                reason="the target broke its answer off",
+                ran=True,
+                unusable=True,
+            )
+            self.out.append(effects.Reply(victim.origin, answer))
+
     def _time_out(self, entry: Running, now_ms: int) -> None:
         request_id = entry.request.request_id
         self.out.append(effects.Abort(request_id))
--- a/libs/settings/src/trefoil_settings/configuration.py
+++ b/libs/settings/src/trefoil_settings/configuration.py
@@ -6,6 +6,7 @@
 
 from trefoil_model import findings as finding_store
 from trefoil_wire import messages
+from trefoil_wire import routes
 
 from . import schema
 
@@ -13,11 +14,18 @@
 REPEAT = {"any": messages.Repeat.ANY, "once": messages.Repeat.ONCE}
 DEFAULT_TIMEOUT_MS = 2000
 DEFAULT_RETRY_BUDGET = 0.2
+DEFAULT_ATTEMPTS = 3
+MAX_ATTEMPTS = 100
+MAX_WEIGHT = 1_000_000
+MAX_CONNECTIONS = 100_000
+MAX_NUMBER = (1 << 63) - 1
+MAX_HEAD_BYTES = 1 << 20
+MAX_BODY_BYTES = 1 << 30
 
 SERVICE = schema.Record(
     (
         ("name", schema.Field(schema.Name(), required=True)),
-        ("version", schema.Field(schema.Name(), required=True)),
+        ("version", schema.Field(schema.Name(), default="")),
         ("resources", schema.Field(schema.ListOf(schema.Name()), default=[])),
         (
             "retry_budget",
@@ -26,15 +34,52 @@
                 default=DEFAULT_RETRY_BUDGET,
             ),
         ),
+        ("health_path", schema.Field(schema.Text(), default="")),
+        (
+            "max_connections",
+            schema.Field(schema.Number(0, MAX_CONNECTIONS), default=0),
+        ),
     ),
     messages.Service,
 )
 
+BACKEND = schema.Record(
+    (
+        ("service", schema.Field(schema.Name(), required=True)),
+        (
+            "weight",
+            schema.Field(
+                schema.Number(0, MAX_WEIGHT, whole=False), required=True
+            ),
+        ),
+    ),
+    lambda service, weight: messages.Backend(service, weight),
+)
+
+LIMITS = schema.Record(
+    (
+        ("head_bytes", schema.Field(schema.Number(1, MAX_HEAD_BYTES))),
+        ("body_bytes", schema.Field(schema.Number(1, MAX_BODY_BYTES))),
+        ("head_timeout", schema.Field(schema.Duration())),
+        ("idle_timeout", schema.Field(schema.Duration())),
+    ),
+    lambda head_bytes, body_bytes, head_timeout, idle_timeout: (
+        messages.CallerLimits(
+            head_bytes or 0,
+            body_bytes or 0,
+            head_timeout or 0,
+            idle_timeout or 0,
+        )
+    ),
+)
+
 
 def _make_route(**values: typing.Any) -> messages.Route:
     values["service_name"] = values.pop("service")
     values["timeout_ms"] = values.pop("timeout")
     values["repeat"] = REPEAT[values["repeat"]]
+    values["max_attempts"] = values.pop("attempts")
+    values["latency_aim_ms"] = values.pop("latency_aim")
     return messages.Route(**values)
 
 
@@ -47,7 +92,16 @@
             "methods",
             schema.Field(schema.ListOf(schema.Text(METHODS)), default=[]),
         ),
-        ("service", schema.Field(schema.Name(), required=True)),
+        ("service", schema.Field(schema.Name(), default="")),
+        ("backends", schema.Field(schema.ListOf(BACKEND), default=[])),
+        ("priority", schema.Field(schema.Number(0, 100), default=0)),
+        (
+            "attempts",
+            schema.Field(
+                schema.Number(1, MAX_ATTEMPTS), default=DEFAULT_ATTEMPTS
+            ),
+        ),
+        ("latency_aim", schema.Field(schema.Duration(), default=0)),
         ("resource", schema.Field(schema.Name(), default="")),
         ("tenant", schema.Field(schema.Name(), default="default")),
         (
@@ -63,8 +117,14 @@
     (
         ("services", schema.Field(schema.ListOf(SERVICE), required=True)),
         ("routes", schema.Field(schema.ListOf(ROUTE), default=[])),
+        ("limits", schema.Field(LIMITS)),
+        ("number", schema.Field(schema.Number(0, MAX_NUMBER), default=0)),
+        ("base", schema.Field(schema.Number(0, MAX_NUMBER), default=0)),
+    ),
+    lambda number, base, **rest: messages.ApplyConfiguration(
+        document=messages.Document(number, base, b"") if number else None,
+        **rest,
     ),
-    messages.ApplyConfiguration,
 )
 
 Checked = expression.Result[
@@ -84,6 +144,8 @@
         _check_references(reader, document)
     if reader.findings:
         return expression.Error(reader.findings)
+    if document.document is not None:
+        document.document.text = text.encode("utf-8")
     return expression.Ok(document)
 
 
@@ -113,16 +175,19 @@
     route: messages.Route,
     services: dict[str, messages.Service],
 ) -> None:
-    service = services.get(route.service_name)
     if not route.prefix.startswith("/"):
         reader.findings.add(place, "prefix must start with /")
     if route.timeout_ms < 1:
         reader.findings.add(place, "timeout must be at least 1ms")
+    if bool(route.service_name) == bool(route.backends):
+        reader.findings.add(place, "give either service or backends")
+    for name in routes.services_of(route):
+        if name not in services:
+            reader.findings.add(place, f"there is no service {name!r}")
+    service = services.get(route.service_name)
     if service is None:
-        reader.findings.add(
-            place, f"there is no service {route.service_name!r}"
-        )
-    elif route.resource and route.resource not in service.resources:
+        return
+    if route.resource and route.resource not in service.resources:
         reader.findings.add(
             place,
             f"service {service.name!r} has no resource {route.resource!r}",
--- a/libs/settings/src/trefoil_settings/schema.py
+++ b/libs/settings/src/trefoil_settings/schema.py
@@ -14,6 +14,7 @@
 DURATION_MS = {"ms": 1, "s": 1000, "m": 60_000, "h": 3_600_000}
 NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9_.-]{0,63}")
 MAX_PORT = 65535
+FLAGS = {"true": True, "false": False}
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -37,6 +38,11 @@
     whole: bool = True
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Flag:
+    """``true`` or ``false``."""
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Duration:
     """A time such as ``250ms``, ``2s`` or ``10m``; read as milliseconds."""
@@ -186,6 +192,15 @@
     return value
 
 
+@read.register
+def _(kind: Flag, reader: Reader, node: yaml.Node) -> typing.Any:
+    text = reader.scalar(node, "true or false")
+    if text is not None and text not in FLAGS:
+        reader.problem(node, f"{text!r} is neither true nor false")
+        return None
+    return FLAGS.get(text)
+
+
 @read.register
 def _(kind: Duration, reader: Reader, node: yaml.Node) -> typing.Any:
     text = reader.scalar(node, "a time such as 2s")
--- a/libs/settings/src/trefoil_settings/settings.py
+++ b/libs/settings/src/trefoil_settings/settings.py
@@ -33,6 +33,18 @@
         max_body_mib: Largest body of a request or an answer.
         lease_ms: How long an announced target counts without a renewal.
         grace_ms: Longest time that a shutdown waits for running requests.
+        linger_ms: How long a shutdown goes on taking requests, so that
+            callers who have not heard of it yet are still served; 0
+            refuses new requests at once.
+        join: Control hosts to find the others by, where ``controls`` is
+            not given. Hosts are then named by their IP numbers, and all
+            take peers at the same port.
+        ready: Address that tells whether callers are served; empty for
+            none.
+        service: Service of this host's own target, told to the targets
+            that its calls reach.
+        retry_slack: Retries a window that a service may have beyond its
+            budget, all proxies together.
     """
 
     host: str
@@ -48,6 +60,16 @@
     max_body_mib: int
     lease_ms: int
     grace_ms: int
+    linger_ms: int = 0
+    join: list[str] = dataclasses.field(default_factory=list)
+    ready: str = ""
+    service: str = ""
+    retry_slack: float = 0.0
+
+    @property
+    def known_controls(self) -> dict[str, str]:
+        """Return the control hosts that the settings tell of, by name."""
+        return self.controls or _joined(self.join, self.peers)
 
 
 @dataclasses.dataclass(slots=True)
@@ -92,6 +114,13 @@
         profile: Which measure moves favour, ``balanced``, ``in-time`` or
             ``cautious``.
         moves: Knobs that are set apart from the profile.
+        join: Control hosts to find the others by, where ``controls`` is
+            not given. Hosts are then named by their IP numbers, and all
+            take peers at the same port.
+        found: Whether this is the first start of the deployment, with an
+            empty data folder: the hosts of ``join`` found the agreement.
+        lost_disks: How many control hosts may lose their disks at once
+            without losing what was acknowledged.
     """
 
     host: str
@@ -109,6 +138,26 @@
     snapshot_entries: int
     profile: str
     moves: MoveSettings
+    join: list[str] = dataclasses.field(default_factory=list)
+    found: bool = False
+    lost_disks: int = 1
+
+    @property
+    def known_controls(self) -> dict[str, str]:
+        """Return the control hosts that the settings tell of, by name."""
+        return self.controls or _joined(self.join, self.peers)
+
+    @property
+    def founders(self) -> list[str]:
+        """Return the names of the control hosts that found the agreement."""
+        return sorted(_joined(self.join, self.peers))
+
+
+def _joined(join: list[str], peers: str) -> dict[str, str]:
+    """Return where hosts take peers, by their IP number."""
+    port = peers.rpartition(":")[2]
+    ips = [address.rpartition(":")[0] for address in join]
+    return {ip: f"{ip}:{port}" for ip in ips}
 
 
 COMMON: tuple[tuple[str, schema.Field], ...] = (
@@ -117,7 +166,8 @@
     ("region", schema.Field(schema.Name(), default="default")),
     ("peers", schema.Field(schema.Address(), required=True)),
     ("admin", schema.Field(schema.Address(), required=True)),
-    ("controls", schema.Field(schema.MapOf(schema.Address()), required=True)),
+    ("controls", schema.Field(schema.MapOf(schema.Address()), default={})),
+    ("join", schema.Field(schema.ListOf(schema.Address()), default=[])),
     ("statsd", schema.Field(schema.Address(), default="")),
     ("log_level", schema.Field(schema.Text(LOG_LEVELS), default="info")),
 )
@@ -126,7 +176,17 @@
     COMMON
     + (
         ("callers", schema.Field(schema.Address(), required=True)),
-        ("seeds", schema.Field(schema.MapOf(schema.Address()), required=True)),
+        ("seeds", schema.Field(schema.MapOf(schema.Address()), default={})),
+        ("ready", schema.Field(schema.Address(), default="")),
+        ("service", schema.Field(schema.Text(), default="")),
+        (
+            "retry_slack",
+            schema.Field(schema.Number(0, 100_000, whole=False), default=0.0),
+        ),
+        (
+            "linger",
+            schema.Field(schema.Duration(), default=0),
+        ),
         (
             "max_body_mib",
             schema.Field(schema.Number(1, MAX_BODY_MIB), default=1),
@@ -134,8 +194,8 @@
         ("lease", schema.Field(schema.Duration(), default=3000)),
         ("grace", schema.Field(schema.Duration(), default=30_000)),
     ),
-    lambda lease, grace, **rest: ProxySettings(
-        lease_ms=lease, grace_ms=grace, **rest
+    lambda lease, grace, linger, **rest: ProxySettings(
+        lease_ms=lease, grace_ms=grace, linger_ms=linger, **rest
     ),
 )
 
@@ -157,7 +217,9 @@
 CONTROL = schema.Record(
     COMMON
     + (
-        ("voters", schema.Field(schema.ListOf(schema.Name()), required=True)),
+        ("voters", schema.Field(schema.ListOf(schema.Name()), default=[])),
+        ("found", schema.Field(schema.Flag(), default=False)),
+        ("lost_disks", schema.Field(schema.Number(0, 3), default=1)),
         ("data_folder", schema.Field(schema.Text(), required=True)),
         ("heartbeat", schema.Field(schema.Duration(), default=150)),
         ("election", schema.Field(schema.Duration(), default=600)),
@@ -217,8 +279,14 @@
 
 def _check_together(reader: schema.Reader, value: typing.Any) -> None:
     place = reader.places[id(value)]
+    if value.controls and value.join:
+        reader.findings.add(place, "give controls or join, not both")
+    if value.join and value.host != value.peers.rpartition(":")[0]:
+        reader.findings.add(
+            place, "with join, host must be the IP number of peers"
+        )
     if isinstance(value, ControlSettings):
-        if value.host not in value.controls:
+        if value.controls and value.host not in value.controls:
             reader.findings.add(place, f"controls lacks {value.host!r}")
         for voter in value.voters:
             if voter not in value.controls:
@@ -227,8 +295,8 @@
             reader.findings.add(
                 place, "election must be at least twice heartbeat"
             )
-    if not value.controls:
-        reader.findings.add(place, "controls is empty")
+    if not value.controls and not value.join:
+        reader.findings.add(place, "controls is empty, and so is join")
 
 
 def render(value: typing.Any) -> str:
@@ -246,6 +314,6 @@
         elif name.endswith("_ms") and content is not None:
             name = name.removesuffix("_ms")
             content = f"{content}ms"
-        if content not in ("", None, {}):
+        if content not in ("", None, {}, []):
             shown[name] = content
     return shown
--- a/libs/wire/src/trefoil_wire/frames.py
+++ b/libs/wire/src/trefoil_wire/frames.py
@@ -66,6 +66,8 @@
     messages.ChangeVoters,
     messages.Report,
     messages.Reports,
+    messages.ControlHosts,
+    messages.AdoptVersion,
 )
 CODES: dict[type, int] = {kind: code for code, kind in enumerate(TYPES)}
 FACTORY = TCompactProtocol.TCompactProtocolAcceleratedFactory(
