--- a/libs/wire/src/trefoil_wire/gen/ttypes.py
+++ b/libs/wire/src/trefoil_wire/gen/ttypes.py
@@ -31,6 +31,24 @@
     }
 
 
+class Cause(object):
+    OTHER = 0
+    CONFLICT = 1
+    INVALID = 2
+
+    _VALUES_TO_NAMES = {
+        0: "OTHER",
+        1: "CONFLICT",
+        2: "INVALID",
+    }
+
+    _NAMES_TO_VALUES = {
+        "OTHER": 0,
+        "CONFLICT": 1,
+        "INVALID": 2,
+    }
+
+
 class Outcome(object):
     DONE = 1
     TAKEN_BACK = 2
@@ -55,6 +73,24 @@
     }
 
 
+class QueryKind(object):
+    LINE = 0
+    DOCUMENT = 1
+    MOVE = 2
+
+    _VALUES_TO_NAMES = {
+        0: "LINE",
+        1: "DOCUMENT",
+        2: "MOVE",
+    }
+
+    _NAMES_TO_VALUES = {
+        "LINE": 0,
+        "DOCUMENT": 1,
+        "MOVE": 2,
+    }
+
+
 class HostState(object):
     ALIVE = 1
     SUSPECT = 2
@@ -101,6 +137,8 @@
      - resources
      - version
      - retry_budget
+     - health_path
+     - max_connections
 
     """
 
@@ -109,14 +147,18 @@
         'resources',
         'version',
         'retry_budget',
+        'health_path',
+        'max_connections',
     )
 
 
-    def __init__(self, name=None, resources=None, version=None, retry_budget=0.2000000000000000,):
+    def __init__(self, name=None, resources=None, version=None, retry_budget=0.2000000000000000, health_path="", max_connections=0,):
         self.name = name
         self.resources = resources
         self.version = version
         self.retry_budget = retry_budget
+        self.health_path = health_path
+        self.max_connections = max_connections
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -152,6 +194,16 @@
                     self.retry_budget = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.health_path = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.max_connections = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -181,6 +233,94 @@
             oprot.writeFieldBegin('retry_budget', TType.DOUBLE, 4)
             oprot.writeDouble(self.retry_budget)
             oprot.writeFieldEnd()
+        if self.health_path is not None:
+            oprot.writeFieldBegin('health_path', TType.STRING, 5)
+            oprot.writeString(self.health_path.encode('utf-8') if sys.version_info[0] == 2 else self.health_path)
+            oprot.writeFieldEnd()
+        if self.max_connections is not None:
+            oprot.writeFieldBegin('max_connections', TType.I32, 6)
+            oprot.writeI32(self.max_connections)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Backend(object):
+    """
+    Attributes:
+     - service_name
+     - weight
+
+    """
+
+    __slots__ = (
+        'service_name',
+        'weight',
+    )
+
+
+    def __init__(self, service_name=None, weight=None,):
+        self.service_name = service_name
+        self.weight = weight
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.weight = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Backend')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.weight is not None:
+            oprot.writeFieldBegin('weight', TType.DOUBLE, 2)
+            oprot.writeDouble(self.weight)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -218,6 +358,10 @@
      - tenant
      - timeout_ms
      - repeat
+     - backends
+     - priority
+     - max_attempts
+     - latency_aim_ms
 
     """
 
@@ -231,10 +375,14 @@
         'tenant',
         'timeout_ms',
         'repeat',
+        'backends',
+        'priority',
+        'max_attempts',
+        'latency_aim_ms',
     )
 
 
-    def __init__(self, name=None, host=None, prefix=None, methods=None, service_name=None, resource=None, tenant=None, timeout_ms=None, repeat=None,):
+    def __init__(self, name=None, host=None, prefix=None, methods=None, service_name=None, resource=None, tenant=None, timeout_ms=None, repeat=None, backends=None, priority=0, max_attempts=3, latency_aim_ms=0,):
         self.name = name
         self.host = host
         self.prefix = prefix
@@ -244,6 +392,10 @@
         self.tenant = tenant
         self.timeout_ms = timeout_ms
         self.repeat = repeat
+        self.backends = backends
+        self.priority = priority
+        self.max_attempts = max_attempts
+        self.latency_aim_ms = latency_aim_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -304,6 +456,32 @@
                     self.repeat = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.LIST:
+                    self.backends = []
+                    (_etype16, _size13) = iprot.readListBegin()
+                    for _i17 in range(_size13):
+                        _elem18 = Backend()
+                        _elem18.read(iprot)
+                        self.backends.append(_elem18)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I32:
+                    self.priority = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I32:
+                    self.max_attempts = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.I32:
+                    self.latency_aim_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -329,8 +507,8 @@
         if self.methods is not None:
             oprot.writeFieldBegin('methods', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.methods))
-            for iter13 in self.methods:
-                oprot.writeString(iter13.encode('utf-8') if sys.version_info[0] == 2 else iter13)
+            for iter19 in self.methods:
+                oprot.writeString(iter19.encode('utf-8') if sys.version_info[0] == 2 else iter19)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.service_name is not None:
@@ -353,6 +531,129 @@
             oprot.writeFieldBegin('repeat', TType.I32, 9)
             oprot.writeI32(self.repeat)
             oprot.writeFieldEnd()
+        if self.backends is not None:
+            oprot.writeFieldBegin('backends', TType.LIST, 10)
+            oprot.writeListBegin(TType.STRUCT, len(self.backends))
+            for iter20 in self.backends:
+                iter20.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.priority is not None:
+            oprot.writeFieldBegin('priority', TType.I32, 11)
+            oprot.writeI32(self.priority)
+            oprot.writeFieldEnd()
+        if self.max_attempts is not None:
+            oprot.writeFieldBegin('max_attempts', TType.I32, 12)
+            oprot.writeI32(self.max_attempts)
+            oprot.writeFieldEnd()
+        if self.latency_aim_ms is not None:
+            oprot.writeFieldBegin('latency_aim_ms', TType.I32, 13)
+            oprot.writeI32(self.latency_aim_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class CallerLimits(object):
+    """
+    Attributes:
+     - max_head_bytes
+     - max_body_bytes
+     - head_timeout_ms
+     - idle_timeout_ms
+
+    """
+
+    __slots__ = (
+        'max_head_bytes',
+        'max_body_bytes',
+        'head_timeout_ms',
+        'idle_timeout_ms',
+    )
+
+
+    def __init__(self, max_head_bytes=0, max_body_bytes=0, head_timeout_ms=0, idle_timeout_ms=0,):
+        self.max_head_bytes = max_head_bytes
+        self.max_body_bytes = max_body_bytes
+        self.head_timeout_ms = head_timeout_ms
+        self.idle_timeout_ms = idle_timeout_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.max_head_bytes = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.max_body_bytes = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.head_timeout_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.idle_timeout_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CallerLimits')
+        if self.max_head_bytes is not None:
+            oprot.writeFieldBegin('max_head_bytes', TType.I32, 1)
+            oprot.writeI32(self.max_head_bytes)
+            oprot.writeFieldEnd()
+        if self.max_body_bytes is not None:
+            oprot.writeFieldBegin('max_body_bytes', TType.I64, 2)
+            oprot.writeI64(self.max_body_bytes)
+            oprot.writeFieldEnd()
+        if self.head_timeout_ms is not None:
+            oprot.writeFieldBegin('head_timeout_ms', TType.I32, 3)
+            oprot.writeI32(self.head_timeout_ms)
+            oprot.writeFieldEnd()
+        if self.idle_timeout_ms is not None:
+            oprot.writeFieldBegin('idle_timeout_ms', TType.I32, 4)
+            oprot.writeI32(self.idle_timeout_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -496,11 +797,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.shares = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = VersionShare()
-                        _elem19.read(iprot)
-                        self.shares.append(_elem19)
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = VersionShare()
+                        _elem26.read(iprot)
+                        self.shares.append(_elem26)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -526,8 +827,8 @@
         if self.shares is not None:
             oprot.writeFieldBegin('shares', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.shares))
-            for iter20 in self.shares:
-                iter20.write(oprot)
+            for iter27 in self.shares:
+                iter27.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.move_id is not None:
@@ -780,11 +1081,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.items = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = Item()
-                        _elem26.read(iprot)
-                        self.items.append(_elem26)
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = Item()
+                        _elem33.read(iprot)
+                        self.items.append(_elem33)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -819,8 +1120,8 @@
         if self.items is not None:
             oprot.writeFieldBegin('items', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.items))
-            for iter27 in self.items:
-                iter27.write(oprot)
+            for iter34 in self.items:
+                iter34.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.digest is not None:
@@ -1313,11 +1614,11 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = Entry()
-                        _elem33.read(iprot)
-                        self.entries.append(_elem33)
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = Entry()
+                        _elem40.read(iprot)
+                        self.entries.append(_elem40)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1360,8 +1661,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter34 in self.entries:
-                iter34.write(oprot)
+            for iter41 in self.entries:
+                iter41.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.commit is not None:
@@ -1562,20 +1863,20 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.voters = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.voters.append(_elem40)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.voters.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.learners = []
-                    (_etype44, _size41) = iprot.readListBegin()
-                    for _i45 in range(_size41):
-                        _elem46 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.learners.append(_elem46)
+                    (_etype51, _size48) = iprot.readListBegin()
+                    for _i52 in range(_size48):
+                        _elem53 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.learners.append(_elem53)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1605,15 +1906,15 @@
         if self.voters is not None:
             oprot.writeFieldBegin('voters', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.voters))
-            for iter47 in self.voters:
-                oprot.writeString(iter47.encode('utf-8') if sys.version_info[0] == 2 else iter47)
+            for iter54 in self.voters:
+                oprot.writeString(iter54.encode('utf-8') if sys.version_info[0] == 2 else iter54)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.learners is not None:
             oprot.writeFieldBegin('learners', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.learners))
-            for iter48 in self.learners:
-                oprot.writeString(iter48.encode('utf-8') if sys.version_info[0] == 2 else iter48)
+            for iter55 in self.learners:
+                oprot.writeString(iter55.encode('utf-8') if sys.version_info[0] == 2 else iter55)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.state is not None:
@@ -1860,20 +2161,20 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.voters = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.voters.append(_elem54)
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.voters.append(_elem61)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.learners = []
-                    (_etype58, _size55) = iprot.readListBegin()
-                    for _i59 in range(_size55):
-                        _elem60 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.learners.append(_elem60)
+                    (_etype65, _size62) = iprot.readListBegin()
+                    for _i66 in range(_size62):
+                        _elem67 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.learners.append(_elem67)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1890,15 +2191,15 @@
         if self.voters is not None:
             oprot.writeFieldBegin('voters', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.voters))
-            for iter61 in self.voters:
-                oprot.writeString(iter61.encode('utf-8') if sys.version_info[0] == 2 else iter61)
+            for iter68 in self.voters:
+                oprot.writeString(iter68.encode('utf-8') if sys.version_info[0] == 2 else iter68)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.learners is not None:
             oprot.writeFieldBegin('learners', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.learners))
-            for iter62 in self.learners:
-                oprot.writeString(iter62.encode('utf-8') if sys.version_info[0] == 2 else iter62)
+            for iter69 in self.learners:
+                oprot.writeString(iter69.encode('utf-8') if sys.version_info[0] == 2 else iter69)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2018,12 +2319,186 @@
         return not (self == other)
 
 
+class AdoptVersion(object):
+    """
+    Attributes:
+     - service_name
+     - version
+
+    """
+
+    __slots__ = (
+        'service_name',
+        'version',
+    )
+
+
+    def __init__(self, service_name=None, version=None,):
+        self.service_name = service_name
+        self.version = version
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('AdoptVersion')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.STRING, 2)
+            oprot.writeString(self.version.encode('utf-8') if sys.version_info[0] == 2 else self.version)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Document(object):
+    """
+    Attributes:
+     - number
+     - base
+     - text
+
+    """
+
+    __slots__ = (
+        'number',
+        'base',
+        'text',
+    )
+
+
+    def __init__(self, number=None, base=None, text=None,):
+        self.number = number
+        self.base = base
+        self.text = text
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.base = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.text = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Document')
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 1)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.base is not None:
+            oprot.writeFieldBegin('base', TType.I64, 2)
+            oprot.writeI64(self.base)
+            oprot.writeFieldEnd()
+        if self.text is not None:
+            oprot.writeFieldBegin('text', TType.STRING, 3)
+            oprot.writeBinary(self.text)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class ApplyConfiguration(object):
     """
     Attributes:
      - services
      - routes
      - expected_revision
+     - limits
+     - document
 
     """
 
@@ -2031,13 +2506,17 @@
         'services',
         'routes',
         'expected_revision',
+        'limits',
+        'document',
     )
 
 
-    def __init__(self, services=None, routes=None, expected_revision=0,):
+    def __init__(self, services=None, routes=None, expected_revision=0, limits=None, document=None,):
         self.services = services
         self.routes = routes
         self.expected_revision = expected_revision
+        self.limits = limits
+        self.document = document
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2051,22 +2530,22 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.services = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = Service()
-                        _elem68.read(iprot)
-                        self.services.append(_elem68)
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = Service()
+                        _elem75.read(iprot)
+                        self.services.append(_elem75)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.routes = []
-                    (_etype72, _size69) = iprot.readListBegin()
-                    for _i73 in range(_size69):
-                        _elem74 = Route()
-                        _elem74.read(iprot)
-                        self.routes.append(_elem74)
+                    (_etype79, _size76) = iprot.readListBegin()
+                    for _i80 in range(_size76):
+                        _elem81 = Route()
+                        _elem81.read(iprot)
+                        self.routes.append(_elem81)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2075,6 +2554,18 @@
                     self.expected_revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRUCT:
+                    self.limits = CallerLimits()
+                    self.limits.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRUCT:
+                    self.document = Document()
+                    self.document.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2088,21 +2579,29 @@
         if self.services is not None:
             oprot.writeFieldBegin('services', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.services))
-            for iter75 in self.services:
-                iter75.write(oprot)
+            for iter82 in self.services:
+                iter82.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.routes is not None:
             oprot.writeFieldBegin('routes', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.routes))
-            for iter76 in self.routes:
-                iter76.write(oprot)
+            for iter83 in self.routes:
+                iter83.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.expected_revision is not None:
             oprot.writeFieldBegin('expected_revision', TType.I64, 3)
             oprot.writeI64(self.expected_revision)
             oprot.writeFieldEnd()
+        if self.limits is not None:
+            oprot.writeFieldBegin('limits', TType.STRUCT, 4)
+            self.limits.write(oprot)
+            oprot.writeFieldEnd()
+        if self.document is not None:
+            oprot.writeFieldBegin('document', TType.STRUCT, 5)
+            self.document.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2137,6 +2636,7 @@
      - deadline_ms
      - risk_permille
      - watch_ms
+     - duration_ms
 
     """
 
@@ -2147,16 +2647,18 @@
         'deadline_ms',
         'risk_permille',
         'watch_ms',
+        'duration_ms',
     )
 
 
-    def __init__(self, service_name=None, from_version=None, to_version=None, deadline_ms=None, risk_permille=None, watch_ms=None,):
+    def __init__(self, service_name=None, from_version=None, to_version=None, deadline_ms=None, risk_permille=None, watch_ms=None, duration_ms=0,):
         self.service_name = service_name
         self.from_version = from_version
         self.to_version = to_version
         self.deadline_ms = deadline_ms
         self.risk_permille = risk_permille
         self.watch_ms = watch_ms
+        self.duration_ms = duration_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2197,6 +2699,11 @@
                     self.watch_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.duration_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2231,6 +2738,10 @@
             oprot.writeFieldBegin('watch_ms', TType.I64, 6)
             oprot.writeI64(self.watch_ms)
             oprot.writeFieldEnd()
+        if self.duration_ms is not None:
+            oprot.writeFieldBegin('duration_ms', TType.I64, 7)
+            oprot.writeI64(self.duration_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2745,6 +3256,7 @@
      - kind
      - body
      - stamped_ms
+     - content_id
 
     """
 
@@ -2755,16 +3267,18 @@
         'kind',
         'body',
         'stamped_ms',
+        'content_id',
     )
 
 
-    def __init__(self, command_id=None, operator_name=None, issued_ms=None, kind=None, body=None, stamped_ms=0,):
+    def __init__(self, command_id=None, operator_name=None, issued_ms=None, kind=None, body=None, stamped_ms=0, content_id=False,):
         self.command_id = command_id
         self.operator_name = operator_name
         self.issued_ms = issued_ms
         self.kind = kind
         self.body = body
         self.stamped_ms = stamped_ms
+        self.content_id = content_id
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2805,6 +3319,11 @@
                     self.stamped_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.BOOL:
+                    self.content_id = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2839,6 +3358,10 @@
             oprot.writeFieldBegin('stamped_ms', TType.I64, 6)
             oprot.writeI64(self.stamped_ms)
             oprot.writeFieldEnd()
+        if self.content_id is not None:
+            oprot.writeFieldBegin('content_id', TType.BOOL, 7)
+            oprot.writeBool(self.content_id)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2953,6 +3476,7 @@
      - reason
      - revision
      - retry_after_ms
+     - cause
 
     """
 
@@ -2962,15 +3486,17 @@
         'reason',
         'revision',
         'retry_after_ms',
+        'cause',
     )
 
 
-    def __init__(self, command_id=None, outcome=None, reason=None, revision=None, retry_after_ms=0,):
+    def __init__(self, command_id=None, outcome=None, reason=None, revision=None, retry_after_ms=0, cause=    0,):
         self.command_id = command_id
         self.outcome = outcome
         self.reason = reason
         self.revision = revision
         self.retry_after_ms = retry_after_ms
+        self.cause = cause
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3006,6 +3532,11 @@
                     self.retry_after_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.cause = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3036,6 +3567,10 @@
             oprot.writeFieldBegin('retry_after_ms', TType.I32, 5)
             oprot.writeI32(self.retry_after_ms)
             oprot.writeFieldEnd()
+        if self.cause is not None:
+            oprot.writeFieldBegin('cause', TType.I32, 6)
+            oprot.writeI32(self.cause)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3067,6 +3602,8 @@
      - query_id
      - line
      - hops
+     - kind
+     - subject
 
     """
 
@@ -3074,13 +3611,17 @@
         'query_id',
         'line',
         'hops',
+        'kind',
+        'subject',
     )
 
 
-    def __init__(self, query_id=None, line=None, hops=0,):
+    def __init__(self, query_id=None, line=None, hops=0, kind=    0, subject="",):
         self.query_id = query_id
         self.line = line
         self.hops = hops
+        self.kind = kind
+        self.subject = subject
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3101,9 +3642,19 @@
                     self.line = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
-            elif fid == 3:
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.hops = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
                 if ftype == TType.I32:
-                    self.hops = iprot.readI32()
+                    self.kind = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.subject = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             else:
@@ -3128,6 +3679,14 @@
             oprot.writeFieldBegin('hops', TType.I32, 3)
             oprot.writeI32(self.hops)
             oprot.writeFieldEnd()
+        if self.kind is not None:
+            oprot.writeFieldBegin('kind', TType.I32, 4)
+            oprot.writeI32(self.kind)
+            oprot.writeFieldEnd()
+        if self.subject is not None:
+            oprot.writeFieldBegin('subject', TType.STRING, 5)
+            oprot.writeString(self.subject.encode('utf-8') if sys.version_info[0] == 2 else self.subject)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3159,6 +3718,7 @@
      - query_id
      - ok
      - body
+     - confirmed
 
     """
 
@@ -3166,13 +3726,15 @@
         'query_id',
         'ok',
         'body',
+        'confirmed',
     )
 
 
-    def __init__(self, query_id=None, ok=None, body=None,):
+    def __init__(self, query_id=None, ok=None, body=None, confirmed=False,):
         self.query_id = query_id
         self.ok = ok
         self.body = body
+        self.confirmed = confirmed
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3198,6 +3760,11 @@
                     self.body = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.confirmed = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3220,6 +3787,10 @@
             oprot.writeFieldBegin('body', TType.STRING, 3)
             oprot.writeString(self.body.encode('utf-8') if sys.version_info[0] == 2 else self.body)
             oprot.writeFieldEnd()
+        if self.confirmed is not None:
+            oprot.writeFieldBegin('confirmed', TType.BOOL, 4)
+            oprot.writeBool(self.confirmed)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3376,10 +3947,10 @@
             elif fid == 14:
                 if ftype == TType.LIST:
                     self.history = []
-                    (_etype80, _size77) = iprot.readListBegin()
-                    for _i81 in range(_size77):
-                        _elem82 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.history.append(_elem82)
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.history.append(_elem89)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3448,8 +4019,8 @@
         if self.history is not None:
             oprot.writeFieldBegin('history', TType.LIST, 14)
             oprot.writeListBegin(TType.STRING, len(self.history))
-            for iter83 in self.history:
-                oprot.writeString(iter83.encode('utf-8') if sys.version_info[0] == 2 else iter83)
+            for iter90 in self.history:
+                oprot.writeString(iter90.encode('utf-8') if sys.version_info[0] == 2 else iter90)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3486,6 +4057,7 @@
      - reason
      - revision
      - stamped_ms
+     - cause
 
     """
 
@@ -3496,16 +4068,18 @@
         'reason',
         'revision',
         'stamped_ms',
+        'cause',
     )
 
 
-    def __init__(self, command_id=None, digest=None, outcome=None, reason=None, revision=None, stamped_ms=None,):
+    def __init__(self, command_id=None, digest=None, outcome=None, reason=None, revision=None, stamped_ms=None, cause=    0,):
         self.command_id = command_id
         self.digest = digest
         self.outcome = outcome
         self.reason = reason
         self.revision = revision
         self.stamped_ms = stamped_ms
+        self.cause = cause
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3546,6 +4120,11 @@
                     self.stamped_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.cause = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3580,6 +4159,10 @@
             oprot.writeFieldBegin('stamped_ms', TType.I64, 6)
             oprot.writeI64(self.stamped_ms)
             oprot.writeFieldEnd()
+        if self.cause is not None:
+            oprot.writeFieldBegin('cause', TType.I32, 7)
+            oprot.writeI32(self.cause)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3613,6 +4196,7 @@
      - items
      - moves
      - commands
+     - document
 
     """
 
@@ -3622,15 +4206,17 @@
         'items',
         'moves',
         'commands',
+        'document',
     )
 
 
-    def __init__(self, revision=None, clock_ms=None, items=None, moves=None, commands=None,):
+    def __init__(self, revision=None, clock_ms=None, items=None, moves=None, commands=None, document=None,):
         self.revision = revision
         self.clock_ms = clock_ms
         self.items = items
         self.moves = moves
         self.commands = commands
+        self.document = document
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3654,36 +4240,42 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.items = []
-                    (_etype87, _size84) = iprot.readListBegin()
-                    for _i88 in range(_size84):
-                        _elem89 = Item()
-                        _elem89.read(iprot)
-                        self.items.append(_elem89)
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = Item()
+                        _elem96.read(iprot)
+                        self.items.append(_elem96)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.moves = []
-                    (_etype93, _size90) = iprot.readListBegin()
-                    for _i94 in range(_size90):
-                        _elem95 = MoveRecord()
-                        _elem95.read(iprot)
-                        self.moves.append(_elem95)
+                    (_etype100, _size97) = iprot.readListBegin()
+                    for _i101 in range(_size97):
+                        _elem102 = MoveRecord()
+                        _elem102.read(iprot)
+                        self.moves.append(_elem102)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.commands = []
-                    (_etype99, _size96) = iprot.readListBegin()
-                    for _i100 in range(_size96):
-                        _elem101 = PastCommand()
-                        _elem101.read(iprot)
-                        self.commands.append(_elem101)
+                    (_etype106, _size103) = iprot.readListBegin()
+                    for _i107 in range(_size103):
+                        _elem108 = PastCommand()
+                        _elem108.read(iprot)
+                        self.commands.append(_elem108)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRUCT:
+                    self.document = Document()
+                    self.document.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3705,24 +4297,28 @@
         if self.items is not None:
             oprot.writeFieldBegin('items', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.items))
-            for iter102 in self.items:
-                iter102.write(oprot)
+            for iter109 in self.items:
+                iter109.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.moves is not None:
             oprot.writeFieldBegin('moves', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.moves))
-            for iter103 in self.moves:
-                iter103.write(oprot)
+            for iter110 in self.moves:
+                iter110.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.commands is not None:
             oprot.writeFieldBegin('commands', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.commands))
-            for iter104 in self.commands:
-                iter104.write(oprot)
+            for iter111 in self.commands:
+                iter111.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.document is not None:
+            oprot.writeFieldBegin('document', TType.STRUCT, 6)
+            self.document.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3805,10 +4401,10 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.resources = []
-                    (_etype108, _size105) = iprot.readListBegin()
-                    for _i109 in range(_size105):
-                        _elem110 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.resources.append(_elem110)
+                    (_etype115, _size112) = iprot.readListBegin()
+                    for _i116 in range(_size112):
+                        _elem117 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.resources.append(_elem117)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3847,8 +4443,8 @@
         if self.resources is not None:
             oprot.writeFieldBegin('resources', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.resources))
-            for iter111 in self.resources:
-                oprot.writeString(iter111.encode('utf-8') if sys.version_info[0] == 2 else iter111)
+            for iter118 in self.resources:
+                oprot.writeString(iter118.encode('utf-8') if sys.version_info[0] == 2 else iter118)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.slots is not None:
@@ -3967,11 +4563,11 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.targets = []
-                    (_etype115, _size112) = iprot.readListBegin()
-                    for _i116 in range(_size112):
-                        _elem117 = TargetRecord()
-                        _elem117.read(iprot)
-                        self.targets.append(_elem117)
+                    (_etype122, _size119) = iprot.readListBegin()
+                    for _i123 in range(_size119):
+                        _elem124 = TargetRecord()
+                        _elem124.read(iprot)
+                        self.targets.append(_elem124)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4016,8 +4612,8 @@
         if self.targets is not None:
             oprot.writeFieldBegin('targets', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.targets))
-            for iter118 in self.targets:
-                iter118.write(oprot)
+            for iter125 in self.targets:
+                iter125.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4278,6 +4874,187 @@
         return not (self == other)
 
 
+class ControlHost(object):
+    """
+    Attributes:
+     - name
+     - address
+     - domain
+
+    """
+
+    __slots__ = (
+        'name',
+        'address',
+        'domain',
+    )
+
+
+    def __init__(self, name=None, address=None, domain=None,):
+        self.name = name
+        self.address = address
+        self.domain = domain
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ControlHost')
+        if self.name is not None:
+            oprot.writeFieldBegin('name', TType.STRING, 1)
+            oprot.writeString(self.name.encode('utf-8') if sys.version_info[0] == 2 else self.name)
+            oprot.writeFieldEnd()
+        if self.address is not None:
+            oprot.writeFieldBegin('address', TType.STRING, 2)
+            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
+            oprot.writeFieldEnd()
+        if self.domain is not None:
+            oprot.writeFieldBegin('domain', TType.STRING, 3)
+            oprot.writeString(self.domain.encode('utf-8') if sys.version_info[0] == 2 else self.domain)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ControlHosts(object):
+    """
+    Attributes:
+     - number
+     - hosts
+
+    """
+
+    __slots__ = (
+        'number',
+        'hosts',
+    )
+
+
+    def __init__(self, number=None, hosts=None,):
+        self.number = number
+        self.hosts = hosts
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.hosts = []
+                    (_etype129, _size126) = iprot.readListBegin()
+                    for _i130 in range(_size126):
+                        _elem131 = ControlHost()
+                        _elem131.read(iprot)
+                        self.hosts.append(_elem131)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ControlHosts')
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 1)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.hosts is not None:
+            oprot.writeFieldBegin('hosts', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.hosts))
+            for iter132 in self.hosts:
+                iter132.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Report(object):
     """
     Attributes:
@@ -4513,11 +5290,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.reports = []
-                    (_etype122, _size119) = iprot.readListBegin()
-                    for _i123 in range(_size119):
-                        _elem124 = Report()
-                        _elem124.read(iprot)
-                        self.reports.append(_elem124)
+                    (_etype136, _size133) = iprot.readListBegin()
+                    for _i137 in range(_size133):
+                        _elem138 = Report()
+                        _elem138.read(iprot)
+                        self.reports.append(_elem138)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4534,8 +5311,8 @@
         if self.reports is not None:
             oprot.writeFieldBegin('reports', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.reports))
-            for iter125 in self.reports:
-                iter125.write(oprot)
+            for iter139 in self.reports:
+                iter139.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4590,11 +5367,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.records = []
-                    (_etype129, _size126) = iprot.readListBegin()
-                    for _i130 in range(_size126):
-                        _elem131 = HostRecord()
-                        _elem131.read(iprot)
-                        self.records.append(_elem131)
+                    (_etype143, _size140) = iprot.readListBegin()
+                    for _i144 in range(_size140):
+                        _elem145 = HostRecord()
+                        _elem145.read(iprot)
+                        self.records.append(_elem145)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4611,8 +5388,8 @@
         if self.records is not None:
             oprot.writeFieldBegin('records', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.records))
-            for iter132 in self.records:
-                iter132.write(oprot)
+            for iter146 in self.records:
+                iter146.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4777,11 +5554,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.versions = []
-                    (_etype136, _size133) = iprot.readListBegin()
-                    for _i137 in range(_size133):
-                        _elem138 = RecordVersion()
-                        _elem138.read(iprot)
-                        self.versions.append(_elem138)
+                    (_etype150, _size147) = iprot.readListBegin()
+                    for _i151 in range(_size147):
+                        _elem152 = RecordVersion()
+                        _elem152.read(iprot)
+                        self.versions.append(_elem152)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4808,8 +5585,8 @@
         if self.versions is not None:
             oprot.writeFieldBegin('versions', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.versions))
-            for iter139 in self.versions:
-                iter139.write(oprot)
+            for iter153 in self.versions:
+                iter153.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reply_wanted is not None:
@@ -5256,11 +6033,11 @@
             elif fid == 6:
                 if ftype == TType.MAP:
                     self.latencies = {}
-                    (_ktype141, _vtype142, _size140) = iprot.readMapBegin()
-                    for _i144 in range(_size140):
-                        _key145 = iprot.readI16()
-                        _val146 = iprot.readI32()
-                        self.latencies[_key145] = _val146
+                    (_ktype155, _vtype156, _size154) = iprot.readMapBegin()
+                    for _i158 in range(_size154):
+                        _key159 = iprot.readI16()
+                        _val160 = iprot.readI32()
+                        self.latencies[_key159] = _val160
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -5297,9 +6074,9 @@
         if self.latencies is not None:
             oprot.writeFieldBegin('latencies', TType.MAP, 6)
             oprot.writeMapBegin(TType.I16, TType.I32, len(self.latencies))
-            for kiter147, viter148 in self.latencies.items():
-                oprot.writeI16(kiter147)
-                oprot.writeI32(viter148)
+            for kiter161, viter162 in self.latencies.items():
+                oprot.writeI16(kiter161)
+                oprot.writeI32(viter162)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5389,11 +6166,11 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.tallies = []
-                    (_etype152, _size149) = iprot.readListBegin()
-                    for _i153 in range(_size149):
-                        _elem154 = Tally()
-                        _elem154.read(iprot)
-                        self.tallies.append(_elem154)
+                    (_etype166, _size163) = iprot.readListBegin()
+                    for _i167 in range(_size163):
+                        _elem168 = Tally()
+                        _elem168.read(iprot)
+                        self.tallies.append(_elem168)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5431,8 +6208,8 @@
         if self.tallies is not None:
             oprot.writeFieldBegin('tallies', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.tallies))
-            for iter155 in self.tallies:
-                iter155.write(oprot)
+            for iter169 in self.tallies:
+                iter169.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.halted is not None:
@@ -5479,6 +6256,8 @@
      - fingerprint
      - version
      - retried
+     - priority
+     - caller_id
 
     """
 
@@ -5495,10 +6274,12 @@
         'fingerprint',
         'version',
         'retried',
+        'priority',
+        'caller_id',
     )
 
 
-    def __init__(self, request_id=None, route=None, method=None, path=None, headers=None, body=None, deadline_ms=None, target=None, crashes=0, fingerprint=None, version=None, retried=False,):
+    def __init__(self, request_id=None, route=None, method=None, path=None, headers=None, body=None, deadline_ms=None, target=None, crashes=0, fingerprint=None, version=None, retried=False, priority=0, caller_id="",):
         self.request_id = request_id
         self.route = route
         self.method = method
@@ -5511,6 +6292,8 @@
         self.fingerprint = fingerprint
         self.version = version
         self.retried = retried
+        self.priority = priority
+        self.caller_id = caller_id
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -5581,6 +6364,16 @@
                     self.retried = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.I32:
+                    self.priority = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.STRING:
+                    self.caller_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -5639,6 +6432,14 @@
             oprot.writeFieldBegin('retried', TType.BOOL, 12)
             oprot.writeBool(self.retried)
             oprot.writeFieldEnd()
+        if self.priority is not None:
+            oprot.writeFieldBegin('priority', TType.I32, 13)
+            oprot.writeI32(self.priority)
+            oprot.writeFieldEnd()
+        if self.caller_id is not None:
+            oprot.writeFieldBegin('caller_id', TType.STRING, 14)
+            oprot.writeString(self.caller_id.encode('utf-8') if sys.version_info[0] == 2 else self.caller_id)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5677,6 +6478,8 @@
      - service_us
      - crashed
      - sole
+     - shed
+     - unusable
 
     """
 
@@ -5691,10 +6494,12 @@
         'service_us',
         'crashed',
         'sole',
+        'shed',
+        'unusable',
     )
 
 
-    def __init__(self, request_id=None, status=None, reason=None, headers=None, body=None, ran=None, retry_after_ms=0, service_us=0, crashed=False, sole=False,):
+    def __init__(self, request_id=None, status=None, reason=None, headers=None, body=None, ran=None, retry_after_ms=0, service_us=0, crashed=False, sole=False, shed=False, unusable=False,):
         self.request_id = request_id
         self.status = status
         self.reason = reason
@@ -5705,6 +6510,8 @@
         self.service_us = service_us
         self.crashed = crashed
         self.sole = sole
+        self.shed = shed
+        self.unusable = unusable
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -5765,6 +6572,16 @@
                     self.sole = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.BOOL:
+                    self.shed = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.BOOL:
+                    self.unusable = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -5815,6 +6632,14 @@
             oprot.writeFieldBegin('sole', TType.BOOL, 10)
             oprot.writeBool(self.sole)
             oprot.writeFieldEnd()
+        if self.shed is not None:
+            oprot.writeFieldBegin('shed', TType.BOOL, 11)
+            oprot.writeBool(self.shed)
+            oprot.writeFieldEnd()
+        if self.unusable is not None:
+            oprot.writeFieldBegin('unusable', TType.BOOL, 12)
+            oprot.writeBool(self.unusable)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -6085,10 +6910,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.fingerprints = []
-                    (_etype159, _size156) = iprot.readListBegin()
-                    for _i160 in range(_size156):
-                        _elem161 = iprot.readI64()
-                        self.fingerprints.append(_elem161)
+                    (_etype173, _size170) = iprot.readListBegin()
+                    for _i174 in range(_size170):
+                        _elem175 = iprot.readI64()
+                        self.fingerprints.append(_elem175)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -6119,8 +6944,8 @@
         if self.fingerprints is not None:
             oprot.writeFieldBegin('fingerprints', TType.LIST, 2)
             oprot.writeListBegin(TType.I64, len(self.fingerprints))
-            for iter162 in self.fingerprints:
-                oprot.writeI64(iter162)
+            for iter176 in self.fingerprints:
+                oprot.writeI64(iter176)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.age_ms is not None:
@@ -6213,10 +7038,10 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.keepers = []
-                    (_etype166, _size163) = iprot.readListBegin()
-                    for _i167 in range(_size163):
-                        _elem168 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.keepers.append(_elem168)
+                    (_etype180, _size177) = iprot.readListBegin()
+                    for _i181 in range(_size177):
+                        _elem182 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.keepers.append(_elem182)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -6255,8 +7080,8 @@
         if self.keepers is not None:
             oprot.writeFieldBegin('keepers', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.keepers))
-            for iter169 in self.keepers:
-                oprot.writeString(iter169.encode('utf-8') if sys.version_info[0] == 2 else iter169)
+            for iter183 in self.keepers:
+                oprot.writeString(iter183.encode('utf-8') if sys.version_info[0] == 2 else iter183)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.service_name is not None:
@@ -6805,11 +7630,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype173, _size170) = iprot.readListBegin()
-                    for _i174 in range(_size170):
-                        _elem175 = LedgerEntry()
-                        _elem175.read(iprot)
-                        self.entries.append(_elem175)
+                    (_etype187, _size184) = iprot.readListBegin()
+                    for _i188 in range(_size184):
+                        _elem189 = LedgerEntry()
+                        _elem189.read(iprot)
+                        self.entries.append(_elem189)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -6835,8 +7660,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter176 in self.entries:
-                iter176.write(oprot)
+            for iter190 in self.entries:
+                iter190.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.complete is not None:
@@ -6873,6 +7698,14 @@
     (2, TType.LIST, 'resources', (TType.STRING, 'UTF8', False), None, ),  # 2
     (3, TType.STRING, 'version', 'UTF8', None, ),  # 3
     (4, TType.DOUBLE, 'retry_budget', None, 0.2000000000000000, ),  # 4
+    (5, TType.STRING, 'health_path', 'UTF8', "", ),  # 5
+    (6, TType.I32, 'max_connections', None, 0, ),  # 6
+)
+all_structs.append(Backend)
+Backend.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.DOUBLE, 'weight', None, None, ),  # 2
 )
 all_structs.append(Route)
 Route.thrift_spec = (
@@ -6886,6 +7719,18 @@
     (7, TType.STRING, 'tenant', 'UTF8', None, ),  # 7
     (8, TType.I32, 'timeout_ms', None, None, ),  # 8
     (9, TType.I32, 'repeat', None, None, ),  # 9
+    (10, TType.LIST, 'backends', (TType.STRUCT, [Backend, None], False), None, ),  # 10
+    (11, TType.I32, 'priority', None, 0, ),  # 11
+    (12, TType.I32, 'max_attempts', None, 3, ),  # 12
+    (13, TType.I32, 'latency_aim_ms', None, 0, ),  # 13
+)
+all_structs.append(CallerLimits)
+CallerLimits.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'max_head_bytes', None, 0, ),  # 1
+    (2, TType.I64, 'max_body_bytes', None, 0, ),  # 2
+    (3, TType.I32, 'head_timeout_ms', None, 0, ),  # 3
+    (4, TType.I32, 'idle_timeout_ms', None, 0, ),  # 4
 )
 all_structs.append(VersionShare)
 VersionShare.thrift_spec = (
@@ -7008,12 +7853,27 @@
     (2, TType.STRING, 'name', 'UTF8', None, ),  # 2
     (3, TType.STRING, 'address', 'UTF8', None, ),  # 3
 )
+all_structs.append(AdoptVersion)
+AdoptVersion.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'version', 'UTF8', None, ),  # 2
+)
+all_structs.append(Document)
+Document.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'number', None, None, ),  # 1
+    (2, TType.I64, 'base', None, None, ),  # 2
+    (3, TType.STRING, 'text', 'BINARY', None, ),  # 3
+)
 all_structs.append(ApplyConfiguration)
 ApplyConfiguration.thrift_spec = (
     None,  # 0
     (1, TType.LIST, 'services', (TType.STRUCT, [Service, None], False), None, ),  # 1
     (2, TType.LIST, 'routes', (TType.STRUCT, [Route, None], False), None, ),  # 2
     (3, TType.I64, 'expected_revision', None, 0, ),  # 3
+    (4, TType.STRUCT, 'limits', [CallerLimits, None], None, ),  # 4
+    (5, TType.STRUCT, 'document', [Document, None], None, ),  # 5
 )
 all_structs.append(StartMove)
 StartMove.thrift_spec = (
@@ -7024,6 +7884,7 @@
     (4, TType.I64, 'deadline_ms', None, None, ),  # 4
     (5, TType.I32, 'risk_permille', None, None, ),  # 5
     (6, TType.I64, 'watch_ms', None, None, ),  # 6
+    (7, TType.I64, 'duration_ms', None, 0, ),  # 7
 )
 all_structs.append(StepMove)
 StepMove.thrift_spec = (
@@ -7070,6 +7931,7 @@
     (4, TType.BYTE, 'kind', None, None, ),  # 4
     (5, TType.STRING, 'body', 'BINARY', None, ),  # 5
     (6, TType.I64, 'stamped_ms', None, 0, ),  # 6
+    (7, TType.BOOL, 'content_id', None, False, ),  # 7
 )
 all_structs.append(CommandRequest)
 CommandRequest.thrift_spec = (
@@ -7085,6 +7947,7 @@
     (3, TType.STRING, 'reason', 'UTF8', None, ),  # 3
     (4, TType.I64, 'revision', None, None, ),  # 4
     (5, TType.I32, 'retry_after_ms', None, 0, ),  # 5
+    (6, TType.I32, 'cause', None,     0, ),  # 6
 )
 all_structs.append(Query)
 Query.thrift_spec = (
@@ -7092,6 +7955,8 @@
     (1, TType.STRING, 'query_id', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'line', 'UTF8', None, ),  # 2
     (3, TType.I32, 'hops', None, 0, ),  # 3
+    (4, TType.I32, 'kind', None,     0, ),  # 4
+    (5, TType.STRING, 'subject', 'UTF8', "", ),  # 5
 )
 all_structs.append(QueryReply)
 QueryReply.thrift_spec = (
@@ -7099,6 +7964,7 @@
     (1, TType.STRING, 'query_id', 'UTF8', None, ),  # 1
     (2, TType.BOOL, 'ok', None, None, ),  # 2
     (3, TType.STRING, 'body', 'UTF8', None, ),  # 3
+    (4, TType.BOOL, 'confirmed', None, False, ),  # 4
 )
 all_structs.append(MoveRecord)
 MoveRecord.thrift_spec = (
@@ -7127,6 +7993,7 @@
     (4, TType.STRING, 'reason', 'UTF8', None, ),  # 4
     (5, TType.I64, 'revision', None, None, ),  # 5
     (6, TType.I64, 'stamped_ms', None, None, ),  # 6
+    (7, TType.I32, 'cause', None,     0, ),  # 7
 )
 all_structs.append(AgreedState)
 AgreedState.thrift_spec = (
@@ -7136,6 +8003,7 @@
     (3, TType.LIST, 'items', (TType.STRUCT, [Item, None], False), None, ),  # 3
     (4, TType.LIST, 'moves', (TType.STRUCT, [MoveRecord, None], False), None, ),  # 4
     (5, TType.LIST, 'commands', (TType.STRUCT, [PastCommand, None], False), None, ),  # 5
+    (6, TType.STRUCT, 'document', [Document, None], None, ),  # 6
 )
 all_structs.append(TargetRecord)
 TargetRecord.thrift_spec = (
@@ -7177,6 +8045,19 @@
     (2, TType.BOOL, 'accepted', None, None, ),  # 2
     (3, TType.I32, 'retry_after_ms', None, None, ),  # 3
 )
+all_structs.append(ControlHost)
+ControlHost.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'name', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'address', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'domain', 'UTF8', None, ),  # 3
+)
+all_structs.append(ControlHosts)
+ControlHosts.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'number', None, None, ),  # 1
+    (2, TType.LIST, 'hosts', (TType.STRUCT, [ControlHost, None], False), None, ),  # 2
+)
 all_structs.append(Report)
 Report.thrift_spec = (
     None,  # 0
@@ -7279,6 +8160,8 @@
     (10, TType.I64, 'fingerprint', None, None, ),  # 10
     (11, TType.STRING, 'version', 'UTF8', None, ),  # 11
     (12, TType.BOOL, 'retried', None, False, ),  # 12
+    (13, TType.I32, 'priority', None, 0, ),  # 13
+    (14, TType.STRING, 'caller_id', 'UTF8', "", ),  # 14
 )
 all_structs.append(Answer)
 Answer.thrift_spec = (
@@ -7293,6 +8176,8 @@
     (8, TType.I32, 'service_us', None, 0, ),  # 8
     (9, TType.BOOL, 'crashed', None, False, ),  # 9
     (10, TType.BOOL, 'sole', None, False, ),  # 10
+    (11, TType.BOOL, 'shed', None, False, ),  # 11
+    (12, TType.BOOL, 'unusable', None, False, ),  # 12
 )
 all_structs.append(Cancel)
 Cancel.thrift_spec = (
--- a/libs/wire/trefoil.thrift
+++ b/libs/wire/trefoil.thrift
@@ -11,13 +11,20 @@
 
 enum Repeat { ANY = 1, ONCE = 2 }
 
+/* An empty version stands for every version that no other share names. */
 struct Service {
   1: string name,
   2: list<string> resources,
   3: string version,
   4: double retry_budget = 0.2,
+  5: string health_path = "",
+  6: i32 max_connections = 0,
 }
 
+/* A part of a route's requests, by weight. */
+struct Backend { 1: string service_name, 2: double weight }
+
+/* Without backends, all requests go to service_name. */
 struct Route {
   1: string name,
   2: string host,
@@ -28,6 +35,18 @@
   7: string tenant,
   8: i32 timeout_ms,
   9: Repeat repeat,
+  10: list<Backend> backends,
+  11: i32 priority = 0,
+  12: i32 max_attempts = 3,
+  13: i32 latency_aim_ms = 0,
+}
+
+/* What callers may send; 0 keeps the process's own default. */
+struct CallerLimits {
+  1: i32 max_head_bytes = 0,
+  2: i64 max_body_bytes = 0,
+  3: i32 head_timeout_ms = 0,
+  4: i32 idle_timeout_ms = 0,
 }
 
 struct VersionShare { 1: string version, 2: i32 permille }
@@ -84,18 +103,29 @@
 struct HardState { 1: i64 term, 2: string voted_for, 3: string identity }
 struct ChangeVoters { 1: list<string> voters, 2: list<string> learners }
 struct JoinRequest { 1: string identity, 2: string name, 3: string address }
+struct AdoptVersion { 1: string service_name, 2: string version }
 
 /* ---- operators' commands, agreed through the log ---- */
 
+/* Why a command was not run. */
+enum Cause { OTHER = 0, CONFLICT = 1, INVALID = 2 }
 enum Outcome { DONE = 1, TAKEN_BACK = 2, NOT_RUN = 3, PENDING = 4, EXPIRED = 5 }
 
+/* The document that the configuration was made from, as its writer sent it.
+   Its number is the writer's own; each must be above the one before. */
+struct Document { 1: i64 number, 2: i64 base, 3: binary text }
 struct ApplyConfiguration {
   1: list<Service> services, 2: list<Route> routes,
   3: i64 expected_revision = 0,
+  4: CallerLimits limits,
+  5: Document document,
 }
+/* An empty from_version is whichever version is in force. With a duration
+   the deadline is that long after the move was agreed. */
 struct StartMove {
   1: string service_name, 2: string from_version, 3: string to_version,
   4: i64 deadline_ms, 5: i32 risk_permille, 6: i64 watch_ms,
+  7: i64 duration_ms = 0,
 }
 struct StepMove {
   1: string move_id, 2: i32 permille, 3: string phase, 4: string reason,
@@ -106,6 +136,8 @@
 struct CancelCommand { 1: string cancelled_id }
 struct Noop { 1: i64 term }
 
+/* The id of a command with content_id is made from its content: sent again,
+   also by another process at another time, it is the same command. */
 struct Command {
   1: string command_id,
   2: string operator_name,
@@ -113,14 +145,23 @@
   4: i8 kind,
   5: binary body,
   6: i64 stamped_ms = 0,
+  7: bool content_id = false,
 }
 struct CommandRequest { 1: Command command, 2: i32 hops = 0 }
 struct CommandReply {
   1: string command_id, 2: Outcome outcome, 3: string reason,
-  4: i64 revision, 5: i32 retry_after_ms = 0,
+  4: i64 revision, 5: i32 retry_after_ms = 0, 6: Cause cause = 0,
+}
+/* A query is a line of the operators' language or, from a machine, a kind
+   and what it asks about. */
+enum QueryKind { LINE = 0, DOCUMENT = 1, MOVE = 2 }
+struct Query {
+  1: string query_id, 2: string line, 3: i32 hops = 0,
+  4: QueryKind kind = 0, 5: string subject = "",
+}
+struct QueryReply {
+  1: string query_id, 2: bool ok, 3: string body, 4: bool confirmed = false,
 }
-struct Query { 1: string query_id, 2: string line, 3: i32 hops = 0 }
-struct QueryReply { 1: string query_id, 2: bool ok, 3: string body }
 
 struct MoveRecord {
   1: string move_id, 2: string service_name, 3: string from_version,
@@ -131,11 +172,12 @@
 }
 struct PastCommand {
   1: string command_id, 2: i64 digest, 3: Outcome outcome, 4: string reason,
-  5: i64 revision, 6: i64 stamped_ms,
+  5: i64 revision, 6: i64 stamped_ms, 7: Cause cause = 0,
 }
 struct AgreedState {
   1: i64 revision, 2: i64 clock_ms, 3: list<Item> items,
   4: list<MoveRecord> moves, 5: list<PastCommand> commands,
+  6: Document document,
 }
 
 /* ---- fleet: membership, records, distribution ---- */
@@ -159,6 +201,10 @@
 struct HelloReply {
   1: Hello hello, 2: bool accepted, 3: i32 retry_after_ms,
 }
+/* The control hosts as the agreement knows them; the greater number is the
+   newer list. */
+struct ControlHost { 1: string name, 2: string address, 3: string domain }
+struct ControlHosts { 1: i64 number, 2: list<ControlHost> hosts }
 struct Report {
   1: string host, 2: i64 incarnation, 3: i64 revision, 4: string rejected,
   5: i32 age_ms,
@@ -196,12 +242,15 @@
   1: i64 request_id, 2: string route, 3: string method, 4: string path,
   5: binary headers, 6: binary body, 7: i32 deadline_ms, 8: string target,
   9: i32 crashes = 0, 10: i64 fingerprint, 11: string version,
-  12: bool retried = false,
+  12: bool retried = false, 13: i32 priority = 0, 14: string caller_id = "",
 }
+/* ran: it may have run. shed: the target itself refused it. unusable: what
+   came from the target can't be given to a caller. */
 struct Answer {
   1: i64 request_id, 2: i32 status, 3: string reason, 4: binary headers,
   5: binary body, 6: bool ran, 7: i32 retry_after_ms = 0,
   8: i32 service_us = 0, 9: bool crashed = false, 10: bool sole = false,
+  11: bool shed = false, 12: bool unusable = false,
 }
 struct Cancel { 1: i64 request_id }
 struct Ping { 1: i64 nonce }
