Keep bad versions' exposure within seconds

Cause: a service without a named version gave targets of any version traffic, and moves of 16 s took the steps of long ones; a leader sent a frozen follower everything it lacked with each heartbeat, so that it died of memory when it woke. Change: the first announced version is agreed as the one in force; moves under a minute take three steps; entries are sent once within a window.

--- a/libs/daemon/src/trefoil_daemon/control_process.py
+++ b/libs/daemon/src/trefoil_daemon/control_process.py
@@ -315,6 +315,19 @@
         self.perform(effects)
         return index
 
+    def _propose_own(self, body: typing.Any) -> int:
+        """Append a decision of this leader; return its entry's index."""
+        kind, data = frames.pack_any(body)
+        return self._propose(
+            messages.Command(
+                command_id="",
+                operator_name=self.settings.host,
+                issued_ms=self.clock.wall_ms(),
+                kind=kind,
+                body=data,
+            )
+        )
+
     def _answer_waiters(self, command_id: str) -> None:
         for waiter in self.commands.take(command_id):
             past = self.state.answer(waiter.request)
@@ -488,6 +501,36 @@
         for move in self.state.running_moves():
             if self.proposed.get(move.move_id, 0) <= self.raft.applied:
                 self._decide_move(move, now_ms)
+        for shares in self.state.items.all(item_store.SHARES):
+            if not states.version_in_force(shares) and not shares.move_id:
+                self._adopt_version(shares.service_name)
+
+    def _adopt_version(self, service: str) -> None:
+        """Agree on the version that a service's targets announce.
+
+        Only where the configuration names none: what is announced first is
+        in force, and later versions come by moves.
+        """
+        if self.proposed.get(service, 0) > self.raft.applied:
+            return
+        slots: dict[str, int] = {}
+        for record in self.node.members.records.present():
+            for target in record.targets or ():
+                if target.service_name == service:
+                    version = target.version
+                    slots[version] = slots.get(version, 0) + target.slots
+        if not slots:
+            return
+        version = max(sorted(slots), key=slots.__getitem__)
+        self.proposed[service] = self._propose_own(
+            messages.AdoptVersion(service_name=service, version=version)
+        )
+        self.carrier.note(
+            common.Note(
+                "version.adopted",
+                {"service": service, "version": version, "slots": slots},
+            )
+        )
 
     def _decide_move(self, move: messages.MoveRecord, now_ms: int) -> None:
         conductor = self.conductors.get(move.move_id)
@@ -503,15 +546,7 @@
         body = _body_of(move, decision)
         if body is None:
             return
-        kind, data = frames.pack_any(body)
-        command = messages.Command(
-            command_id="",
-            operator_name=self.settings.host,
-            issued_ms=self.clock.wall_ms(),
-            kind=kind,
-            body=data,
-        )
-        self.proposed[move.move_id] = self._propose(command)
+        self.proposed[move.move_id] = self._propose_own(body)
         self.carrier.note(
             common.Note(
                 "move.decided",
--- a/libs/moves/src/trefoil_moves/conductor.py
+++ b/libs/moves/src/trefoil_moves/conductor.py
@@ -14,7 +14,6 @@
 from . import knobs as knob_store
 from . import phases
 
-WINDOW_MS = 1000
 EXPECTED_WINDOWS = 600
 COMPARE_WINDOWS = 40
 COMPARE_SHARES = (250, 800)
@@ -84,6 +83,7 @@
         now_ms: int,
     ) -> None:
         self.move_id = move.move_id
+        knobs = knobs.paced_for(move.deadline_ms - move.started_ms)
         self.knobs = knobs
         self.merger = evidences.Merger()
         self.judge = judges.Judge(
@@ -151,7 +151,7 @@
         return self._decide_ramp(move, capacity, now_ms, wall_ms)
 
     def _close_window(self, now_ms: int) -> None:
-        if now_ms < self.window_at_ms + WINDOW_MS:
+        if now_ms < self.window_at_ms + self.knobs.window_ms:
             return
         self.window_at_ms = now_ms
         verdict = self.judge.add(self.merger.take_window())
@@ -284,6 +284,8 @@
         now_ms: int,
     ) -> Decision:
         suspicion = self.judge.suspects()
+        if suspicion and not self.knobs.compares:
+            return End(messages.Outcome.TAKEN_BACK, suspicion)
         if suspicion and capacity.old_slots:
             why = f"{suspicion}; asking the old one"
             return Step(_compare_share(move), phases.COMPARE, why)
--- a/libs/moves/src/trefoil_moves/knobs.py
+++ b/libs/moves/src/trefoil_moves/knobs.py
@@ -5,6 +5,21 @@
 
 from trefoil_settings import settings as setting_store
 
+# A move below this can't take the steps of the longer ones: twelve steps of
+# 2.5 s and the watch.
+SHORT_MOVE_MS = 60_000
+# No step before the share at risk: at a few hundred requests a second a
+# smaller one shows a fault only after half of the move.
+SHORT_FIRST_PERMILLE = 100
+SHORT_GROWTH = 4.0
+SHORT_REQUESTS = 20
+# Three steps and the wait for the first targets fit into the span.
+SHORT_STEP_SHARE = 0.14
+SHORT_PACE = 0.4
+# Two looks a second; a verdict then trails its evidence by 0.25 s on
+# average.
+SHORT_WINDOW_MS = 500
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Knobs:
@@ -24,6 +39,9 @@
         compare_ms: How long both versions serve side by side when a fault
             shows after the whole share; up to three times as long while
             the evidence leans against the new one.
+        window_ms: How often evidence is looked at.
+        compares: Whether the old version is asked again when a fault shows
+            after the whole share; else the move is taken back.
     """
 
     false_alarms: float = 0.005
@@ -35,6 +53,8 @@
     pace: float = 0.5
     longest_pace_ms: int = 60_000
     compare_ms: int = 12_000
+    window_ms: int = 1000
+    compares: bool = True
 
     @classmethod
     def from_profile(cls, profile: str) -> typing.Self:
@@ -51,6 +71,26 @@
             return cls(requests_per_step=60, pace=0.6)
         return cls()
 
+    def paced_for(self, span_ms: int) -> "Knobs":
+        """Return the knobs for a move that lasts some time as a whole.
+
+        A move of seconds has no room for twelve small steps, nor for a
+        comparison after the whole share: it goes from the share at risk by
+        three steps, each as long as its evidence needs.
+        """
+        if span_ms >= SHORT_MOVE_MS:
+            return self
+        return dataclasses.replace(
+            self,
+            first_permille=SHORT_FIRST_PERMILLE,
+            step_growth=SHORT_GROWTH,
+            requests_per_step=SHORT_REQUESTS,
+            least_step_ms=int(span_ms * SHORT_STEP_SHARE),
+            pace=SHORT_PACE,
+            window_ms=SHORT_WINDOW_MS,
+            compares=False,
+        )
+
     @classmethod
     def from_settings(cls, settings: setting_store.ControlSettings) -> "Knobs":
         """Return a profile's knobs with those that are set apart."""
--- a/libs/quorum/src/trefoil_quorum/raft.py
+++ b/libs/quorum/src/trefoil_quorum/raft.py
@@ -21,6 +21,14 @@
 HEARTBEAT_MS = 150
 ELECTION_MS = 600
 BATCH_ENTRIES = 128
+# Well under the largest frame; a configuration of some hundred routes is
+# tens of kilobytes.
+BATCH_BYTES = 512 * 1024
+# Entries sent to a follower that it has not acknowledged yet.
+WINDOW_ENTRIES = 256
+# A follower that has been silent for longer gets no entries until it is
+# heard again.
+WINDOW_MS = 1000
 CATCH_UP_ENTRIES = 2
 # A frozen or cut-off host is back within seconds on most occasions; one
 # that stays away longer only raises the majority that the others must make.
@@ -50,6 +58,7 @@
     match_index: int = 0
     acked_round: int = 0
     acked_ms: int = 0
+    snapshot_again_ms: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -449,6 +458,9 @@
         previous = progress.next_index - 1
         previous_term = self.log.term_at(previous)
         if previous_term is None:
+            if self.now_ms < progress.snapshot_again_ms:
+                return
+            progress.snapshot_again_ms = self.now_ms + WINDOW_MS
             self.out.append(
                 common.Send(
                     peer,
@@ -465,12 +477,33 @@
             leader=self.identity,
             prev_index=previous,
             prev_term=previous_term,
-            entries=self.log.slice_from(progress.next_index, BATCH_ENTRIES),
+            entries=self._batch_for(progress),
             commit=self.commit,
             round=self.round,
         )
+        progress.next_index += len(request.entries)
         self.out.append(common.Send(peer, request))
 
+    def _batch_for(self, progress: Progress) -> list[messages.Entry]:
+        """Return the entries to send to a follower now.
+
+        What was sent is not sent again until the follower says that it is
+        missing, and one that is frozen or cut off gets none. With each
+        heartbeat the whole difference would else pile up on its way, and
+        the follower would run out of memory when it wakes.
+        """
+        waiting = progress.next_index - 1 - progress.match_index
+        silent = self.now_ms - progress.acked_ms >= WINDOW_MS
+        if waiting >= WINDOW_ENTRIES or (waiting > 0 and silent):
+            return []
+        found = self.log.slice_from(progress.next_index, BATCH_ENTRIES)
+        size = 0
+        for count, entry in enumerate(found):
+            size += len(entry.command)
+            if size > BATCH_BYTES and count:
+                return found[:count]
+        return found
+
     def on_append_reply(self, reply: messages.AppendReply) -> None:
         """Note how far a follower has come."""
         if reply.term > self.term:
@@ -481,16 +514,20 @@
             return
         self._note_ack(progress, reply.round)
         if not reply.success:
-            hint = min(progress.next_index - 1, reply.match_index + 1)
-            progress.next_index = max(hint, 1)
+            if reply.match_index >= progress.next_index - 1:
+                # An earlier refusal was answered already.
+                return
+            progress.next_index = max(reply.match_index + 1, 1)
             self._send_append(reply.follower)
             return
         grew = reply.match_index > progress.match_index
         progress.match_index = max(progress.match_index, reply.match_index)
-        progress.next_index = progress.match_index + 1
+        progress.next_index = max(
+            progress.next_index, progress.match_index + 1
+        )
         self._advance_commit()
         self._answer_reads()
-        if grew and progress.match_index < self.log.last_index:
+        if grew and progress.next_index <= self.log.last_index:
             self._send_append(reply.follower)
 
     def _note_ack(self, progress: Progress, at_round: int) -> None:
--- a/libs/requests/src/trefoil_requests/balancer.py
+++ b/libs/requests/src/trefoil_requests/balancer.py
@@ -9,6 +9,8 @@
 import dataclasses
 import random
 
+from trefoil_wire import messages
+
 from . import routing
 
 LATENCY_WEIGHT = 0.2
@@ -17,6 +19,8 @@
 LOST_PAUSE_MAX_MS = 10_000
 SLOW_START_MS = 5000
 MIN_START_WEIGHT = 0.1
+# Targets that tell of their warm-up take about twice as long in it.
+COLD_WEIGHT = 0.5
 NEAR_FULL = 0.9
 
 
@@ -117,6 +121,19 @@
         slots = max(endpoint.target.slots, 1)
         return self.view(endpoint.key).running / slots
 
+    def _warmth(
+        self,
+        endpoint: routing.Endpoint,
+        first_seen_ms: collections.abc.Mapping[str, int],
+        now_ms: int,
+    ) -> float:
+        """Return the part of its speed that a target is thought to have."""
+        if endpoint.target.tells_warmup:
+            cold = endpoint.target.state == messages.TargetState.COLD
+            return COLD_WEIGHT if cold else 1.0
+        age_ms = now_ms - first_seen_ms.get(endpoint.key, 0)
+        return max(min(age_ms / SLOW_START_MS, 1.0), MIN_START_WEIGHT)
+
     def _cost(
         self,
         endpoint: routing.Endpoint,
@@ -126,6 +143,5 @@
         """Return a target's expected wait, raised while it is cold."""
         seen = self.view(endpoint.key)
         slots = max(endpoint.target.slots, 1)
-        age_ms = now_ms - first_seen_ms.get(endpoint.key, 0)
-        warm = max(min(age_ms / SLOW_START_MS, 1.0), MIN_START_WEIGHT)
+        warm = self._warmth(endpoint, first_seen_ms, now_ms)
         return (seen.running + 1) / (slots * warm) * seen.latency_us
--- a/libs/requests/src/trefoil_requests/entry.py
+++ b/libs/requests/src/trefoil_requests/entry.py
@@ -497,6 +497,8 @@
     def _is_cold(self, endpoint: routing.Endpoint, now_ms: int) -> bool:
         if endpoint.target.state == messages.TargetState.COLD:
             return True
+        if endpoint.target.tells_warmup:
+            return False
         seen_ms = self.endpoints.first_seen_ms.get(endpoint.key, now_ms)
         return now_ms - seen_ms < balancers.SLOW_START_MS
 
--- a/libs/wire/src/trefoil_wire/gen/ttypes.py
+++ b/libs/wire/src/trefoil_wire/gen/ttypes.py
@@ -4353,6 +4353,7 @@
      - resources
      - slots
      - state
+     - tells_warmup
 
     """
 
@@ -4363,16 +4364,18 @@
         'resources',
         'slots',
         'state',
+        'tells_warmup',
     )
 
 
-    def __init__(self, name=None, service_name=None, version=None, resources=None, slots=None, state=None,):
+    def __init__(self, name=None, service_name=None, version=None, resources=None, slots=None, state=None, tells_warmup=False,):
         self.name = name
         self.service_name = service_name
         self.version = version
         self.resources = resources
         self.slots = slots
         self.state = state
+        self.tells_warmup = tells_warmup
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4418,6 +4421,11 @@
                     self.state = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.BOOL:
+                    self.tells_warmup = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4455,6 +4463,10 @@
             oprot.writeFieldBegin('state', TType.I32, 6)
             oprot.writeI32(self.state)
             oprot.writeFieldEnd()
+        if self.tells_warmup is not None:
+            oprot.writeFieldBegin('tells_warmup', TType.BOOL, 7)
+            oprot.writeBool(self.tells_warmup)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -8014,6 +8026,7 @@
     (4, TType.LIST, 'resources', (TType.STRING, 'UTF8', False), None, ),  # 4
     (5, TType.I32, 'slots', None, None, ),  # 5
     (6, TType.I32, 'state', None, None, ),  # 6
+    (7, TType.BOOL, 'tells_warmup', None, False, ),  # 7
 )
 all_structs.append(HostRecord)
 HostRecord.thrift_spec = (
--- a/libs/wire/trefoil.thrift
+++ b/libs/wire/trefoil.thrift
@@ -188,6 +188,7 @@
 struct TargetRecord {
   1: string name, 2: string service_name, 3: string version,
   4: list<string> resources, 5: i32 slots, 6: TargetState state,
+  7: bool tells_warmup = false,
 }
 struct HostRecord {
   1: string host, 2: string domain, 3: string region, 4: string address,
