Place by expected time, queue by what can still be in time

Cause: proxies kept to near targets that were full or slow, since each saw only its own requests there, and queues served everybody late after a burst. Change: targets' proxies tell their load with each answer; a call goes where it is expected to end first, is sent on from full targets twice and then waits; a queue serves what can meet its aim first, by rank.

--- a/libs/requests/src/trefoil_requests/admission.py
+++ b/libs/requests/src/trefoil_requests/admission.py
@@ -1,20 +1,50 @@
-"""Admission at a target's own proxy: free slots, then a short queue."""
+"""Admission at a target's own proxy: free slots, then a short queue.
+
+The load that this answers is a service short of slots for seconds: after a
+burst, a crash of targets, or with callers that try again at once. Served in
+order of arrival, every request then waits about as long as the queue is, and
+all of them are late. Served by what can still be in time, the same slots
+give as many answers, and most of them in time.
+"""
 
-import collections
 import dataclasses
 
 SERVICE_WEIGHT = 0.1
 FIRST_SERVICE_MS = 5.0
+# A queue of four times the slots is worked off in four service times; what
+# waits longer than that has mostly missed its aim.
 QUEUE_PER_SLOT = 4
 MIN_RETRY_MS = 20
 
 
 @dataclasses.dataclass(slots=True)
 class Waiting:
-    """A request in the queue."""
+    """A request in the queue.
+
+    Args:
+        request_id: Its id.
+        deadline_at_ms: When nobody waits for it any more.
+        aim_at_ms: When its answer is late for its route's aim.
+        priority: Its route's rank; 0 is the most urgent.
+    """
 
     request_id: int
     deadline_at_ms: int
+    aim_at_ms: int = 0
+    priority: int = 0
+
+    def rank(self, ready_at_ms: float) -> tuple[bool, int, int]:
+        """Return its place in the queue, the least first.
+
+        What can still meet its aim goes before what can't: a slot spent on
+        a late answer makes the next one late too.
+
+        Args:
+            ready_at_ms: When an answer would be ready that starts now.
+        """
+        late = ready_at_ms > self.aim_at_ms
+        by = self.deadline_at_ms if late else self.aim_at_ms
+        return late, self.priority, by
 
 
 @dataclasses.dataclass(slots=True)
@@ -24,12 +54,18 @@
 
 @dataclasses.dataclass(slots=True)
 class Queued:
-    """The request waits for a slot."""
+    """The request waits for a slot.
+
+    Args:
+        evicted: A less urgent request that had to make room, 0 for none.
+    """
+
+    evicted: int = 0
 
 
 @dataclasses.dataclass(slots=True)
 class Refused:
-    """The request cannot make its deadline here and did not run."""
+    """The request did not run here: it can't make it, or should not wait."""
 
     retry_after_ms: int
 
@@ -46,34 +82,77 @@
     def __init__(self, slots: int) -> None:
         self.slots = slots
         self.running = 0
-        self.queue: collections.deque[Waiting] = collections.deque()
+        self.queue: list[Waiting] = []
         self.service_ms = FIRST_SERVICE_MS
 
+    @property
+    def load(self) -> int:
+        """Return how many requests run or wait."""
+        return self.running + len(self.queue)
+
     @property
     def wait_ms(self) -> float:
-        """Return the expected wait of a request that comes now."""
+        """Return the expected wait of a request that comes last."""
         if self.running < self.slots:
             return 0.0
-        return (len(self.queue) + 1) * self.service_ms / max(self.slots, 1)
+        return self._wait_behind(len(self.queue))
+
+    def _wait_behind(self, count: int) -> float:
+        return (count + 1) * self.service_ms / max(self.slots, 1)
 
     def offer(
-        self, request_id: int, deadline_at_ms: int, now_ms: int
+        self,
+        request_id: int,
+        deadline_at_ms: int,
+        now_ms: int,
+        *,
+        aim_at_ms: int = 0,
+        priority: int = 0,
+        settled: bool = True,
     ) -> Admitted | Queued | Refused:
         """Decide on a request.
 
         One that would wait past its deadline is refused at once, so that
         its caller can go elsewhere while there is time, and so that no slot
         is spent on an answer that nobody waits for.
+
+        Args:
+            request_id: Its id.
+            deadline_at_ms: When nobody waits for it any more.
+            now_ms: The time on the runtime's clock.
+            aim_at_ms: When its answer is late; 0 for the deadline.
+            priority: Its route's rank.
+            settled: Whether it may wait here; else it is refused when no
+                slot is free, to be tried at a target that may be freer.
         """
         if self.running < self.slots:
             self.running += 1
             return Admitted()
-        finish_ms = now_ms + self.wait_ms + self.service_ms
-        full = len(self.queue) >= QUEUE_PER_SLOT * self.slots
-        if full or finish_ms > deadline_at_ms:
+        if not settled:
+            return Refused(MIN_RETRY_MS)
+        waiting = Waiting(
+            request_id, deadline_at_ms, aim_at_ms or deadline_at_ms, priority
+        )
+        ahead = sum(1 for w in self.queue if w.priority <= priority)
+        wait_ms = self._wait_behind(ahead)
+        if now_ms + wait_ms + self.service_ms > deadline_at_ms:
             return Refused(max(int(self.wait_ms), MIN_RETRY_MS))
-        self.queue.append(Waiting(request_id, deadline_at_ms))
-        return Queued()
+        evicted = 0
+        if len(self.queue) >= QUEUE_PER_SLOT * self.slots:
+            evicted = self._evict_for(waiting, now_ms)
+            if not evicted:
+                return Refused(max(int(self.wait_ms), MIN_RETRY_MS))
+        self.queue.append(waiting)
+        return Queued(evicted)
+
+    def _evict_for(self, waiting: Waiting, now_ms: int) -> int:
+        """Make room for an urgent request; 0 if none is less urgent."""
+        ready_at_ms = now_ms + self.service_ms
+        last = max(self.queue, key=lambda w: (w.priority, w.rank(ready_at_ms)))
+        if last.priority <= waiting.priority:
+            return 0
+        self.queue.remove(last)
+        return last.request_id
 
     def finished(self, took_ms: float | None = None) -> None:
         """Free a slot."""
@@ -81,12 +160,15 @@
         if took_ms is not None:
             self.service_ms += SERVICE_WEIGHT * (took_ms - self.service_ms)
 
-    def next_admitted(self) -> int | None:
+    def next_admitted(self, now_ms: int = 0) -> int | None:
         """Return the queued request that may run now, if any."""
         if self.running >= self.slots or not self.queue:
             return None
+        ready_at_ms = now_ms + self.service_ms
+        chosen = min(self.queue, key=lambda w: w.rank(ready_at_ms))
+        self.queue.remove(chosen)
         self.running += 1
-        return self.queue.popleft().request_id
+        return chosen.request_id
 
     def expired(self, now_ms: int) -> list[int]:
         """Take out the queued requests that can no longer make it."""
--- a/libs/requests/src/trefoil_requests/balancer.py
+++ b/libs/requests/src/trefoil_requests/balancer.py
@@ -13,7 +13,22 @@
 
 from . import routing
 
-LATENCY_WEIGHT = 0.2
+LATENCY_WEIGHT = 0.12
+# Before anything was seen; only its relation to the far penalty counts.
+FIRST_LATENCY_US = 20_000.0
+# A target not seen yet is thought a little better than the best, so that it
+# is tried; what runs there already holds the others back.
+NEWCOMER_FACTOR = 0.8
+# A hop to another failure domain and back, and bytes between domains that
+# are paid for: worth it once the near target takes this much longer.
+FAR_US = 3000.0
+FAR_SHARE = 0.1
+# Targets slow down as they fill.
+CROWDED_SHARE = 0.3
+# What a target told of its load says little after this.
+LOAD_FADES_MS = 2000
+MOST_COMPARED = 12
+JITTER = 0.05
 REFUSED_PAUSE_MS = 50
 LOST_PAUSE_MS = 1000
 LOST_PAUSE_MAX_MS = 10_000
@@ -21,17 +36,27 @@
 MIN_START_WEIGHT = 0.1
 # Targets that tell of their warm-up take about twice as long in it.
 COLD_WEIGHT = 0.5
-NEAR_FULL = 0.9
 
 
 @dataclasses.dataclass(slots=True)
 class Seen:
-    """What this proxy has seen of a target."""
+    """What this proxy has seen of a target.
+
+    Args:
+        running: Requests of this proxy that wait for its answer.
+        latency_us: Its usual time for an average request; 0 if unknown.
+        avoid_until_ms: Until when it gets nothing.
+        losses: Answers in a row that never came.
+        others: Requests of other proxies there, when it last told.
+        told_ms: When that was.
+    """
 
     running: int = 0
-    latency_us: float = 1000.0
+    latency_us: float = 0.0
     avoid_until_ms: int = 0
     losses: int = 0
+    others: int = 0
+    told_ms: int = 0
 
 
 class Balancer:
@@ -59,8 +84,9 @@
     ) -> routing.Endpoint | None:
         """Return the target for a request, None if none can take it.
 
-        The better of two at random (Mitzenmacher, 2001): always taking the
-        best would send every proxy's next request to the same target.
+        The one that is expected to answer first. Proxies hear of a target's
+        load with each answer, so that they neither pile up on the fastest
+        nor keep to a near one that is full.
         """
         fit = [
             endpoint
@@ -68,15 +94,30 @@
             if endpoint.key not in tried
             and self.view(endpoint.key).avoid_until_ms <= now_ms
         ]
+        if len(fit) > MOST_COMPARED:
+            fit = self._some(fit)
         if not fit:
             return None
+        usual_us = self._usual_us(fit)
+        return min(
+            fit,
+            key=lambda e: self._cost(e, usual_us, first_seen_ms, now_ms)
+            * self.rng.uniform(1 - JITTER, 1 + JITTER),
+        )
+
+    def _some(self, fit: list[routing.Endpoint]) -> list[routing.Endpoint]:
+        """Return the near targets and a few others, to bound the work."""
         near = [e for e in fit if e.domain == self.domain]
-        able = [e for e in near if self._load(e) < NEAR_FULL]
-        pool = able or fit
-        if len(pool) == 1:
-            return pool[0]
-        pair = self.rng.sample(pool, 2)
-        return min(pair, key=lambda e: self._cost(e, first_seen_ms, now_ms))
+        near = self.rng.sample(near, min(len(near), MOST_COMPARED // 2))
+        far = [e for e in fit if e.domain != self.domain]
+        room = min(len(far), MOST_COMPARED - len(near))
+        return near + self.rng.sample(far, room)
+
+    def _usual_us(self, fit: list[routing.Endpoint]) -> float:
+        """Return the latency to expect of a target not seen yet."""
+        known = [self.view(e.key).latency_us for e in fit]
+        known = [latency_us for latency_us in known if latency_us]
+        return min(known) * NEWCOMER_FACTOR if known else FIRST_LATENCY_US
 
     def view(self, key: str) -> Seen:
         """Return what was seen of a target."""
@@ -89,19 +130,40 @@
         """Note a request on its way to a target."""
         self.view(key).running += 1
 
-    def answered(self, key: str, latency_us: int) -> None:
-        """Note an answer."""
+    def answered(
+        self, key: str, latency_us: float, load: int = -1, now_ms: int = 0
+    ) -> None:
+        """Note an answer.
+
+        Args:
+            key: The target.
+            latency_us: Its time, as if for an average request.
+            load: Requests that run or wait there, -1 if not told.
+            now_ms: The time on the runtime's clock.
+        """
         seen = self.view(key)
         seen.running = max(seen.running - 1, 0)
         seen.losses = 0
+        if not seen.latency_us:
+            seen.latency_us = latency_us
         seen.latency_us += LATENCY_WEIGHT * (latency_us - seen.latency_us)
+        self._note_load(seen, load, now_ms)
 
-    def refused(self, key: str, now_ms: int, retry_after_ms: int) -> None:
+    def refused(
+        self, key: str, now_ms: int, retry_after_ms: int, load: int = -1
+    ) -> None:
         """Note a refusal: the target's proxy did not run the request."""
         seen = self.view(key)
         seen.running = max(seen.running - 1, 0)
-        pause = min(max(retry_after_ms, 1), REFUSED_PAUSE_MS)
-        seen.avoid_until_ms = now_ms + pause
+        if retry_after_ms:
+            pause = min(retry_after_ms, REFUSED_PAUSE_MS)
+            seen.avoid_until_ms = now_ms + pause
+        self._note_load(seen, load, now_ms)
+
+    def _note_load(self, seen: Seen, load: int, now_ms: int) -> None:
+        if load >= 0:
+            seen.others = max(load - seen.running, 0)
+            seen.told_ms = now_ms
 
     def lost(self, key: str, now_ms: int) -> None:
         """Note a request whose answer never came."""
@@ -117,10 +179,6 @@
             if key not in keys and not seen.running:
                 del self.seen[key]
 
-    def _load(self, endpoint: routing.Endpoint) -> float:
-        slots = max(endpoint.target.slots, 1)
-        return self.view(endpoint.key).running / slots
-
     def _warmth(
         self,
         endpoint: routing.Endpoint,
@@ -137,11 +195,21 @@
     def _cost(
         self,
         endpoint: routing.Endpoint,
+        usual_us: float,
         first_seen_ms: collections.abc.Mapping[str, int],
         now_ms: int,
     ) -> float:
-        """Return a target's expected wait, raised while it is cold."""
+        """Return when a target is expected to answer, in microseconds."""
         seen = self.view(endpoint.key)
         slots = max(endpoint.target.slots, 1)
-        warm = self._warmth(endpoint, first_seen_ms, now_ms)
-        return (seen.running + 1) / (slots * warm) * seen.latency_us
+        age_ms = min(now_ms - seen.told_ms, LOAD_FADES_MS)
+        others = seen.others * (1 - age_ms / LOAD_FADES_MS)
+        load = (seen.running + others) / slots
+        wait = max(load + 1 / slots - 1, 0.0)
+        service_us = seen.latency_us or usual_us
+        service_us /= self._warmth(endpoint, first_seen_ms, now_ms)
+        crowded = 1 + CROWDED_SHARE * min(load, 1.0) ** 2
+        cost_us = service_us * (crowded + wait)
+        if endpoint.domain != self.domain:
+            cost_us += FAR_US + FAR_SHARE * service_us
+        return cost_us
--- a/libs/requests/src/trefoil_requests/entry.py
+++ b/libs/requests/src/trefoil_requests/entry.py
@@ -21,6 +21,11 @@
 from . import quarantine as quarantines
 from . import routing
 
+# How many times a request is sent on from a full target before it waits at
+# the next. With two, a free slot among a dozen targets is found nearly
+# always; each costs a round trip between proxies.
+BOUNCES = 2
+MEAN_WEIGHT = 0.05
 # Refusals of targets' proxies cost no run and no retry budget, but each
 # costs its caller a round trip.
 MAX_PLACEMENTS = 5
@@ -39,6 +44,7 @@
     fingerprint: int
     started_us: int
     deadline_at_ms: int
+    aim_at_ms: int
     claim: messages.Claim | None = None
     service: str = ""
     version: str = ""
@@ -47,10 +53,12 @@
     sent_us: int = 0
     attempts: int = 0
     sends: int = 0
+    settled: bool = False
     crashes: int = 0
     may_have_run: bool = False
     retry_after_ms: int = 0
     tried: set[str] = dataclasses.field(default_factory=set)
+    bounced: set[str] = dataclasses.field(default_factory=set)
 
 
 class Entry:
@@ -72,6 +80,8 @@
         "quarantine",
         "rng",
         "reserve",
+        "route_means",
+        "service_means",
         "table",
         "endpoints",
         "balancer",
@@ -100,6 +110,8 @@
         self.quarantine = quarantine
         self.rng = rng
         self.reserve = budget.RESERVE
+        self.route_means: dict[str, float] = {}
+        self.service_means: dict[str, float] = {}
         self.table: routing.RouteTable | None = None
         self.endpoints = routing.Endpoints()
         self.balancer = balancers.Balancer(domain, rng)
@@ -160,6 +172,7 @@
             fingerprint=call.fingerprint(),
             started_us=now_us,
             deadline_at_ms=now_ms + timeout_ms,
+            aim_at_ms=now_ms + (route.latency_aim_ms or timeout_ms),
             service=routing.draw_service(route, self.rng),
         )
         self.live[call.call_id] = live
@@ -241,7 +254,7 @@
     def _attempt(self, live: Live, now_ms: int, now_us: int) -> None:
         """Send a call to a target, or answer that none can take it."""
         route = live.route
-        endpoint = self._choose(live, now_ms)
+        endpoint = self._choose_and_settle(live, now_ms)
         if endpoint is None:
             self._finish_no_target(live)
             return
@@ -269,12 +282,32 @@
             retried=live.call.retried or live.attempts > 1,
             priority=route.priority or 0,
             caller_id=live.call.caller_id,
+            aim_ms=max(live.aim_at_ms - now_ms, 1),
+            settled=live.settled,
         )
         self.out.append(
             effects.Forward(endpoint.host, endpoint.address, request)
         )
 
-    def _choose(self, live: Live, now_ms: int) -> routing.Endpoint | None:
+    def _choose_and_settle(
+        self, live: Live, now_ms: int
+    ) -> routing.Endpoint | None:
+        """Return a target, and settle whether a call may wait there.
+
+        A call is sent on from full targets a few times. Then it waits at
+        the one that looks best, full ones among them.
+        """
+        live.settled = len(live.bounced) >= BOUNCES
+        if not live.settled:
+            endpoint = self._choose(live, live.tried | live.bounced, now_ms)
+            if endpoint is not None:
+                return endpoint
+            live.settled = True
+        return self._choose(live, live.tried, now_ms)
+
+    def _choose(
+        self, live: Live, tried: set[str], now_ms: int
+    ) -> routing.Endpoint | None:
         """Return a target of the drawn version, else of another in force.
 
         The other versions are a fallback: a version whose targets are all
@@ -295,7 +328,7 @@
             endpoint = self.balancer.pick(
                 holding,
                 self.endpoints.first_seen_ms,
-                tried=live.tried,
+                tried=tried,
                 now_ms=now_ms,
             )
             if endpoint is not None:
@@ -334,7 +367,7 @@
         now_us: int,
     ) -> None:
         latency_us = now_us - live.sent_us
-        self.balancer.answered(live.endpoint.key, latency_us)
+        self._note_answered(live, answer, latency_us, now_ms)
         failed = answer.status >= FIRST_FAILED_STATUS
         self._observe(live, latency_us, failed, now_ms)
         if not failed:
@@ -359,6 +392,36 @@
             ),
         )
 
+    def _note_answered(
+        self,
+        live: Live,
+        answer: messages.Answer,
+        latency_us: int,
+        now_ms: int,
+    ) -> None:
+        """Tell the balancer how long an average request takes there.
+
+        Routes differ in their work several times over; compared as they
+        are, a target that got two long requests would look slow.
+        """
+        took_us = answer.service_us or latency_us
+        route_us = self._mean(self.route_means, live.route.name, took_us)
+        mean_us = self._mean(self.service_means, live.service, took_us)
+        self.balancer.answered(
+            live.endpoint.key,
+            took_us * mean_us / max(route_us, 1.0),
+            -1 if answer.load is None else answer.load,
+            now_ms,
+        )
+
+    def _mean(
+        self, means: dict[str, float], name: str, took_us: float
+    ) -> float:
+        mean = means.get(name, float(took_us))
+        mean += MEAN_WEIGHT * (took_us - mean)
+        means[name] = mean
+        return mean
+
     def _on_refused(
         self,
         live: Live,
@@ -367,7 +430,12 @@
         now_us: int,
     ) -> None:
         """Go elsewhere: the target's proxy says that it did not run."""
-        self.balancer.refused(live.endpoint.key, now_ms, answer.retry_after_ms)
+        load = -1 if answer.load is None else answer.load
+        wait_ms = 0 if answer.full else answer.retry_after_ms
+        self.balancer.refused(live.endpoint.key, now_ms, wait_ms, load)
+        if answer.full and not live.settled:
+            live.bounced.add(live.endpoint.key)
+            live.tried.discard(live.endpoint.key)
         live.retry_after_ms = max(live.retry_after_ms, answer.retry_after_ms)
         if answer.status == 422:
             self._finish_quarantined(live)
@@ -405,7 +473,7 @@
     ) -> None:
         """Ask again where that is safe: what came can't be passed on."""
         latency_us = now_us - live.sent_us
-        self.balancer.answered(live.endpoint.key, latency_us)
+        self._note_answered(live, answer, latency_us, now_ms)
         self._observe(live, latency_us, True, now_ms)
         live.may_have_run = True
         repeatable = live.route.repeat != messages.Repeat.ONCE
--- a/libs/requests/src/trefoil_requests/target_side.py
+++ b/libs/requests/src/trefoil_requests/target_side.py
@@ -174,16 +174,33 @@
     def _admit(self, entry: Running, now_ms: int) -> None:
         target = self.targets[entry.target]
         request_id = entry.request.request_id
-        decision = target.slots.offer(request_id, entry.deadline_at_ms, now_ms)
+        request = entry.request
+        decision = target.slots.offer(
+            request_id,
+            entry.deadline_at_ms,
+            now_ms,
+            aim_at_ms=now_ms + request.aim_ms if request.aim_ms else 0,
+            priority=request.priority or 0,
+            settled=bool(request.settled),
+        )
         match decision:
             case admission.Admitted():
                 self.running[request_id] = entry
                 self._dispatch(entry, now_ms)
             case admission.Queued():
                 self.running[request_id] = entry
+                if decision.evicted:
+                    self._refuse(
+                        self.running.pop(decision.evicted),
+                        "a more urgent request took its place",
+                        wait_ms=max(int(target.slots.wait_ms), 1),
+                    )
             case admission.Refused():
                 self._refuse(
-                    entry, "no slot in time", wait_ms=decision.retry_after_ms
+                    entry,
+                    "no slot in time",
+                    wait_ms=decision.retry_after_ms,
+                    full=True,
                 )
 
     def _dispatch(self, entry: Running, now_ms: int) -> None:
@@ -222,6 +239,7 @@
         answer.ran = not shed
         answer.shed = shed
         self._release(entry, now_ms, took=not shed)
+        answer.load = self._load_of(entry.target)
         self.out.append(effects.Reply(entry.origin, answer))
         return self._flush()
 
@@ -353,7 +371,7 @@
             return
         took_ms = now_ms - entry.dispatched_ms if took else None
         target.slots.finished(took_ms)
-        following = target.slots.next_admitted()
+        following = target.slots.next_admitted(now_ms)
         if following is not None:
             self._dispatch(self.running[following], now_ms)
         elif target.draining and not target.slots.running:
@@ -366,6 +384,7 @@
         *,
         status: int = 503,
         wait_ms: int = LEAVING_RETRY_MS,
+        full: bool = False,
     ) -> None:
         answer = messages.Answer(
             request_id=entry.request.request_id,
@@ -373,9 +392,15 @@
             reason=reason,
             ran=False,
             retry_after_ms=wait_ms,
+            load=self._load_of(entry.target),
+            full=full,
         )
         self.out.append(effects.Reply(entry.origin, answer))
 
+    def _load_of(self, name: str) -> int:
+        target = self.targets.get(name)
+        return target.slots.load if target is not None else -1
+
     def _remember(self, request_id: int) -> None:
         self.recent[request_id] = None
         if len(self.recent) > RECENT_REQUESTS:
--- a/libs/wire/src/trefoil_wire/gen/ttypes.py
+++ b/libs/wire/src/trefoil_wire/gen/ttypes.py
@@ -6270,6 +6270,8 @@
      - retried
      - priority
      - caller_id
+     - aim_ms
+     - settled
 
     """
 
@@ -6288,10 +6290,12 @@
         'retried',
         'priority',
         'caller_id',
+        'aim_ms',
+        'settled',
     )
 
 
-    def __init__(self, request_id=None, route=None, method=None, path=None, headers=None, body=None, deadline_ms=None, target=None, crashes=0, fingerprint=None, version=None, retried=False, priority=0, caller_id="",):
+    def __init__(self, request_id=None, route=None, method=None, path=None, headers=None, body=None, deadline_ms=None, target=None, crashes=0, fingerprint=None, version=None, retried=False, priority=0, caller_id="", aim_ms=0, settled=False,):
         self.request_id = request_id
         self.route = route
         self.method = method
@@ -6306,6 +6310,8 @@
         self.retried = retried
         self.priority = priority
         self.caller_id = caller_id
+        self.aim_ms = aim_ms
+        self.settled = settled
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -6386,6 +6392,16 @@
                     self.caller_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.I32:
+                    self.aim_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.BOOL:
+                    self.settled = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -6452,6 +6468,14 @@
             oprot.writeFieldBegin('caller_id', TType.STRING, 14)
             oprot.writeString(self.caller_id.encode('utf-8') if sys.version_info[0] == 2 else self.caller_id)
             oprot.writeFieldEnd()
+        if self.aim_ms is not None:
+            oprot.writeFieldBegin('aim_ms', TType.I32, 15)
+            oprot.writeI32(self.aim_ms)
+            oprot.writeFieldEnd()
+        if self.settled is not None:
+            oprot.writeFieldBegin('settled', TType.BOOL, 16)
+            oprot.writeBool(self.settled)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -6492,6 +6516,8 @@
      - sole
      - shed
      - unusable
+     - load
+     - full
 
     """
 
@@ -6508,10 +6534,12 @@
         'sole',
         'shed',
         'unusable',
+        'load',
+        'full',
     )
 
 
-    def __init__(self, request_id=None, status=None, reason=None, headers=None, body=None, ran=None, retry_after_ms=0, service_us=0, crashed=False, sole=False, shed=False, unusable=False,):
+    def __init__(self, request_id=None, status=None, reason=None, headers=None, body=None, ran=None, retry_after_ms=0, service_us=0, crashed=False, sole=False, shed=False, unusable=False, load=-1, full=False,):
         self.request_id = request_id
         self.status = status
         self.reason = reason
@@ -6524,6 +6552,8 @@
         self.sole = sole
         self.shed = shed
         self.unusable = unusable
+        self.load = load
+        self.full = full
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -6594,6 +6624,16 @@
                     self.unusable = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.I32:
+                    self.load = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.BOOL:
+                    self.full = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -6652,6 +6692,14 @@
             oprot.writeFieldBegin('unusable', TType.BOOL, 12)
             oprot.writeBool(self.unusable)
             oprot.writeFieldEnd()
+        if self.load is not None:
+            oprot.writeFieldBegin('load', TType.I32, 13)
+            oprot.writeI32(self.load)
+            oprot.writeFieldEnd()
+        if self.full is not None:
+            oprot.writeFieldBegin('full', TType.BOOL, 14)
+            oprot.writeBool(self.full)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -8175,6 +8223,8 @@
     (12, TType.BOOL, 'retried', None, False, ),  # 12
     (13, TType.I32, 'priority', None, 0, ),  # 13
     (14, TType.STRING, 'caller_id', 'UTF8', "", ),  # 14
+    (15, TType.I32, 'aim_ms', None, 0, ),  # 15
+    (16, TType.BOOL, 'settled', None, False, ),  # 16
 )
 all_structs.append(Answer)
 Answer.thrift_spec = (
@@ -8191,6 +8241,8 @@
     (10, TType.BOOL, 'sole', None, False, ),  # 10
     (11, TType.BOOL, 'shed', None, False, ),  # 11
     (12, TType.BOOL, 'unusable', None, False, ),  # 12
+    (13, TType.I32, 'load', None, -1, ),  # 13
+    (14, TType.BOOL, 'full', None, False, ),  # 14
 )
 all_structs.append(Cancel)
 Cancel.thrift_spec = (
--- a/libs/wire/trefoil.thrift
+++ b/libs/wire/trefoil.thrift
@@ -239,19 +239,25 @@
 
 /* ---- requests ---- */
 
+/* aim_ms: time left until the answer is late for the route's aim. settled:
+   take it into the queue, though a target elsewhere may be freer. */
 struct Request {
   1: i64 request_id, 2: string route, 3: string method, 4: string path,
   5: binary headers, 6: binary body, 7: i32 deadline_ms, 8: string target,
   9: i32 crashes = 0, 10: i64 fingerprint, 11: string version,
   12: bool retried = false, 13: i32 priority = 0, 14: string caller_id = "",
+  15: i32 aim_ms = 0, 16: bool settled = false,
 }
-/* ran: it may have run. shed: the target itself refused it. unusable: what
+/* full: refused only since no slot was free at once.
+   load: requests that run or wait at the target, -1 if not told.
+   ran: it may have run. shed: the target itself refused it. unusable: what
    came from the target can't be given to a caller. */
 struct Answer {
   1: i64 request_id, 2: i32 status, 3: string reason, 4: binary headers,
   5: binary body, 6: bool ran, 7: i32 retry_after_ms = 0,
   8: i32 service_us = 0, 9: bool crashed = false, 10: bool sole = false,
-  11: bool shed = false, 12: bool unusable = false,
+  11: bool shed = false, 12: bool unusable = false, 13: i32 load = -1,
+  14: bool full = false,
 }
 struct Cancel { 1: i64 request_id }
 struct Ping { 1: i64 nonce }
