--- a/libs/daemon/src/trefoil_daemon/control.py
+++ b/libs/daemon/src/trefoil_daemon/control.py
@@ -30,6 +30,7 @@
             rng=random.Random(),
             disk=disks.FolderDisk(settings.data_folder),
         )
+        self.serve_metrics(settings.metrics)
         self.note(
             common.Note(
                 "control.started",
--- a/libs/daemon/src/trefoil_daemon/control_process.py
+++ b/libs/daemon/src/trefoil_daemon/control_process.py
@@ -190,6 +190,17 @@
         self.settings = settings
         self.node.overlay.rejoin(settings.known_controls)
 
+    def gauges(self) -> dict[str, float]:
+        """Return what is true now, for metrics."""
+        return {
+            "revision": self.state.items.revision,
+            "term": self.raft.term,
+            "leads": float(self.raft.is_leader),
+            "voters": len(self.raft.voters),
+            "commit": self.raft.commit,
+            "moves_running": len(self.state.running_moves()),
+        }
+
     def carry(self, effect: typing.Any) -> None:
         """Carry out one effect."""
         carry(effect, self)
--- /dev/null
+++ b/libs/daemon/src/trefoil_daemon/exposition.py
@@ -0,0 +1,90 @@
+"""Metrics as text, for whatever collects them over HTTP."""
+
+import typing
+
+from . import _http
+from . import http_server
+from . import metrics as metric_store
+
+TEXT_HEADER = b"Content-Type: text/plain; version=0.0.4; charset=utf-8\r\n"
+PREFIX = "trefoilroute"
+QUANTILES = (50.0, 90.0, 99.0, 99.9)
+
+
+class Exposition:
+    """Answers GET by all counters, gauges and latencies of a process.
+
+    Args:
+        metrics: The process's metrics.
+        bytes_out: Control bytes sent, by kind of message.
+        gauges: Returns what is true now, by name.
+    """
+
+    __slots__ = ("metrics", "bytes_out", "gauges")
+
+    def __init__(
+        self,
+        metrics: metric_store.Metrics,
+        bytes_out: dict[str, int],
+        gauges: typing.Callable[[], dict[str, float]],
+    ) -> None:
+        self.metrics = metrics
+        self.bytes_out = bytes_out
+        self.gauges = gauges
+
+    def take(
+        self,
+        connection: http_server.ServerConnection,
+        message: _http.Message,
+    ) -> None:
+        """Take a request."""
+        if message.method != "GET":
+            connection.answer_own(405, "only GET")
+            return
+        connection.answer(200, "OK", TEXT_HEADER, self.text())
+
+    def gone(self, connection: http_server.ServerConnection) -> None:
+        """Nothing is owed to a sender that went away."""
+
+    def text(self) -> bytes:
+        """Return the metrics in the Prometheus text format."""
+        # Most processes are never asked; the library is loaded when one is.
+        import prometheus_client
+        from prometheus_client import registry
+
+        found = registry.CollectorRegistry()
+        found.register(typing.cast(registry.Collector, self))
+        return prometheus_client.generate_latest(found)
+
+    def collect(self) -> typing.Iterator[typing.Any]:
+        """Return the metric families."""
+        from prometheus_client import core
+
+        events = core.CounterMetricFamily(
+            f"{PREFIX}_events", "What happened, by name", labels=["event"]
+        )
+        for name, value in sorted(self.metrics.totals.items()):
+            events.add_metric([name], value)
+        yield events
+        sent = core.CounterMetricFamily(
+            f"{PREFIX}_control_bytes", "Bytes sent to peers", labels=["kind"]
+        )
+        for kind, value in sorted(self.bytes_out.items()):
+            sent.add_metric([kind], value)
+        yield sent
+        for name, value in sorted(self.gauges().items()):
+            yield core.GaugeMetricFamily(f"{PREFIX}_{name}", name, value)
+        yield self._latencies(core)
+
+    def _latencies(self, core: typing.Any) -> typing.Any:
+        family = core.GaugeMetricFamily(
+            f"{PREFIX}_latency_ms",
+            "Latency of answers by tenant and quantile",
+            labels=["tenant", "quantile"],
+        )
+        for tenant, found in sorted(self.metrics.histograms.items()):
+            for quantile in QUANTILES:
+                value_ms = found.get_value_at_percentile(quantile) / 1000
+                family.add_metric([tenant, f"{quantile / 100:g}"], value_ms)
+            family.add_metric([tenant, "count"], found.get_total_count())
+        return family
--- a/libs/daemon/src/trefoil_daemon/metrics.py
+++ b/libs/daemon/src/trefoil_daemon/metrics.py
@@ -17,7 +17,7 @@
         address: Address of a statsd server; empty for none.
     """
 
-    __slots__ = ("client", "counters", "histograms")
+    __slots__ = ("client", "counters", "totals", "histograms")
 
     def __init__(self, process: str, address: str = "") -> None:
         self.client = None
@@ -27,11 +27,13 @@
                 host, int(port), prefix=f"trefoilroute.{process}"
             )
         self.counters: dict[str, int] = {}
+        self.totals: dict[str, int] = {}
         self.histograms: dict[str, histogram.HdrHistogram] = {}
 
     def count(self, name: str, value: int = 1) -> None:
         """Add to a counter; sent by ``flush``."""
         self.counters[name] = self.counters.get(name, 0) + value
+        self.totals[name] = self.totals.get(name, 0) + value
 
     def latency(self, tenant: str, latency_us: int) -> None:
         """Record a call's latency."""
--- a/libs/daemon/src/trefoil_daemon/proxy.py
+++ b/libs/daemon/src/trefoil_daemon/proxy.py
@@ -62,6 +62,7 @@
             bad=self.bad_http,
         )
         self.http_servers = [self.callers]
+        self.serve_metrics(settings.metrics)
         if settings.ready:
             self._serve_readiness(settings.ready)
         self.note(
--- a/libs/daemon/src/trefoil_daemon/proxy_process.py
+++ b/libs/daemon/src/trefoil_daemon/proxy_process.py
@@ -437,6 +437,16 @@
         """Pass an operator's query on."""
         self.relay.ask(query, reply, self.clock.now_ms())
 
+    def gauges(self) -> dict[str, float]:
+        """Return what is true now, for metrics."""
+        return {
+            "revision": self.node.config.in_force.revision,
+            "calls_waiting": len(self.entry.live),
+            "targets_known": len(self.entry.endpoints.by_key),
+            "running_here": len(self.targets.running),
+            "ready": float(self.ready),
+        }
+
     # Leaving
 
     def leave(self) -> None:
--- a/libs/daemon/src/trefoil_daemon/runtime.py
+++ b/libs/daemon/src/trefoil_daemon/runtime.py
@@ -19,6 +19,7 @@
 from trefoil_wire import messages
 
 from . import admin
+from . import exposition
 from . import http_server
 from . import hub as hubs
 from . import logs
@@ -120,6 +121,22 @@
             self.metrics.flush()
         self.after_beat()
 
+    def serve_metrics(self, address: str) -> None:
+        """Open the address where metrics are read, if there is one."""
+        if not address:
+            return
+        server = http_server.HttpServer(
+            self.transport,
+            exposition.Exposition(
+                self.metrics, self.hub.bytes_out, self.engine.gauges
+            ),
+            self.system_clock,
+            limits=http_server.SenderLimits(max_body=0),
+            bad=self.bad_http,
+        )
+        self.http_servers.append(server)
+        server.listen(address)
+
     def watch_settings(self, reloader: "reload.Reloader") -> None:
         """Take changed settings from now on, on SIGHUP and by themselves."""
         self.reloader = reloader
@@ -219,7 +236,8 @@
         """Find out whether a local target takes connections (proxies)."""
 
     def note(self, note: common.Note) -> None:
-        """Write a log line."""
+        """Write a log line, and count it."""
+        self.metrics.count(note.event)
         self.log.note(note)
 
     def count(self, count: common.Count) -> None:
--- a/libs/daemon/tests/test_edges.py
+++ b/libs/daemon/tests/test_edges.py
@@ -6,8 +6,10 @@
 
 from trefoil_daemon import _http
 from trefoil_daemon import dialect as dialects
+from trefoil_daemon import exposition
 from trefoil_daemon import gateway
 from trefoil_daemon import http_server
+from trefoil_daemon import metrics as metric_store
 from trefoil_daemon import pools
 from trefoil_daemon import readiness
 from trefoil_daemon import transport as transports
@@ -301,3 +303,20 @@
     reader = _http.MessageReader(_http.REQUEST, 10)
     with pytest.raises(Exception, match="too large"):
         reader.feed(b"POST / HTTP/1.1\r\nContent-Length: 11\r\n\r\n")
+
+
+def test_metrics_are_read_as_text() -> None:
+    """Counters keep growing after they went to statsd."""
+    metrics = metric_store.Metrics("p")
+    metrics.count("answers.own.503", 2)
+    metrics.flush()
+    metrics.count("answers.own.503")
+    metrics.latency("browse", 120_000)
+    page = exposition.Exposition(metrics, {"Heartbeat": 7}, lambda: {"up": 1})
+    caller = Caller(page, http_server.SenderLimits())
+    caller.stream.peer_sends(b"GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n")
+    text = caller.stream.sent.decode()
+    assert 'trefoilroute_events_total{event="answers.own.503"} 3.0' in text
+    assert 'trefoilroute_control_bytes_total{kind="Heartbeat"} 7.0' in text
+    assert "trefoilroute_up 1.0" in text
+    assert 'quantile="0.99",tenant="browse"' in text
--- a/libs/requests/src/trefoil_requests/balancer.py
+++ b/libs/requests/src/trefoil_requests/balancer.py
@@ -38,6 +38,7 @@
 REFUSED_PAUSE_MS = 50
 LOST_PAUSE_MS = 1000
 LOST_PAUSE_MAX_MS = 10_000
+SILENT_LOSSES = 3
 SLOW_START_MS = 5000
 MIN_START_WEIGHT = 0.1
 # Targets that tell of their warm-up take about twice as long in it.
@@ -206,6 +207,25 @@
         pause = LOST_PAUSE_MS << min(seen.losses - 1, 4)
         seen.avoid_until_ms = now_ms + min(pause, LOST_PAUSE_MAX_MS)
 
+    def timed_out(self, key: str, now_ms: int) -> None:
+        """Note a request that was given up at its deadline.
+
+        One alone says little: in an overload all targets are late, and to
+        leave them alone would take the rest of the capacity away. Some in a
+        row without an answer in between are a target that went silent.
+        """
+        seen = self.view(key)
+        seen.running = max(seen.running - 1, 0)
+        self.judged(key, True, now_ms)
+        seen.losses += 1
+        if seen.losses >= SILENT_LOSSES:
+            seen.avoid_until_ms = now_ms + LOST_PAUSE_MS
+
+    def given_up(self, key: str) -> None:
+        """Note a request whose answer nobody needs any more."""
+        seen = self.view(key)
+        seen.running = max(seen.running - 1, 0)
+
     def keep_only(self, keys: collections.abc.Container[str]) -> None:
         """Forget the targets that are gone and have nothing running."""
         for key, seen in list(self.seen.items()):
--- a/libs/requests/src/trefoil_requests/entry.py
+++ b/libs/requests/src/trefoil_requests/entry.py
@@ -10,6 +10,7 @@
 import typing
 
 from trefoil_fleet import records as record_store
+from trefoil_model import effects as common
 from trefoil_model import errors
 from trefoil_wire import messages
 
@@ -32,6 +33,11 @@
 FAR_US_A_KIB = 25_000.0
 FAR_AIM_SHARE = 0.25
 FAILED_STATUS = 500
+# A safe request that takes this many times what its route usually does is
+# asked for once more elsewhere: its answer is probably lost, or its target
+# slow. One in thirty does so on a calm day.
+HEDGE_FACTOR = 3.0
+LEAST_HEDGE_US = 50_000
 # Refusals of targets' proxies cost no run and no retry budget, but each
 # costs its caller a round trip.
 MAX_PLACEMENTS = 5
@@ -41,6 +47,16 @@
 RAN_UNKNOWN = "it is not known whether the request ran"
 
 
+@dataclasses.dataclass(slots=True)
+class Attempt:
+    """A request on its way to a target."""
+
+    request_id: int
+    endpoint: routing.Endpoint
+    version: str
+    sent_us: int
+
+
 @dataclasses.dataclass(slots=True)
 class Live:
     """A call without its final answer yet."""
@@ -56,6 +72,7 @@
     version: str = ""
     endpoint: routing.Endpoint | None = None
     request_id: int = 0
+    first_id: int = 0
     sent_us: int = 0
     attempts: int = 0
     sends: int = 0
@@ -63,6 +80,7 @@
     crashes: int = 0
     may_have_run: bool = False
     retry_after_ms: int = 0
+    hedge: Attempt | None = None
     tried: set[str] = dataclasses.field(default_factory=set)
     bounced: set[str] = dataclasses.field(default_factory=set)
 
@@ -261,17 +279,28 @@
 
     def _attempt(self, live: Live, now_ms: int, now_us: int) -> None:
         """Send a call to a target, or answer that none can take it."""
-        route = live.route
         endpoint = self._choose_and_settle(live, now_ms)
         if endpoint is None:
             self._finish_no_target(live)
             return
+        self._send_to(live, endpoint, now_ms, now_us)
+
+    def _send_to(
+        self,
+        live: Live,
+        endpoint: routing.Endpoint,
+        now_ms: int,
+        now_us: int,
+    ) -> None:
+        route = live.route
         live.endpoint = endpoint
         live.version = endpoint.target.version
         live.attempts += 1
         live.sends += 1
         live.tried.add(endpoint.key)
         live.request_id = self._next_id()
+        if live.attempts == 1:
+            live.first_id = live.request_id
         live.sent_us = now_us
         self.by_request[live.request_id] = live.call.call_id
         self.balancer.started(endpoint.key)
@@ -360,9 +389,11 @@
         Each attempt has its own id, so an answer that crossed with a retry
         or came after the deadline can't be given to another call.
         """
-        call_id = self.by_request.pop(answer.request_id, None)
-        live = self.live.get(call_id) if call_id is not None else None
-        if live is None or live.request_id != answer.request_id:
+        live = self._take_attempt(answer.request_id)
+        if live is None:
+            return self._flush()
+        unserved = not answer.ran or answer.crashed or answer.unusable
+        if unserved and self._fall_back(live, answer, now_ms):
             return self._flush()
         if not answer.ran:
             self._on_refused(live, answer, now_ms, now_us)
@@ -385,6 +416,7 @@
         self._note_answered(live, answer, latency_us, now_ms)
         failed = answer.status >= FIRST_FAILED_STATUS
         self._observe(live, latency_us, failed, now_ms)
+        self._observe_overtaken(live, now_ms, now_us)
         if not failed:
             notice = self.quarantine.succeeded(
                 live.fingerprint, self._next_id()
@@ -508,6 +540,9 @@
     ) -> list[typing.Any]:
         """Note a request that never left this process: it did not run."""
         live = self._take_attempt(request_id)
+        unsent = messages.Answer(request_id=request_id, ran=False)
+        if live is not None and self._fall_back(live, unsent, now_ms):
+            return self._flush()
         if live is not None:
             self.balancer.lost(live.endpoint.key, now_ms)
             live.attempts -= 1
@@ -522,6 +557,9 @@
     ) -> list[typing.Any]:
         """Note that the link broke with a request on it: fate unknown."""
         live = self._take_attempt(request_id)
+        lost = messages.Answer(request_id=request_id, ran=True)
+        if live is not None and self._fall_back(live, lost, now_ms):
+            return self._flush()
         if live is not None:
             self.balancer.lost(live.endpoint.key, now_ms)
             live.may_have_run = True
@@ -535,10 +573,76 @@
     def _take_attempt(self, request_id: int) -> Live | None:
         call_id = self.by_request.pop(request_id, None)
         live = self.live.get(call_id) if call_id is not None else None
-        if live is None or live.request_id != request_id:
+        if live is None:
             return None
+        if live.request_id != request_id:
+            if live.hedge is None or live.hedge.request_id != request_id:
+                return None
+            self._swap(live)
         return live
 
+    # Hedged requests
+
+    def _hedge(self, live: Live, now_ms: int, now_us: int) -> None:
+        """Ask a second target beside the first, which goes on."""
+        endpoint = self._choose(live, live.tried | live.bounced, now_ms)
+        if endpoint is None or not self.budgets[live.service].withdraw():
+            return
+        first = Attempt(
+            live.request_id, live.endpoint, live.version, live.sent_us
+        )
+        live.settled = False
+        self._note(
+            "request.hedged",
+            live,
+            target=first.endpoint.key,
+            waited_ms=(now_us - first.sent_us) // 1000,
+            also=endpoint.key,
+        )
+        self._send_to(live, endpoint, now_ms, now_us)
+        live.hedge = first
+
+    def _wants_hedge(self, live: Live, now_us: int) -> bool:
+        if live.hedge is not None or not live.request_id:
+            return False
+        repeatable = live.route.repeat == messages.Repeat.ANY
+        if not repeatable or live.call.retried:
+            return False
+        if live.attempts >= live.route.max_attempts:
+            return False
+        usual_us = self.route_means.get(live.route.name, 0.0)
+        bound_us = max(usual_us * HEDGE_FACTOR, LEAST_HEDGE_US)
+        return usual_us > 0 and now_us - live.sent_us >= bound_us
+
+    def _swap(self, live: Live) -> None:
+        """Make the other of two attempts the one that counts."""
+        other = live.hedge
+        live.hedge = Attempt(
+            live.request_id, live.endpoint, live.version, live.sent_us
+        )
+        live.request_id = other.request_id
+        live.endpoint = other.endpoint
+        live.version = other.version
+        live.sent_us = other.sent_us
+
+    def _fall_back(
+        self, live: Live, answer: messages.Answer, now_ms: int
+    ) -> bool:
+        """Wait for the other attempt; False if there is none."""
+        if live.hedge is None:
+            return False
+        key = live.endpoint.key
+        self.balancer.given_up(key)
+        if answer.shed or answer.ran:
+            self.balancer.judged(key, True, now_ms)
+        if answer.ran:
+            live.may_have_run = True
+        else:
+            live.attempts -= 1
+        self._swap(live)
+        live.hedge = None
+        return True
+
     def _may_place_again(
         self, live: Live, answer: messages.Answer, now_ms: int
     ) -> bool:
@@ -562,24 +666,62 @@
             return False
         if now_ms >= live.deadline_at_ms:
             return False
-        return self.budgets[live.service].withdraw()
+        granted = self.budgets[live.service].withdraw()
+        self._note(
+            "request.retried" if granted else "request.out_of_budget",
+            live,
+            target=live.endpoint.key,
+            left_ms=live.deadline_at_ms - now_ms,
+            budget=round(self.budgets[live.service].tokens, 1),
+        )
+        return granted
 
     def _observe(
         self, live: Live, latency_us: int, failed: bool, now_ms: int
     ) -> None:
-        if live.attempts > 1:
+        if live.request_id != live.first_id:
             # A call counts once: the retry of a failed one would make the
             # other version look as bad.
             return
+        self._observe_attempt(
+            live, live.version, live.endpoint, latency_us, failed, now_ms
+        )
+
+    def _observe_overtaken(self, live: Live, now_ms: int, now_us: int) -> None:
+        """Count a first attempt that its hedge overtook as slow as it was.
+
+        Left out, a version that is slow would only show the answers that
+        came in time.
+        """
+        other = live.hedge
+        if other is not None and other.request_id == live.first_id:
+            self._observe_attempt(
+                live,
+                other.version,
+                other.endpoint,
+                now_us - other.sent_us,
+                False,
+                now_ms,
+            )
+
+    def _observe_attempt(
+        self,
+        live: Live,
+        version: str,
+        endpoint: routing.Endpoint,
+        latency_us: int,
+        failed: bool,
+        now_ms: int,
+    ) -> None:
         self.out.append(
             effects.Observe(
                 route=live.route.name,
                 tenant=live.route.tenant,
-                version=live.version,
-                domain=live.endpoint.domain,
+                version=version,
+                domain=endpoint.domain,
                 latency_us=latency_us,
                 failed=failed,
-                cold=self._is_cold(live.endpoint, now_ms),
+                cold=self._is_cold(endpoint, now_ms),
             )
         )
 
@@ -598,6 +740,8 @@
         live = self.live.get(call_id)
         if live is not None:
             self._abandon(live)
+            if live.request_id:
+                self.balancer.given_up(live.endpoint.key)
             self._drop(live)
         return self._flush()
 
@@ -609,10 +753,13 @@
             for live in self.live.values()
             if now_ms >= live.deadline_at_ms
         ]
+        for live in list(self.live.values()):
+            if self._wants_hedge(live, now_us):
+                self._hedge(live, now_ms, now_us)
         for live in late:
             self._abandon(live)
             if live.request_id:
-                self.balancer.lost(live.endpoint.key, now_ms)
+                self.balancer.timed_out(live.endpoint.key, now_ms)
                 self._observe(live, now_us - live.sent_us, True, now_ms)
                 live.may_have_run = True
             self._finish_lost(live, 504, "the deadline has passed")
@@ -621,18 +768,20 @@
     def _abandon(self, live: Live) -> None:
         """Tell the target's proxy to stop; give an unused claim back."""
         if live.request_id in self.by_request:
-            del self.by_request[live.request_id]
-            self.balancer.view(live.endpoint.key).running -= 1
-            self.out.append(
-                effects.Tell(
-                    live.endpoint.host,
-                    live.endpoint.address,
-                    messages.Cancel(live.request_id),
-                )
-            )
+            self._tell_cancel(live.request_id, live.endpoint)
         else:
             self.out.extend(self.claims.drop(live.call.call_id))
 
+    def _tell_cancel(
+        self, request_id: int, endpoint: routing.Endpoint
+    ) -> None:
+        self.by_request.pop(request_id, None)
+        self.out.append(
+            effects.Tell(
+                endpoint.host, endpoint.address, messages.Cancel(request_id)
+            )
+        )
+
     def _finish_quarantined(self, live: Live) -> None:
         self._not_run(
             live, 422, "this request crashed the targets that ran it"
@@ -722,12 +871,48 @@
         )
 
     def _finish(self, live: Live, final: calls.Final) -> None:
+        if final.own:
+            self._note_own(live, final)
         self._drop(live)
         self.out.append(effects.Finish(final))
 
     def _drop(self, live: Live) -> None:
         self.live.pop(live.call.call_id, None)
         self.by_request.pop(live.request_id, None)
+        if live.hedge is not None:
+            self._tell_cancel(live.hedge.request_id, live.hedge.endpoint)
+            self.balancer.given_up(live.hedge.endpoint.key)
+            live.hedge = None
+
+    def _note_own(self, live: Live, final: calls.Final) -> None:
+        """Log an answer that no target gave, with what led to it."""
+        event = "request.lost" if final.ran else "request.refused"
+        endpoint = live.endpoint
+        self._note(
+            event,
+            live,
+            status=final.status,
+            why=final.reason,
+            target=endpoint.key if endpoint else "",
+            come_back_ms=final.retry_after_ms,
+        )
+
+    def _note(self, event: str, live: Live, **fields: typing.Any) -> None:
+        revision = self.table.revision if self.table else 0
+        self.out.append(
+            common.Note(
+                event,
+                {
+                    "id": live.call.caller_id or live.call.call_id,
+                    "route": live.route.name,
+                    "service": live.service,
+                    "attempts": live.attempts,
+                    "sent_on": len(live.bounced),
+                    "revision": revision,
+                }
+                | fields,
+            )
+        )
 
     def _next_id(self) -> int:
         self.ids = (self.ids + 1) & ((1 << 62) - 1)
--- a/libs/requests/src/trefoil_requests/target_side.py
+++ b/libs/requests/src/trefoil_requests/target_side.py
@@ -9,6 +9,7 @@
 import random
 import typing
 
+from trefoil_model import effects as common
 from trefoil_wire import messages
 
 from . import admission
@@ -313,6 +314,7 @@
 
     def _tell_broken(self, crash: Crash) -> None:
         for victim in crash.victims:
+            self._note("target.broke_off", victim)
             answer = messages.Answer(
                 request_id=victim.request.request_id,
                 status=502,
@@ -325,6 +327,9 @@
     def _time_out(self, entry: Running, now_ms: int) -> None:
         request_id = entry.request.request_id
         self.out.append(effects.Abort(request_id))
+        self._note(
+            "target.timed_out", entry, ran_ms=now_ms - entry.dispatched_ms
+        )
         self._release(entry, now_ms)
         self.out.append(
             effects.Reply(
@@ -350,6 +355,7 @@
         self.quarantine.hear(notice, crash.since_ms)
         self.out.append(effects.Flood(notice))
         for victim in crash.victims:
+            self._note("target.crashed", victim, sole=sole)
             answer = messages.Answer(
                 request_id=victim.request.request_id,
                 status=502,
@@ -396,6 +402,26 @@
             full=full,
         )
         self.out.append(effects.Reply(entry.origin, answer))
+        if not full or entry.request.settled:
+            self._note("target.refused", entry, why=reason, wait_ms=wait_ms)
+
+    def _note(self, event: str, entry: Running, **fields: typing.Any) -> None:
+        """Log a decision on a request, with its caller's id."""
+        target = self.targets.get(entry.target)
+        slots = target.slots if target is not None else None
+        self.out.append(
+            common.Note(
+                event,
+                {
+                    "id": entry.request.caller_id or entry.request.request_id,
+                    "target": entry.target,
+                    "from": entry.origin,
+                    "running": slots.running if slots else 0,
+                    "queued": len(slots.queue) if slots else 0,
+                }
+                | fields,
+            )
+        )
 
     def _load_of(self, name: str) -> int:
         target = self.targets.get(name)
--- a/libs/settings/src/trefoil_settings/settings.py
+++ b/libs/settings/src/trefoil_settings/settings.py
@@ -45,6 +45,7 @@
             that its calls reach.
         retry_slack: Retries a window that a service may have beyond its
             budget, all proxies together.
+        metrics: Address where metrics are read as text; empty for none.
     """
 
     host: str
@@ -65,6 +66,7 @@
     ready: str = ""
     service: str = ""
     retry_slack: float = 0.0
+    metrics: str = ""
 
     @property
     def known_controls(self) -> dict[str, str]:
@@ -121,6 +123,7 @@
             empty data folder: the hosts of ``join`` found the agreement.
         lost_disks: How many control hosts may lose their disks at once
             without losing what was acknowledged.
+        metrics: Address where metrics are read as text; empty for none.
     """
 
     host: str
@@ -141,6 +144,7 @@
     join: list[str] = dataclasses.field(default_factory=list)
     found: bool = False
     lost_disks: int = 1
+    metrics: str = ""
 
     @property
     def known_controls(self) -> dict[str, str]:
@@ -169,6 +173,7 @@
     ("controls", schema.Field(schema.MapOf(schema.Address()), default={})),
     ("join", schema.Field(schema.ListOf(schema.Address()), default=[])),
     ("statsd", schema.Field(schema.Address(), default="")),
+    ("metrics", schema.Field(schema.Address(), default="")),
     ("log_level", schema.Field(schema.Text(LOG_LEVELS), default="info")),
 )
 
