--- a/libs/cli/src/trefoil_cli/main.py
+++ b/libs/cli/src/trefoil_cli/main.py
@@ -15,6 +15,7 @@
 from trefoil_settings import configuration
 
 from . import client
+from . import explain
 from . import table
 
 DEFAULT_ADDRESS = "127.0.0.1:7102"
@@ -29,6 +30,7 @@
 }
 WRONG_LINE = 2
 UNREACHABLE = 6
+NOT_FOUND = 1
 
 
 def new_id(now_ms: int) -> str:
@@ -81,6 +83,19 @@
         _show(answer, as_json)
         raise SystemExit(_status(answer))
 
+    def explain(self, request_id: str, *files: str) -> None:
+        """Print what collected logs tell of one request.
+
+        Args:
+            request_id: The caller's id of the request.
+            files: Logs of the processes, in any order.
+        """
+        told = explain.story(explain.read(files), str(request_id))
+        if not told:
+            _fail(f"no line tells of {request_id}", NOT_FOUND)
+        for line in told:
+            print(line.text)
+
     def check(self, document: str) -> None:
         """Check a configuration document without applying it."""
         text = pathlib.Path(document).read_text(encoding="utf-8")
--- a/libs/daemon/src/trefoil_daemon/logs.py
+++ b/libs/daemon/src/trefoil_daemon/logs.py
@@ -1,7 +1,6 @@
 """One key=value line an event, by logbook, bounded and never blocking."""
 
 import io
-import json
 import os
 import sys
 import time
@@ -10,6 +9,7 @@
 import logbook
 
 from trefoil_model import effects as common
+from trefoil_model import lines
 
 LEVELS = {
     "debug": logbook.DEBUG,
@@ -17,9 +17,6 @@
     "warning": logbook.WARNING,
     "error": logbook.ERROR,
 }
-PLAIN = frozenset(
-    "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789_.:/#%+-"
-)
 FORMAT = (
     "at={record.time:%Y-%m-%dT%H:%M:%S.%f}Z "
     "level={record.level_name} {record.message}"
@@ -30,29 +27,8 @@
 WINDOW_S = 1.0
 
 
-def quote(value: object) -> str:
-    """Return a value so that it parses back: bare, or a JSON string."""
-    text = str(value)
-    if text and all(letter in PLAIN for letter in text):
-        return text
-    return json.dumps(text)
-
-
-def parse(line: str) -> dict[str, str]:
-    """Return the pairs of a log line."""
-    found = {}
-    decoder = json.JSONDecoder()
-    rest = line.strip()
-    while rest:
-        key, _, rest = rest.partition("=")
-        if rest.startswith('"'):
-            value, end = decoder.raw_decode(rest)
-        else:
-            end = (rest + " ").index(" ")
-            value = rest[:end]
-        found[key] = value
-        rest = rest[end:].lstrip()
-    return found
+quote = lines.quote
+parse = lines.parse
 
 
 class DroppingStream(io.TextIOBase):
