End a control process whose disk refuses a write

Cause: a refused write left the entry in the core's memory, and the next reply vouched for it as if a disk held it. Change: the process ends before it replies; others lead meanwhile. Before: the new test failed (the refusal came out as an error of one event and the process went on). After: it passes.

--- a/libs/daemon/src/trefoil_daemon/control_process.py
+++ b/libs/daemon/src/trefoil_daemon/control_process.py
@@ -1,5 +1,7 @@
 """The engine of ``trefoilroute-control``: its cores joined, no sockets."""
 
+import collections.abc
+import contextlib
 import functools
 import random
 import typing
@@ -32,6 +34,7 @@
 JOIN_MS = 1000
 DECIDE_MS = 200
 MAX_HOPS = 3
+DISK_FAILED = 4
 FIRST_TERM = 1
 MOST = 1 << 30
 COMMAND_CODE = frames.CODES[messages.CommandRequest]
@@ -613,6 +616,23 @@
         if leader != source:
             self.carrier.link_send(leader, report)
 
+    @contextlib.contextmanager
+    def durable(self) -> collections.abc.Iterator[None]:
+        """End the process if its disk refuses a write.
+
+        The agreement core has the entry in memory already and would vouch
+        for it with its next reply, though no disk holds it: a loss of power
+        could then take back what was acknowledged. A process that starts
+        again knows only what its disk holds, and meanwhile others lead.
+        """
+        try:
+            yield
+        except OSError as error:
+            self.carrier.note(
+                common.Note("store.failed", {"why": str(error)}, "error")
+            )
+            raise SystemExit(DISK_FAILED)
+
     # Floor
 
     def ask_floor(self, nonce: int) -> None:
@@ -753,19 +773,22 @@
 
 @carry.register
 def _(effect: quorum_effects.SaveHardState, process: ControlProcess) -> None:
-    process.store.save_hard_state(effect.state)
+    with process.durable():
+        process.store.save_hard_state(effect.state)
 
 
 @carry.register
 def _(effect: quorum_effects.AppendLog, process: ControlProcess) -> None:
-    if effect.truncate_from:
-        process.store.truncate_from(effect.truncate_from)
-    process.store.append(effect.entries)
+    with process.durable():
+        if effect.truncate_from:
+            process.store.truncate_from(effect.truncate_from)
+        process.store.append(effect.entries)
 
 
 @carry.register
 def _(effect: quorum_effects.SaveSnapshot, process: ControlProcess) -> None:
-    process.store.save_snapshot(effect.snapshot)
+    with process.durable():
+        process.store.save_snapshot(effect.snapshot)
 
 
 @carry.register
--- a/libs/daemon/tests/test_joining.py
+++ b/libs/daemon/tests/test_joining.py
@@ -3,6 +3,8 @@
 import random
 import typing
 
+import pytest
+
 from trefoil_daemon import control_process
 from trefoil_model import clock as clocks
 from trefoil_model import effects as common
@@ -247,3 +249,48 @@
     )
     net.run(2500)
     assert [reply.confirmed for reply in told] == [True]
+
+
+class FullDisk(disks.MemoryDisk):
+    """A disk that takes no more bytes once it is full."""
+
+    def __init__(self, files: dict[str, bytes]) -> None:
+        super().__init__()
+        self.files = files
+
+    def append(self, name: str, data: bytes) -> None:
+        """Refuse."""
+        raise OSError(28, "No space left on device")
+
+
+def test_a_process_whose_disk_is_full_vouches_for_nothing() -> None:
+    """A follower's disk refuses the entry that the leader sends.
+
+    Its core holds the entry in memory. Were the process to go on, its next
+    reply would count as a copy on a disk, and an acknowledged configuration
+    could be lost with the power. It ends before it replies.
+    """
+    net = founded()
+    (leader,) = net.leaders()
+    follower = next(name for name in SEEDS if name != leader)
+    process = net.processes[follower]
+    process.store.disk = FullDisk(net.disks[follower].files)
+    raft = net.processes[leader].raft
+    index, found = raft.propose(messages.Noop(term=raft.term), 0)
+    (request,) = [
+        effect.message
+        for effect in found
+        if isinstance(effect, common.Send)
+        and rafts.name_of(effect.to) == follower
+    ]
+    net.wire = []
+    with pytest.raises(SystemExit):
+        process.link_message(leader, request)
+    replies = [
+        message
+        for source, _, message in net.wire
+        if source == follower and isinstance(message, messages.AppendReply)
+    ]
+    assert replies == []
+    assert index == request.entries[-1].index
+    assert "store.failed" in process.carrier.notes
