--- a/libs/daemon/tests/test_joining.py
+++ b/libs/daemon/tests/test_joining.py
@@ -294,3 +294,26 @@
     assert replies == []
     assert index == request.entries[-1].index
     assert "store.failed" in process.carrier.notes
+
+
+def test_a_leader_is_found_soon_after_a_loss_of_power() -> None:
+    """All start together and the first tries meet links that are not up.
+
+    Waiting a leader's whole silence before the second try left callers
+    unserved for 0.9 s more; the tries now follow each other faster.
+    """
+    slowest_ms = 0
+    for seed in range(20):
+        net = founded("10.0.0.9")
+        names = list(net.processes)
+        for name in names:
+            net.stop(name)
+        net.rng.seed(seed)
+        for name in names:
+            net.start(name, found=False)
+        waited_ms = 0
+        while not net.leaders():
+            net.run(STEP_MS)
+            waited_ms += STEP_MS
+        slowest_ms = max(slowest_ms, waited_ms)
+    assert slowest_ms <= 700
--- a/libs/quorum/src/trefoil_quorum/raft.py
+++ b/libs/quorum/src/trefoil_quorum/raft.py
@@ -136,6 +136,7 @@
         "heartbeat_ms",
         "election_ms",
         "least_voters",
+        "met_leader",
         "role",
         "leader",
         "commit",
@@ -198,9 +199,7 @@
         self.now_ms = now_ms
         self.election_at_ms = 0
         self._find_config()
-        # Nobody leads right after a loss of power. Pre-vote keeps a process
-        # that starts alone from disturbing a leader, so the first try need
-        # not wait for a whole silence.
+        self.met_leader = False
         self.election_at_ms = now_ms + self.rng.randrange(election_ms // 4)
 
     # Facts
@@ -314,8 +313,20 @@
     # Elections
 
     def _reset_election(self) -> None:
-        spread = self.rng.randrange(self.election_ms)
-        self.election_at_ms = self.now_ms + self.election_ms + spread
+        """Set when to campaign next.
+
+        Nobody leads right after a loss of power, and the first try comes
+        before the links are up. Pre-vote keeps a process that starts alone
+        from disturbing a leader, so until one is met in this life the tries
+        follow each other faster than a leader's silence would allow.
+        """
+        least_ms = spread_ms = self.election_ms
+        if not self.met_leader:
+            least_ms //= 4
+            spread_ms //= 2
+        self.election_at_ms = (
+            self.now_ms + least_ms + self.rng.randrange(spread_ms)
+        )
 
     def _campaign(self, *, pre_vote: bool) -> None:
         self._reset_election()
@@ -347,6 +358,7 @@
 
     def _lead(self) -> None:
         self.role = Role.LEADER
+        self.met_leader = True
         self.leader = self.identity
         self.reads = []
         self.round_sent_ms = {}
@@ -644,6 +656,7 @@
         if term > self.term or self.role is not Role.FOLLOWER:
             self._step_down(term, leader)
         self.leader = leader
+        self.met_leader = True
         self.heard_ms = self.now_ms
         self._reset_election()
 
