--- a/libs/emulator/src/trefoil_emulator/fleet.py
+++ b/libs/emulator/src/trefoil_emulator/fleet.py
@@ -23,6 +23,7 @@
 LOOPBACK = "127.0.0.1"
 IPS_PER_BLOCK = 250
 STOP_S = 10.0
+SAY_AGAIN_S = 0.05
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 
@@ -336,8 +337,20 @@
         self.numbers += 1
         number = number or f"{int(time.time() * 1000)}-{self.numbers}"
         line = client.Line.numbered(text, number, operator, document)
-        address = self.members[at].address("admin")
-        return client.Client(address).settle(line, wait_s)
+        member = self.members[at]
+        until = time.monotonic() + wait_s
+        while True:
+            try:
+                speaker = client.Client(member.address("admin"))
+                return speaker.settle(line, wait_s)
+            except client.Unreachable:
+                # Two of three control processes may lead and agree before
+                # the third has opened its port. The line keeps its number,
+                # so it runs once however often it is said.
+                starting = member.process and member.process.poll() is None
+                if not starting or time.monotonic() >= until:
+                    raise
+            time.sleep(SAY_AGAIN_S)
 
     def try_say(self, text: str, **options: typing.Any) -> typing.Any:
         """Say a line; None if nothing answers."""
