--- /dev/null
+++ b/libs/moves/tests/test_short_moves.py
@@ -0,0 +1,151 @@
+"""Moves of seconds: three steps, and little exposure of what is bad."""
+
+import dataclasses
+import typing
+
+from trefoil_moves import conductor as conductors
+from trefoil_moves import knobs as knob_store
+from trefoil_moves import phases
+from trefoil_wire import messages
+
+SPAN_MS = 16_000
+RATE = 300
+REPORT_MS = 500
+USUAL_BUCKET = 40
+SLOW_BUCKET = 52
+EXPOSURE_SHARE = 0.1
+EXPOSURE_SLACK = 50
+FULL = conductors.Capacity(48, 48, 4, [])
+
+
+@dataclasses.dataclass(slots=True)
+class Tallies:
+    """What all proxies counted so far of one version."""
+
+    requests: float = 0
+    failures: float = 0
+    latencies: dict[int, float] = dataclasses.field(default_factory=dict)
+
+    def add(self, requests: float, failed: float, bucket: int) -> None:
+        """Count requests that all took about the same time."""
+        self.requests += requests
+        self.failures += failed
+        self.latencies[bucket] = self.latencies.get(bucket, 0) + requests
+
+    def tally(self, version: str) -> messages.Tally:
+        """Return the counts as a proxy reports them."""
+        return messages.Tally(
+            "r",
+            version,
+            "d",
+            int(self.requests),
+            int(self.failures),
+            {bucket: int(n) for bucket, n in self.latencies.items()},
+        )
+
+
+@dataclasses.dataclass(slots=True)
+class Played:
+    """How a move went."""
+
+    outcome: int
+    ended_ms: int
+    exposed: float
+
+
+def play(
+    *,
+    fails: typing.Callable[[int], float] = lambda now_ms: 0.0,
+    bucket: typing.Callable[[str, int], int] = lambda v, t: USUAL_BUCKET,
+    watch_ms: int = 1000,
+) -> Played:
+    """Play a move; requests follow the shares at once.
+
+    Args:
+        fails: Part of the new version's requests that fail, by time.
+        bucket: Latency of a version's requests, by time.
+        watch_ms: How long the watch after the whole share lasts.
+    """
+    move = messages.MoveRecord(
+        "m",
+        "s",
+        "v1",
+        "v2",
+        SPAN_MS,
+        80,
+        watch_ms,
+        0,
+        0,
+        phases.WAITING,
+        0,
+        "",
+        0,
+        [],
+    )
+    conductor = conductors.Conductor(move, knob_store.Knobs(), 0)
+    counts = {"v1": Tallies(), "v2": Tallies()}
+    for now_ms in range(0, SPAN_MS + 4000, 100):
+        new = RATE * 0.1 * move.permille / 1000
+        counts["v2"].add(new, new * fails(now_ms), bucket("v2", now_ms))
+        counts["v1"].add(RATE * 0.1 - new, 0, bucket("v1", now_ms))
+        if now_ms % REPORT_MS == 0:
+            tallies = [found.tally(v) for v, found in counts.items()]
+            conductor.hear(
+                messages.EvidenceReport("m", "h", 1, now_ms + 1, tallies),
+                now_ms,
+            )
+        decision = conductor.decide(move, FULL, now_ms=now_ms, wall_ms=now_ms)
+        if isinstance(decision, conductors.End):
+            exposed = counts["v2"].requests
+            return Played(decision.outcome, now_ms, exposed)
+        if decision is not None:
+            move.permille = decision.permille
+            move.phase = decision.phase
+            conductor.stepped(move, now_ms)
+    raise AssertionError("the move did not end")
+
+
+def allowed() -> float:
+    """Return how many requests a bad version may get."""
+    return RATE * SPAN_MS / 1000 * EXPOSURE_SHARE + EXPOSURE_SLACK
+
+
+def test_a_good_version_is_whole_in_time() -> None:
+    found = play()
+    assert found.outcome == messages.Outcome.DONE
+    assert found.ended_ms <= SPAN_MS
+
+
+def test_a_version_that_fails_at_once_is_taken_back_in_seconds() -> None:
+    found = play(fails=lambda now_ms: 0.34)
+    assert found.outcome == messages.Outcome.TAKEN_BACK
+    assert found.ended_ms <= 5000
+    assert found.exposed <= allowed()
+
+
+def test_a_version_that_fails_later_is_taken_back() -> None:
+    """It is well for three seconds, as if it had a leak."""
+    found = play(fails=lambda now_ms: 0.5 * (now_ms >= 3000))
+    assert found.outcome == messages.Outcome.TAKEN_BACK
+    assert found.exposed <= allowed()
+
+
+def test_a_version_that_is_slow_is_taken_back() -> None:
+    found = play(
+        bucket=lambda v, t: SLOW_BUCKET if v == "v2" else USUAL_BUCKET
+    )
+    assert found.outcome == messages.Outcome.TAKEN_BACK
+    assert found.exposed <= allowed()
+
+
+def test_what_slows_both_versions_does_not_condemn_the_new_one() -> None:
+    """After the whole share something slows every target down.
+
+    The old version has no traffic then. Latency compared with its past
+    alone takes a good version back, and its operator misses the deadline.
+    """
+    found = play(
+        bucket=lambda v, t: SLOW_BUCKET if t >= 5500 else USUAL_BUCKET,
+        watch_ms=4000,
+    )
+    assert found.outcome == messages.Outcome.DONE
