Let proxies look beyond a control host that is cut off

Ruled out: the push and the pull of deltas; the link to the stale host was sound, and nothing told that it was stale. Change: heartbeats say whether a leader is heard; a proxy below a host that hears none links to the others as well until it does.

--- a/libs/daemon/src/trefoil_daemon/control_process.py
+++ b/libs/daemon/src/trefoil_daemon/control_process.py
@@ -41,6 +41,8 @@
 # Without a leader's word for this long, a process that the others may have
 # dropped asks to be let in; longer than any election.
 UNLED_MS = 3000
+# A leader is heard every heartbeat, 150 ms; six in a row are not lost.
+LED_MS = 1000
 
 
 Reads = tuple[typing.Callable[[], typing.Any], typing.Callable[[], typing.Any]]
@@ -674,6 +676,8 @@
         now_ms = self.clock.now_ms()
         self.perform(self.raft.tick(now_ms))
         self.node.follow(rafts.name_of(self.raft.leader))
+        heard = now_ms - self.raft.heard_ms < LED_MS
+        self.node.note_led(self.raft.is_leader or heard)
         self.perform(self.node.tick(now_ms))
         self._decide()
         self._join(now_ms)
--- a/libs/fleet/src/trefoil_fleet/node.py
+++ b/libs/fleet/src/trefoil_fleet/node.py
@@ -42,6 +42,7 @@
     control: bool
     served: bool
     heard_ms: int
+    led: bool = True
     summary_ms: int = 0
     mismatches: int = 0
     hung_up: bool = False
@@ -80,6 +81,7 @@
         "joins_per_s",
         "leader",
         "control_hosts",
+        "led",
         "rng",
         "out",
     )
@@ -131,6 +133,7 @@
         self.joins_per_s = joins_per_s
         self.leader = ""
         self.control_hosts = messages.ControlHosts(0, [])
+        self.led = True
         self.rng = rng
         self.out: list[typing.Any] = []
         self.members.start(now_ms)
@@ -382,6 +385,7 @@
         left = self.overlay.go_home(self.now_ms)
         if left and left in self.links:
             self.out.append(effects.HangUp(left))
+        spare = spare or self._uplink_is_unled()
         wanted = self.overlay.wanted(spare=spare, now_ms=self.now_ms)
         if self.config.floor.proved:
             self._drop_spare(wanted)
@@ -392,6 +396,18 @@
                 address = self.overlay.address(host)
                 self.out.append(effects.Dial(host, address))
 
+    def _uplink_is_unled(self) -> bool:
+        """Tell whether the control host above hears of no leader.
+
+        It may be cut off from the other control hosts while this proxy
+        reaches them all. Its link works, so the proxy would stay with it
+        and serve an old configuration for as long as the cut lasts. The
+        link is kept, since in a cut-off failure domain it is the only one;
+        links to the others bring what is agreed there.
+        """
+        link = self.links.get(self.overlay.uplink)
+        return not self.control and link is not None and not link.led
+
     def _drop_spare(self, wanted: list[str]) -> None:
         """Close the links that only the proof of the floor needed."""
         if self.control or self.overlay.seeds:
@@ -432,6 +448,7 @@
             revision=self.config.held.revision,
             config_digest=self.config.held.digest,
             records_digest=self.members.records.digest,
+            led=self.led,
         )
 
     def follow(self, leader: str) -> None:
@@ -444,6 +461,12 @@
             self.leader = leader
             self.reports.pass_again()
 
+    def note_led(self, led: bool) -> None:
+        """Tell peers at the next beat whether a leader is heard here."""
+        if led != self.led:
+            self.led = led
+            self.heartbeat_at_ms = self.now_ms
+
     def _pass_reports(self) -> None:
         """Send new reports to the uplink, or on to the leader."""
         peer = self.leader if self.control else self.overlay.uplink
@@ -462,6 +485,7 @@
         )
         link = self.links.get(peer)
         if link is not None:
+            link.led = bool(beat.led)
             self._compare_records(link, beat.records_digest)
 
     def on_reports(self, peer: str, message: messages.Reports) -> None:
--- a/libs/fleet/tests/test_overlay.py
+++ b/libs/fleet/tests/test_overlay.py
@@ -2,6 +2,8 @@
 
 import random
 
+from trefoil_fleet import effects
+from trefoil_fleet import node as nodes
 from trefoil_fleet import overlay as overlays
 from trefoil_wire import messages
 
@@ -65,3 +67,39 @@
 def test_without_proof_every_control_host_is_asked() -> None:
     made = overlay("p1")
     assert made.wanted(spare=True) == ["c1", "c2"]
+
+
+def test_a_proxy_looks_beyond_a_control_host_that_hears_no_leader() -> None:
+    """Its control host is cut off from the others, the proxy is not.
+
+    The link works, so the proxy served an old configuration until the cut
+    healed. Now it links to the others too, and lets go of them afterwards.
+    """
+    record = messages.HostRecord(
+        "p1", "d1", "r", "p1:1", 1, 1, messages.HostState.ALIVE, []
+    )
+    node = nodes.Node(
+        record,
+        control=False,
+        seeds={},
+        controls=GIVEN,
+        now_ms=0,
+        rng=random.Random(1),
+    )
+    node.config.floor.proved = True
+    uplink = node.overlay.uplink
+    other = next(name for name in GIVEN if name != uplink)
+    node.linked(uplink, control=True, served=False, revision=0, now_ms=10)
+
+    def dialled(led: bool, now_ms: int) -> list[str]:
+        beat = messages.Heartbeat(0, 0, 0, led)
+        found = node.receive(uplink, beat, now_ms) + node.tick(now_ms)
+        return [e.host for e in found if isinstance(e, effects.Dial)]
+
+    assert dialled(True, 100) == []
+    assert dialled(False, 200) == [other]
+    node.linked(other, control=True, served=False, revision=0, now_ms=210)
+    beat = messages.Heartbeat(0, 0, 0, True)
+    found = node.receive(uplink, beat, 300) + node.tick(300)
+    assert [e.host for e in found if isinstance(e, effects.HangUp)] == [other]
+    assert uplink in node.links
--- a/libs/wire/src/trefoil_wire/gen/ttypes.py
+++ b/libs/wire/src/trefoil_wire/gen/ttypes.py
@@ -5189,6 +5189,7 @@
      - revision
      - config_digest
      - records_digest
+     - led
 
     """
 
@@ -5196,13 +5197,15 @@
         'revision',
         'config_digest',
         'records_digest',
+        'led',
     )
 
 
-    def __init__(self, revision=None, config_digest=None, records_digest=None,):
+    def __init__(self, revision=None, config_digest=None, records_digest=None, led=True,):
         self.revision = revision
         self.config_digest = config_digest
         self.records_digest = records_digest
+        self.led = led
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -5228,6 +5231,11 @@
                     self.records_digest = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.led = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -5250,6 +5258,10 @@
             oprot.writeFieldBegin('records_digest', TType.I64, 3)
             oprot.writeI64(self.records_digest)
             oprot.writeFieldEnd()
+        if self.led is not None:
+            oprot.writeFieldBegin('led', TType.BOOL, 4)
+            oprot.writeBool(self.led)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -8154,6 +8166,7 @@
     (1, TType.I64, 'revision', None, None, ),  # 1
     (2, TType.I64, 'config_digest', None, None, ),  # 2
     (3, TType.I64, 'records_digest', None, None, ),  # 3
+    (4, TType.BOOL, 'led', None, True, ),  # 4
 )
 all_structs.append(Reports)
 Reports.thrift_spec = (
--- a/libs/wire/trefoil.thrift
+++ b/libs/wire/trefoil.thrift
@@ -210,8 +210,10 @@
   1: string host, 2: i64 incarnation, 3: i64 revision, 4: string rejected,
   5: i32 age_ms,
 }
+/* led: whether a control host hears from the agreement's leader. */
 struct Heartbeat {
   1: i64 revision, 2: i64 config_digest, 3: i64 records_digest,
+  4: bool led = true,
 }
 struct Reports { 1: list<Report> reports }
 struct RecordsDelta { 1: list<HostRecord> records }
