Look beyond a control host that says nothing

Its link neither broke nor spoke, so the proxies of its failure domain stayed with it until it counted as silent after 3.5 s and put revision 9 in force at 6.18 s, 2.5 s after its acknowledgement. Ruled out: the push of deltas (the other domains had it within 10 ms) and the mend for control hosts that hear no leader (this one told nothing). Change: a proxy whose uplink is 1.8 s late with its heartbeat links to the other control hosts as well, and lets go of them when it speaks again.

--- a/libs/fleet/src/trefoil_fleet/node.py
+++ b/libs/fleet/src/trefoil_fleet/node.py
@@ -19,6 +19,10 @@
 
 HEARTBEAT_MS = 1000
 SILENT_MS = 3500
+# A heartbeat that is nearly one more late: lost, or its sender stands still.
+# Links to other control hosts are cheap beside a stale configuration, so
+# this need not be as sure as SILENT_MS.
+DOUBT_MS = 1800
 REPORT_FLUSH_MS = 100
 SUMMARY_PAUSE_MS = 5000
 QUIET_MS = 1500
@@ -385,7 +389,7 @@
         left = self.overlay.go_home(self.now_ms)
         if left and left in self.links:
             self.out.append(effects.HangUp(left))
-        spare = spare or self._uplink_is_unled()
+        spare = spare or self._uplink_is_doubtful()
         wanted = self.overlay.wanted(spare=spare, now_ms=self.now_ms)
         if self.config.floor.proved:
             self._drop_spare(wanted)
@@ -396,17 +400,20 @@
                 address = self.overlay.address(host)
                 self.out.append(effects.Dial(host, address))
 
-    def _uplink_is_unled(self) -> bool:
-        """Tell whether the control host above hears of no leader.
+    def _uplink_is_doubtful(self) -> bool:
+        """Tell whether newer configurations may pass the uplink by.
 
-        It may be cut off from the other control hosts while this proxy
-        reaches them all. Its link works, so the proxy would stay with it
-        and serve an old configuration for as long as the cut lasts. The
-        link is kept, since in a cut-off failure domain it is the only one;
-        links to the others bring what is agreed there.
+        The control host above may be cut off from the other control hosts,
+        or stand still, while this proxy reaches them all. Its link does not
+        break, so the proxy would stay with it and serve an old
+        configuration for as long as the trouble lasts. The link is kept,
+        since in a cut-off failure domain it is the only one; links to the
+        others bring what is agreed there.
         """
         link = self.links.get(self.overlay.uplink)
-        return not self.control and link is not None and not link.led
+        if self.control or link is None:
+            return False
+        return not link.led or self.now_ms - link.heard_ms >= DOUBT_MS
 
     def _drop_spare(self, wanted: list[str]) -> None:
         """Close the links that only the proof of the floor needed."""
--- a/libs/fleet/tests/test_overlay.py
+++ b/libs/fleet/tests/test_overlay.py
@@ -1,6 +1,7 @@
 """Whom processes link to when the settings name only a few hosts."""
 
 import random
+import typing
 
 from trefoil_fleet import effects
 from trefoil_fleet import node as nodes
@@ -69,12 +70,8 @@
     assert made.wanted(spare=True) == ["c1", "c2"]
 
 
-def test_a_proxy_looks_beyond_a_control_host_that_hears_no_leader() -> None:
-    """Its control host is cut off from the others, the proxy is not.
-
-    The link works, so the proxy served an old configuration until the cut
-    healed. Now it links to the others too, and lets go of them afterwards.
-    """
+def proxy_below() -> tuple[nodes.Node, str, str]:
+    """Return a proxy linked to its control host, and both hosts' names."""
     record = messages.HostRecord(
         "p1", "d1", "r", "p1:1", 1, 1, messages.HostState.ALIVE, []
     )
@@ -90,16 +87,60 @@
     uplink = node.overlay.uplink
     other = next(name for name in GIVEN if name != uplink)
     node.linked(uplink, control=True, served=False, revision=0, now_ms=10)
+    return node, uplink, other
+
 
-    def dialled(led: bool, now_ms: int) -> list[str]:
-        beat = messages.Heartbeat(0, 0, 0, led)
-        found = node.receive(uplink, beat, now_ms) + node.tick(now_ms)
-        return [e.host for e in found if isinstance(e, effects.Dial)]
+def dialled(found: list[typing.Any]) -> list[str]:
+    """Return the hosts that effects dial."""
+    return [e.host for e in found if isinstance(e, effects.Dial)]
 
-    assert dialled(True, 100) == []
-    assert dialled(False, 200) == [other]
+
+def hung_up(found: list[typing.Any]) -> list[str]:
+    """Return the hosts that effects hang up on."""
+    return [e.host for e in found if isinstance(e, effects.HangUp)]
+
+
+def beat(
+    node: nodes.Node, peer: str, led: bool, now_ms: int
+) -> list[typing.Any]:
+    """Let a peer's heartbeat arrive and time pass."""
+    message = messages.Heartbeat(0, 0, 0, led)
+    return node.receive(peer, message, now_ms) + node.tick(now_ms)
+
+
+def test_a_proxy_looks_beyond_a_control_host_that_hears_no_leader() -> None:
+    """Its control host is cut off from the others, the proxy is not.
+
+    The link works, so the proxy served an old configuration until the cut
+    healed. Now it links to the others too, and lets go of them afterwards.
+    """
+    node, uplink, other = proxy_below()
+    assert dialled(beat(node, uplink, True, 100)) == []
+    assert dialled(beat(node, uplink, False, 200)) == [other]
     node.linked(other, control=True, served=False, revision=0, now_ms=210)
-    beat = messages.Heartbeat(0, 0, 0, True)
-    found = node.receive(uplink, beat, 300) + node.tick(300)
-    assert [e.host for e in found if isinstance(e, effects.HangUp)] == [other]
+    assert hung_up(beat(node, uplink, True, 300)) == [other]
+    assert uplink in node.links
+
+
+def test_a_proxy_looks_beyond_a_control_host_that_says_nothing() -> None:
+    """Its control host freezes; a new configuration is accepted meanwhile.
+
+    The frozen host neither answers nor closes the link, so its proxies
+    served the old configuration until the link counted as silent, 3.5 s
+    later. They link to the others after a missed heartbeat, and keep the
+    silent link in case its host wakes.
+    """
+    node, uplink, other = proxy_below()
+    beat(node, uplink, True, 100)
+    assert dialled(node.tick(100 + nodes.DOUBT_MS - 1)) == []
+    assert dialled(node.tick(100 + nodes.DOUBT_MS)) == [other]
+    node.linked(other, control=True, served=False, revision=0, now_ms=2000)
+    beat(node, other, True, 2100)
     assert uplink in node.links
+    assert hung_up(beat(node, uplink, True, 2200)) == [other]
+
+
+def test_doubt_comes_early_enough_for_the_next_configuration() -> None:
+    """One missed heartbeat is enough; the link itself stays longer."""
+    assert nodes.HEARTBEAT_MS < nodes.DOUBT_MS < 2 * nodes.HEARTBEAT_MS
+    assert nodes.DOUBT_MS < nodes.SILENT_MS
