Soak real processes under faults drawn from a seed

Cause: the promises were held by tests of one failure each; nothing let troubles come in series and overlap. `advertise` is a new setting: the address under which others reach a port that is forwarded. Left: clocks and full disks can't be harmed from outside without privileges.

--- a/libs/daemon/src/trefoil_daemon/control.py
+++ b/libs/daemon/src/trefoil_daemon/control.py
@@ -24,7 +24,7 @@
         host = settings.peers.rpartition(":")[0]
         self.engine = control_process.ControlProcess(
             settings,
-            peers_address=f"{host}:{port}",
+            peers_address=settings.advertise or f"{host}:{port}",
             carrier=self,
             clock=clock,
             rng=random.Random(),
--- a/libs/daemon/src/trefoil_daemon/proxy.py
+++ b/libs/daemon/src/trefoil_daemon/proxy.py
@@ -37,7 +37,7 @@
         host = settings.peers.rpartition(":")[0]
         self.engine = proxy_process.ProxyProcess(
             settings,
-            peers_address=f"{host}:{port}",
+            peers_address=settings.advertise or f"{host}:{port}",
             carrier=self,
             clock=clock,
             rng=random.Random(),
--- a/libs/emulator/src/trefoil_emulator/target.py
+++ b/libs/emulator/src/trefoil_emulator/target.py
@@ -99,6 +99,7 @@
         key = message.field(b"x-request-name")
         if key and len(self.runs) < RUNS_KEPT:
             self.runs[key] = self.runs.get(key, 0) + 1
+            self._keep_run(key)
         number = next(self.numbers)
         self.under_way[number] = connection
         if self.behaviour.hang:
@@ -114,6 +115,13 @@
             heapq.heapreplace(self.free_us, due_us)
         heapq.heappush(self.due, (due_us, number, 0))
 
+    def _keep_run(self, key: str) -> None:
+        """Write down that a request runs, for after this process's death."""
+        path = self.options.get("runs_file")
+        if path:
+            with open(path, "a", encoding="utf-8") as runs:
+                runs.write(f"{key}\n")
+
     def _begin_us(self) -> int:
         """Return when a worker is free for the next request."""
         now_us = self.clock.now_us()
@@ -202,7 +210,7 @@
                 "version": self.options["version"],
                 "resources": self.options["resources"],
                 "slots": self.options["slots"],
-                "port": self.port,
+                "port": self.options.get("announced_port") or self.port,
                 "state": self.state,
             }
         ).encode()
@@ -229,6 +237,8 @@
     behave: str = "",
     seed: int = 0,
     tick_s: float = TICK_S,
+    announced_port: int = 0,
+    runs_file: str = "",
 ) -> None:
     """Run a stand-in target.
 
@@ -244,6 +254,9 @@
         behave: Its behaviour as JSON.
         seed: Seeds its random generator.
         tick_s: How exactly it keeps its delays, in seconds.
+        announced_port: Port that it tells its proxy, where a relay stands
+            before it; 0 for its own.
+        runs_file: File that lists the requests that ran; empty for none.
     """
     listed = isinstance(resources, (list, tuple))
     held = resources if listed else str(resources).split(",")
@@ -259,6 +272,8 @@
         "behave": behave if isinstance(behave, str) else json.dumps(behave),
         "seed": seed,
         "tick_s": tick_s,
+        "announced_port": announced_port,
+        "runs_file": runs_file,
     }
     Target(options).run()
 
--- a/libs/settings/src/trefoil_settings/settings.py
+++ b/libs/settings/src/trefoil_settings/settings.py
@@ -25,6 +25,8 @@
         region: Its region.
         callers: Address that takes callers' HTTP requests.
         peers: Address that takes frames from other processes.
+        advertise: Address under which other processes reach ``peers``, where
+            a port is forwarded; empty for ``peers`` itself.
         admin: Address that takes targets' announcements and operators.
         controls: Address of each control process by name.
         seeds: Address of each seed of this failure domain by name.
@@ -67,6 +69,7 @@
     service: str = ""
     retry_slack: float = 0.0
     metrics: str = ""
+    advertise: str = ""
 
     @property
     def known_controls(self) -> dict[str, str]:
@@ -104,6 +107,8 @@
         domain: Its failure domain.
         region: Its region.
         peers: Address that takes frames from other processes.
+        advertise: Address under which other processes reach ``peers``, where
+            a port is forwarded; empty for ``peers`` itself.
         admin: Address that takes operators' commands.
         controls: Address of each control process by name, itself included.
         voters: Names of the first voters.
@@ -145,6 +150,7 @@
     found: bool = False
     lost_disks: int = 1
     metrics: str = ""
+    advertise: str = ""
 
     @property
     def known_controls(self) -> dict[str, str]:
@@ -169,6 +175,7 @@
     ("domain", schema.Field(schema.Name(), required=True)),
     ("region", schema.Field(schema.Name(), default="default")),
     ("peers", schema.Field(schema.Address(), required=True)),
+    ("advertise", schema.Field(schema.Address(), default="")),
     ("admin", schema.Field(schema.Address(), required=True)),
     ("controls", schema.Field(schema.MapOf(schema.Address()), default={})),
     ("join", schema.Field(schema.ListOf(schema.Address()), default=[])),
--- a/libs/settings/tests/test_settings.py
+++ b/libs/settings/tests/test_settings.py
@@ -119,3 +119,8 @@
 def test_wrong_documents(change: tuple[str, str], problem: str) -> None:
     text = DOCUMENT.replace(*change)
     assert problem in str(configuration.parse(text).error)
+
+
+def test_a_forwarded_port_is_advertised() -> None:
+    made = settings.parse(PROXY + "advertise: 10.0.0.9:77\n", "proxy").ok
+    assert (made.peers, made.advertise) == ("127.0.0.1:2", "10.0.0.9:77")
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real processes, faults from outside, promises."""
