Ask for the floor as soon as a leader is heard

Cause: after all hosts lost power, proxies ask the control hosts for the floor before these have a leader and get no answer; the next question was due 0.4 s later. Ruled out: the start of the process (0.45 s, before the leader's) and the configuration's way (the others had it). Change: the heartbeat that first tells of a leader makes a proxy without proof ask at once. Before: the new test failed. After: it passes; fleet tests 31 passed.

--- a/libs/fleet/src/trefoil_fleet/distribution.py
+++ b/libs/fleet/src/trefoil_fleet/distribution.py
@@ -141,6 +141,10 @@
 
     # Floor
 
+    def ask_floor_soon(self) -> None:
+        """Ask at the next tick, if there is still no proof."""
+        self.asked_floor_ms = -FLOOR_PAUSE_MS
+
     def _ask_floor(self, links: list[str]) -> None:
         query = messages.FloorQuery(nonce=0, host=self.floor.me)
         for peer in links:
--- a/libs/fleet/src/trefoil_fleet/node.py
+++ b/libs/fleet/src/trefoil_fleet/node.py
@@ -492,6 +492,10 @@
         )
         link = self.links.get(peer)
         if link is not None:
+            if beat.led and not link.led:
+                # What was asked before there was a leader got no answer;
+                # waiting for the next turn would refuse callers meanwhile.
+                self.config.ask_floor_soon()
             link.led = bool(beat.led)
             self._compare_records(link, beat.records_digest)
 
--- a/libs/fleet/tests/test_overlay.py
+++ b/libs/fleet/tests/test_overlay.py
@@ -6,6 +6,7 @@
 from trefoil_fleet import effects
 from trefoil_fleet import node as nodes
 from trefoil_fleet import overlay as overlays
+from trefoil_model import effects as common
 from trefoil_wire import messages
 
 GIVEN = {"c1": "c1:1", "c2": "c2:1"}
@@ -140,6 +141,26 @@
     assert hung_up(beat(node, uplink, True, 2200)) == [other]
 
 
+def test_the_floor_is_asked_for_as_soon_as_a_leader_is_heard() -> None:
+    """All hosts lost power; a proxy is back before the control hosts agree.
+
+    Its first question came before there was a leader and got no answer. The
+    next one was due 0.4 s later, and callers were refused meanwhile although
+    the leader could have told.
+    """
+    node, uplink, _ = proxy_below()
+    node.config.floor.proved = False
+
+    def asked(found: list[typing.Any]) -> int:
+        sent = [e.message for e in found if isinstance(e, common.Send)]
+        return sum(isinstance(m, messages.FloorQuery) for m in sent)
+
+    assert asked(beat(node, uplink, False, 1000)) == 1
+    assert asked(beat(node, uplink, False, 1100)) == 0
+    assert asked(beat(node, uplink, True, 1150)) == 1
+    assert asked(beat(node, uplink, True, 1200)) == 0
+
+
 def test_doubt_comes_early_enough_for_the_next_configuration() -> None:
     """One missed heartbeat is enough; the link itself stays longer."""
     assert nodes.HEARTBEAT_MS < nodes.DOUBT_MS < 2 * nodes.HEARTBEAT_MS
