--- a/libs/daemon/src/trefoil_daemon/proxy_process.py
+++ b/libs/daemon/src/trefoil_daemon/proxy_process.py
@@ -1,5 +1,6 @@
 """The engine of ``trefoilroute-proxy``: its cores joined, without sockets."""
 
+import copy
 import functools
 import random
 import typing
@@ -30,6 +31,8 @@
 
 LOCAL = "local"
 GUARD_MS = 1000
+# A pace that is told goes to every proxy of the fleet.
+TELL_PACE_MS = 1000
 GUARD_WINDOWS = 600
 GUARD_FLEET = 860
 COLD_MS = 5000
@@ -98,6 +101,7 @@
         self.collectors: dict[str, evidences.Collector] = {}
         self.guards: dict[str, judges.Judge] = {}
         self.guard_at_ms = 0
+        self.pace_at_ms = 0
         self.route_service: dict[str, str] = {}
         self.leaving_since_ms = 0
         self.busy_origins: dict[str, set[int]] = {}
@@ -366,8 +370,22 @@
 
     def _publish_targets(self, now_ms: int) -> None:
         records = [] if self.leaving_since_ms else self.announced.records()
+        records = [self._with_pace(record) for record in records]
         self.perform(self.node.set_targets(records, now_ms))
 
+    def _with_pace(
+        self, record: messages.TargetRecord
+    ) -> messages.TargetRecord:
+        """Return a target's record as other proxies learn it."""
+        told = copy.copy(record)
+        told.usual_us = self.targets.told_us(record.name)
+        return told
+
+    def _tell_paces(self, now_ms: int) -> None:
+        if now_ms >= self.pace_at_ms and self.targets.has_paces_to_tell():
+            self.pace_at_ms = now_ms + TELL_PACE_MS
+            self._publish_targets(now_ms)
+
     def target_answered(self, answer: messages.Answer) -> None:
         """Take a local target's whole answer."""
         self.perform(
@@ -418,6 +436,7 @@
             self.tell(host, "", pull)
         self._guard(now_ms)
         self._report(now_ms)
+        self._tell_paces(now_ms)
         self.relay.tick(now_ms)
 
     # Operators
--- a/libs/requests/src/trefoil_requests/balancer.py
+++ b/libs/requests/src/trefoil_requests/balancer.py
@@ -33,7 +33,13 @@
 # A failing target gets too few requests to show that it works again; what
 # was seen of it fades within seconds.
 FAILING_FADES_MS = 3000
+# An answer's word on its target's usual time is newer than the record's for
+# about as long as the record's takes to be told anew.
+PACE_FADES_MS = 2000
 MOST_COMPARED = 12
+# Far targets are compared for the case that the near ones are full or slow;
+# the more near ones are looked at, the less goes between failure domains.
+MOST_NEAR = 9
 # A quarter of the slots is left for requests that were not sent before.
 ROOM = 0.75
 JITTER = 0.05
@@ -60,6 +66,7 @@
         told_ms: When that was.
         failing: Part of its latest answers that failed, 0 to 1.
         failed_ms: When one last did.
+        paced_ms: When its own proxy last told its usual time in an answer.
     """
 
     running: int = 0
@@ -70,6 +77,7 @@
     told_ms: int = 0
     failing: float = 0.0
     failed_ms: int = 0
+    paced_ms: int = 0
 
 
 class Balancer:
@@ -120,7 +128,7 @@
             fit = self._some(fit)
         if not fit:
             return None
-        usual_us = self._usual_us(fit)
+        usual_us = self._usual_us(fit, now_ms)
         return min(
             fit,
             key=lambda e: (
@@ -133,14 +141,14 @@
     def _some(self, fit: list[routing.Endpoint]) -> list[routing.Endpoint]:
         """Return the near targets and a few others, to bound the work."""
         near = [e for e in fit if e.domain == self.domain]
-        near = self.rng.sample(near, min(len(near), MOST_COMPARED // 2))
+        near = self.rng.sample(near, min(len(near), MOST_NEAR))
         far = [e for e in fit if e.domain != self.domain]
         room = min(len(far), MOST_COMPARED - len(near))
         return near + self.rng.sample(far, room)
 
-    def _usual_us(self, fit: list[routing.Endpoint]) -> float:
+    def _usual_us(self, fit: list[routing.Endpoint], now_ms: int) -> float:
         """Return the latency to expect of a target not seen yet."""
-        known = [self.view(e.key).latency_us for e in fit]
+        known = [self._known_us(e, self.view(e.key), now_ms) for e in fit]
         known = [latency_us for latency_us in known if latency_us]
         return min(known) * NEWCOMER_FACTOR if known else FIRST_LATENCY_US
 
@@ -168,7 +176,12 @@
         self.view(key).running += 1
 
     def answered(
-        self, key: str, latency_us: float, load: int = -1, now_ms: int = 0
+        self,
+        key: str,
+        latency_us: float,
+        load: int = -1,
+        now_ms: int = 0,
+        usual_us: int = 0,
     ) -> None:
         """Note an answer.
 
@@ -177,13 +190,19 @@
             latency_us: Its time, as if for an average request.
             load: Requests that run or wait there, -1 if not told.
             now_ms: The time on the runtime's clock.
+            usual_us: Its usual time as its own proxy measured it, which saw
+                the requests of all proxies; 0 if not told.
         """
         seen = self.view(key)
         seen.running = max(seen.running - 1, 0)
         seen.losses = 0
-        if not seen.latency_us:
+        if usual_us:
+            seen.latency_us = usual_us
+            seen.paced_ms = now_ms
+        elif not seen.latency_us:
             seen.latency_us = latency_us
-        seen.latency_us += LATENCY_WEIGHT * (latency_us - seen.latency_us)
+        else:
+            seen.latency_us += LATENCY_WEIGHT * (latency_us - seen.latency_us)
         self._note_load(seen, load, now_ms)
 
     def refused(
@@ -259,6 +278,19 @@
         age_ms = now_ms - first_seen_ms.get(endpoint.key, 0)
         return max(min(age_ms / SLOW_START_MS, 1.0), MIN_START_WEIGHT)
 
+    def _known_us(
+        self, endpoint: routing.Endpoint, seen: Seen, now_ms: int
+    ) -> float:
+        """Return a target's usual time, 0 if nothing is known of it.
+
+        What its record tells is good to a third and travels within a
+        second; a recent answer knows better.
+        """
+        told_us = endpoint.target.usual_us or 0
+        if told_us and now_ms - seen.paced_ms > PACE_FADES_MS:
+            return told_us
+        return seen.latency_us or told_us
+
     def _cost(
         self,
         endpoint: routing.Endpoint,
@@ -271,7 +303,7 @@
         slots = max(endpoint.target.slots, 1)
         load = self._load(endpoint, now_ms)
         wait = max(load + 1 / slots - 1, 0.0)
-        service_us = seen.latency_us or usual_us
+        service_us = self._known_us(endpoint, seen, now_ms) or usual_us
         service_us /= self._warmth(endpoint, first_seen_ms, now_ms)
         crowded = 1 + CROWDED_SHARE * min(load, 1.0) ** 2
         # A request that fails has to be asked again, if it may: twice the
--- a/libs/requests/src/trefoil_requests/entry.py
+++ b/libs/requests/src/trefoil_requests/entry.py
@@ -469,6 +469,7 @@
             took_us * mean_us / max(route_us, 1.0),
             -1 if answer.load is None else answer.load,
             now_ms,
+            answer.usual_us or 0,
         )
 
     def _mean(
--- a/libs/requests/src/trefoil_requests/target_side.py
+++ b/libs/requests/src/trefoil_requests/target_side.py
@@ -14,6 +14,7 @@
 
 from . import admission
 from . import effects
+from . import pace as paces
 from . import quarantine as quarantines
 
 CRASH_GATHER_MS = 50
@@ -32,6 +33,7 @@
     port: int
     slots: admission.Admission
     draining: bool = False
+    pace: paces.Pace = dataclasses.field(default_factory=paces.Pace)
 
 
 @dataclasses.dataclass(slots=True)
@@ -129,6 +131,15 @@
         target = self.targets.get(name)
         return target.slots.running if target else 0
 
+    def has_paces_to_tell(self) -> bool:
+        """Tell whether other proxies should hear of a target's pace."""
+        return any(target.pace.is_news for target in self.targets.values())
+
+    def told_us(self, name: str) -> int:
+        """Return the pace of a target that other proxies are told."""
+        target = self.targets.get(name)
+        return target.pace.tell() if target is not None else 0
+
     # Requests
 
     def on_request(
@@ -240,11 +251,24 @@
         shed = said_so or answer.status == MISDIRECTED
         answer.ran = not shed
         answer.shed = shed
+        if not shed:
+            self._note_pace(entry, answer)
         self._release(entry, now_ms, took=not shed)
         answer.load = self._load_of(entry.target)
         self.out.append(effects.Reply(entry.origin, answer))
         return self._flush()
 
+    def _note_pace(self, entry: Running, answer: messages.Answer) -> None:
+        """Learn from an answer how fast its target is, and say so in it."""
+        target = self.targets.get(entry.target)
+        if target is None:
+            return
+        cold = target.record.state == messages.TargetState.COLD
+        if answer.service_us and not cold:
+            # A cold target is slow for seconds, which is told apart.
+            target.pace.note(answer.service_us)
+        answer.usual_us = target.pace.usual_us
+
     def on_target_unsent(
         self, request_id: int, now_ms: int
     ) -> list[typing.Any]:
--- a/libs/wire/src/trefoil_wire/gen/ttypes.py
+++ b/libs/wire/src/trefoil_wire/gen/ttypes.py
@@ -4354,6 +4354,7 @@
      - slots
      - state
      - tells_warmup
+     - usual_us
 
     """
 
@@ -4365,10 +4366,11 @@
         'slots',
         'state',
         'tells_warmup',
+        'usual_us',
     )
 
 
-    def __init__(self, name=None, service_name=None, version=None, resources=None, slots=None, state=None, tells_warmup=False,):
+    def __init__(self, name=None, service_name=None, version=None, resources=None, slots=None, state=None, tells_warmup=False, usual_us=0,):
         self.name = name
         self.service_name = service_name
         self.version = version
@@ -4376,6 +4378,7 @@
         self.slots = slots
         self.state = state
         self.tells_warmup = tells_warmup
+        self.usual_us = usual_us
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4426,6 +4429,11 @@
                     self.tells_warmup = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I32:
+                    self.usual_us = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4467,6 +4475,10 @@
             oprot.writeFieldBegin('tells_warmup', TType.BOOL, 7)
             oprot.writeBool(self.tells_warmup)
             oprot.writeFieldEnd()
+        if self.usual_us is not None:
+            oprot.writeFieldBegin('usual_us', TType.I32, 8)
+            oprot.writeI32(self.usual_us)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -6550,6 +6562,7 @@
      - unusable
      - load
      - full
+     - usual_us
 
     """
 
@@ -6568,10 +6581,11 @@
         'unusable',
         'load',
         'full',
+        'usual_us',
     )
 
 
-    def __init__(self, request_id=None, status=None, reason=None, headers=None, body=None, ran=None, retry_after_ms=0, service_us=0, crashed=False, sole=False, shed=False, unusable=False, load=-1, full=False,):
+    def __init__(self, request_id=None, status=None, reason=None, headers=None, body=None, ran=None, retry_after_ms=0, service_us=0, crashed=False, sole=False, shed=False, unusable=False, load=-1, full=False, usual_us=0,):
         self.request_id = request_id
         self.status = status
         self.reason = reason
@@ -6586,6 +6600,7 @@
         self.unusable = unusable
         self.load = load
         self.full = full
+        self.usual_us = usual_us
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -6666,6 +6681,11 @@
                     self.full = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.I32:
+                    self.usual_us = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -6732,6 +6752,10 @@
             oprot.writeFieldBegin('full', TType.BOOL, 14)
             oprot.writeBool(self.full)
             oprot.writeFieldEnd()
+        if self.usual_us is not None:
+            oprot.writeFieldBegin('usual_us', TType.I32, 15)
+            oprot.writeI32(self.usual_us)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -8107,6 +8131,7 @@
     (5, TType.I32, 'slots', None, None, ),  # 5
     (6, TType.I32, 'state', None, None, ),  # 6
     (7, TType.BOOL, 'tells_warmup', None, False, ),  # 7
+    (8, TType.I32, 'usual_us', None, 0, ),  # 8
 )
 all_structs.append(HostRecord)
 HostRecord.thrift_spec = (
@@ -8277,6 +8302,7 @@
     (12, TType.BOOL, 'unusable', None, False, ),  # 12
     (13, TType.I32, 'load', None, -1, ),  # 13
     (14, TType.BOOL, 'full', None, False, ),  # 14
+    (15, TType.I32, 'usual_us', None, 0, ),  # 15
 )
 all_structs.append(Cancel)
 Cancel.thrift_spec = (
--- a/libs/wire/trefoil.thrift
+++ b/libs/wire/trefoil.thrift
@@ -189,6 +189,8 @@
   1: string name, 2: string service_name, 3: string version,
   4: list<string> resources, 5: i32 slots, 6: TargetState state,
   7: bool tells_warmup = false,
+  // Usual time of a request there, as its own proxy measured; 0 if unknown.
+  8: i32 usual_us = 0,
 }
 struct HostRecord {
   1: string host, 2: string domain, 3: string region, 4: string address,
@@ -264,6 +266,8 @@
   8: i32 service_us = 0, 9: bool crashed = false, 10: bool sole = false,
   11: bool shed = false, 12: bool unusable = false, 13: i32 load = -1,
   14: bool full = false,
+  // Usual time of a request at that target by now; 0 if unknown.
+  15: i32 usual_us = 0,
 }
 struct Cancel { 1: i64 request_id }
 struct Ping { 1: i64 nonce }
