Move what is known of a running call into a module of its own

Change: live.py holds Live and Attempt with their small verbs; Final.from_answer builds what a target answered. No behaviour changes.

--- a/libs/requests/src/trefoil_requests/call.py
+++ b/libs/requests/src/trefoil_requests/call.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from trefoil_model import hashing
+from trefoil_wire import messages
 
 STATUS_REASONS = {
     400: "Bad Request",
@@ -81,3 +82,16 @@
     ran: bool = False
     retry_after_ms: int = 0
     own: bool = True
+
+    @classmethod
+    def from_answer(cls, call_id: int, answer: messages.Answer) -> "Final":
+        """Build the final answer to a call from a target's answer."""
+        return cls(
+            call_id,
+            answer.status,
+            answer.reason or "",
+            answer.headers or b"",
+            answer.body or b"",
+            ran=True,
+            own=False,
+        )
--- a/libs/requests/src/trefoil_requests/entry.py
+++ b/libs/requests/src/trefoil_requests/entry.py
@@ -5,7 +5,6 @@
 answer. It does no input or output.
 """
 
-import dataclasses
 import random
 import typing
 
@@ -19,6 +18,7 @@
 from . import call as calls
 from . import effects
 from . import ledger as ledgers
+from . import live as lives
 from . import patience as patiences
 from . import quarantine as quarantines
 from . import routing
@@ -48,44 +48,6 @@
 RAN_UNKNOWN = "it is not known whether the request ran"
 
 
-@dataclasses.dataclass(slots=True)
-class Attempt:
-    """A request on its way to a target."""
-
-    request_id: int
-    endpoint: routing.Endpoint
-    version: str
-    sent_us: int
-
-
-@dataclasses.dataclass(slots=True)
-class Live:
-    """A call without its final answer yet."""
-
-    call: calls.Call
-    route: messages.Route
-    fingerprint: int
-    started_us: int
-    deadline_at_ms: int
-    aim_at_ms: int
-    claim: messages.Claim | None = None
-    service: str = ""
-    version: str = ""
-    endpoint: routing.Endpoint | None = None
-    request_id: int = 0
-    first_id: int = 0
-    sent_us: int = 0
-    attempts: int = 0
-    sends: int = 0
-    settled: bool = False
-    crashes: int = 0
-    may_have_run: bool = False
-    retry_after_ms: int = 0
-    hedge: Attempt | None = None
-    tried: set[str] = dataclasses.field(default_factory=set)
-    bounced: set[str] = dataclasses.field(default_factory=set)
-
-
 class Entry:
     """The entry core of one proxy.
 
@@ -147,7 +109,7 @@
         self.budgets: dict[str, budget.RetryBudget] = {}
         self.claims = ledgers.Claims()
         self.halted: dict[str, frozenset[str]] = {}
-        self.live: dict[int, Live] = {}
+        self.live: dict[int, lives.Live] = {}
         self.by_request: dict[int, int] = {}
         self.draining = False
         self.ids = rng.getrandbits(61)
@@ -198,7 +160,7 @@
             timeout_ms = min(timeout_ms, call.deadline_ms)
         aim_ms = route.latency_aim_ms or timeout_ms
         waited_ms = self.patience.waited_ms(route.name, call.deadline_ms)
-        live = Live(
+        live = lives.Live(
             call=call,
             route=route,
             fingerprint=call.fingerprint(),
@@ -243,7 +205,7 @@
             )
         )
 
-    def _claim(self, live: Live, now_ms: int) -> None:
+    def _claim(self, live: lives.Live, now_ms: int) -> None:
         service = live.service
         issued_ms = ledgers.issued_ms_of(live.call.key)
         key = ledgers.key_of(service, live.call.key)
@@ -283,7 +245,7 @@
                 case _:
                     self.out.append(item)
 
-    def _attempt(self, live: Live, now_ms: int, now_us: int) -> None:
+    def _attempt(self, live: lives.Live, now_ms: int, now_us: int) -> None:
         """Send a call to a target, or answer that none can take it."""
         endpoint = self._choose_and_settle(live, now_ms)
         if endpoint is None:
@@ -293,7 +255,7 @@
 
     def _send_to(
         self,
-        live: Live,
+        live: lives.Live,
         endpoint: routing.Endpoint,
         now_ms: int,
         now_us: int,
@@ -333,7 +295,7 @@
         )
 
     def _choose_and_settle(
-        self, live: Live, now_ms: int
+        self, live: lives.Live, now_ms: int
     ) -> routing.Endpoint | None:
         """Return a target, and settle whether a call may wait there.
 
@@ -355,7 +317,7 @@
         return min(kib * FAR_US_A_KIB, most_us)
 
     def _choose(
-        self, live: Live, tried: set[str], now_ms: int
+        self, live: lives.Live, tried: set[str], now_ms: int
     ) -> routing.Endpoint | None:
         """Return a target of the drawn version, else of another in force.
 
@@ -413,7 +375,7 @@
 
     def _on_served(
         self,
-        live: Live,
+        live: lives.Live,
         answer: messages.Answer,
         now_ms: int,
         now_us: int,
@@ -434,20 +396,12 @@
             live.claim = None
         self._finish(
             live,
-            calls.Final(
-                live.call.call_id,
-                answer.status,
-                answer.reason or "",
-                answer.headers or b"",
-                answer.body or b"",
-                ran=True,
-                own=False,
-            ),
+            calls.Final.from_answer(live.call.call_id, answer),
         )
 
     def _note_answered(
         self,
-        live: Live,
+        live: lives.Live,
         answer: messages.Answer,
         latency_us: int,
         now_ms: int,
@@ -482,7 +436,7 @@
 
     def _on_refused(
         self,
-        live: Live,
+        live: lives.Live,
         answer: messages.Answer,
         now_ms: int,
         now_us: int,
@@ -506,7 +460,7 @@
 
     def _on_crashed(
         self,
-        live: Live,
+        live: lives.Live,
         answer: messages.Answer,
         now_ms: int,
         now_us: int,
@@ -515,10 +469,9 @@
         self._observe(live, now_us - live.sent_us, True, now_ms)
         live.may_have_run = True
         live.crashes += 1
-        repeatable = live.route.repeat != messages.Repeat.ONCE
         # A request that ran alone in the crash is the likely cause: sending
         # it on would take a second target down.
-        again = repeatable and not answer.sole and live.crashes < 2
+        again = live.may_repeat and not answer.sole and live.crashes < 2
         if again and self._may_retry(live, now_ms):
             self._attempt(live, now_ms, now_us)
         else:
@@ -526,7 +479,7 @@
 
     def _on_unusable(
         self,
-        live: Live,
+        live: lives.Live,
         answer: messages.Answer,
         now_ms: int,
         now_us: int,
@@ -536,8 +489,7 @@
         self._note_answered(live, answer, latency_us, now_ms)
         self._observe(live, latency_us, True, now_ms)
         live.may_have_run = True
-        repeatable = live.route.repeat != messages.Repeat.ONCE
-        if repeatable and self._may_retry(live, now_ms):
+        if live.may_repeat and self._may_retry(live, now_ms):
             self._attempt(live, now_ms, now_us)
         else:
             self._finish_lost(live, 502, answer.reason or "no whole answer")
@@ -570,14 +522,13 @@
         if live is not None:
             self.balancer.lost(live.endpoint.key, now_ms)
             live.may_have_run = True
-            repeatable = live.route.repeat != messages.Repeat.ONCE
-            if repeatable and self._may_retry(live, now_ms):
+            if live.may_repeat and self._may_retry(live, now_ms):
                 self._attempt(live, now_ms, now_us)
             else:
                 self._finish_lost(live, 502, "the target's host is lost")
         return self._flush()
 
-    def _take_attempt(self, request_id: int) -> Live | None:
+    def _take_attempt(self, request_id: int) -> lives.Live | None:
         call_id = self.by_request.pop(request_id, None)
         live = self.live.get(call_id) if call_id is not None else None
         if live is None:
@@ -585,12 +536,12 @@
         if live.request_id != request_id:
             if live.hedge is None or live.hedge.request_id != request_id:
                 return None
-            self._swap(live)
+            live.swap()
         return live
 
     # Hedged requests
 
-    def _hedge(self, live: Live, now_ms: int, now_us: int) -> None:
+    def _hedge(self, live: lives.Live, now_ms: int, now_us: int) -> None:
         """Ask a second target beside the first, which goes on."""
         endpoint = self._choose(live, live.tried | live.bounced, now_ms)
         if endpoint is None or not self.balancer.has_room(endpoint, now_ms):
@@ -599,9 +550,7 @@
             return
         if not self.budgets[live.service].withdraw():
             return
-        first = Attempt(
-            live.request_id, live.endpoint, live.version, live.sent_us
-        )
+        first = live.attempt
         live.settled = False
         self._note(
             "request.hedged",
@@ -613,7 +562,7 @@
         self._send_to(live, endpoint, now_ms, now_us)
         live.hedge = first
 
-    def _wants_hedge(self, live: Live, now_us: int) -> bool:
+    def _wants_hedge(self, live: lives.Live, now_us: int) -> bool:
         if live.hedge is not None or not live.request_id:
             return False
         repeatable = live.route.repeat == messages.Repeat.ANY
@@ -625,19 +574,8 @@
         bound_us = max(usual_us * HEDGE_FACTOR, LEAST_HEDGE_US)
         return usual_us > 0 and now_us - live.sent_us >= bound_us
 
-    def _swap(self, live: Live) -> None:
-        """Make the other of two attempts the one that counts."""
-        other = live.hedge
-        live.hedge = Attempt(
-            live.request_id, live.endpoint, live.version, live.sent_us
-        )
-        live.request_id = other.request_id
-        live.endpoint = other.endpoint
-        live.version = other.version
-        live.sent_us = other.sent_us
-
     def _fall_back(
-        self, live: Live, answer: messages.Answer, now_ms: int
+        self, live: lives.Live, answer: messages.Answer, now_ms: int
     ) -> bool:
         """Wait for the other attempt; False if there is none."""
         if live.hedge is None:
@@ -650,12 +588,12 @@
             live.may_have_run = True
         else:
             live.attempts -= 1
-        self._swap(live)
+        live.swap()
         live.hedge = None
         return True
 
     def _may_place_again(
-        self, live: Live, answer: messages.Answer, now_ms: int
+        self, live: lives.Live, answer: messages.Answer, now_ms: int
     ) -> bool:
         """Tell whether a call that was refused may go to another target.
 
@@ -670,7 +608,7 @@
             return False
         return now_ms < live.deadline_at_ms
 
-    def _may_retry(self, live: Live, now_ms: int) -> bool:
+    def _may_retry(self, live: lives.Live, now_ms: int) -> bool:
         if live.call.retried or live.attempts >= live.route.max_attempts:
             # A proxy nearer to the caller retries this chain already;
             # retrying here too would multiply with each level.
@@ -688,7 +626,7 @@
         return granted
 
     def _observe(
-        self, live: Live, latency_us: int, failed: bool, now_ms: int
+        self, live: lives.Live, latency_us: int, failed: bool, now_ms: int
     ) -> None:
         if live.request_id != live.first_id:
             # A call counts once: the retry of a failed one would make the
@@ -698,7 +636,9 @@
             live, live.version, live.endpoint, latency_us, failed, now_ms
         )
 
-    def _observe_overtaken(self, live: Live, now_ms: int, now_us: int) -> None:
+    def _observe_overtaken(
+        self, live: lives.Live, now_ms: int, now_us: int
+    ) -> None:
         """Count a first attempt that its hedge overtook as slow as it was.
 
         Left out, a version that is slow would only show the answers that
@@ -717,7 +657,7 @@
 
     def _observe_attempt(
         self,
-        live: Live,
+        live: lives.Live,
         version: str,
         endpoint: routing.Endpoint,
         latency_us: int,
@@ -776,7 +716,7 @@
             self._finish_lost(live, 504, "the deadline has passed")
         return self._flush()
 
-    def _abandon(self, live: Live) -> None:
+    def _abandon(self, live: lives.Live) -> None:
         """Tell the target's proxy to stop; give an unused claim back."""
         if live.request_id in self.by_request:
             self._tell_cancel(live.request_id, live.endpoint)
@@ -793,12 +733,12 @@
             )
         )
 
-    def _finish_quarantined(self, live: Live) -> None:
+    def _finish_quarantined(self, live: lives.Live) -> None:
         self._not_run(
             live, 422, "this request crashed the targets that ran it"
         )
 
-    def _finish_no_target(self, live: Live) -> None:
+    def _finish_no_target(self, live: lives.Live) -> None:
         wait_ms = live.retry_after_ms or NO_TARGET_MS
         reason = "no target can take it in time"
         if live.may_have_run:
@@ -808,7 +748,7 @@
         self._not_run(live, 503, reason, wait_ms)
 
     def _not_run(
-        self, live: Live, status: int, reason: str, wait_ms: int = 0
+        self, live: lives.Live, status: int, reason: str, wait_ms: int = 0
     ) -> None:
         if live.claim is not None:
             self.out.extend(ledgers.release(live.claim))
@@ -821,7 +761,7 @@
         )
 
     def _finish_lost(
-        self, live: Live, status: int, reason: str, wait_ms: int = 0
+        self, live: lives.Live, status: int, reason: str, wait_ms: int = 0
     ) -> None:
         if not live.may_have_run:
             self._not_run(live, status, reason, wait_ms or COME_BACK_MS)
@@ -855,15 +795,7 @@
             return
         self._finish(
             live,
-            calls.Final(
-                found.call_id,
-                found.answer.status,
-                found.answer.reason or "",
-                found.answer.headers or b"",
-                found.answer.body or b"",
-                ran=True,
-                own=False,
-            ),
+            calls.Final.from_answer(found.call_id, found.answer),
         )
 
     def _finish_unknown(self, call_id: int) -> None:
@@ -881,13 +813,13 @@
             ),
         )
 
-    def _finish(self, live: Live, final: calls.Final) -> None:
+    def _finish(self, live: lives.Live, final: calls.Final) -> None:
         if final.own:
             self._note_own(live, final)
         self._drop(live)
         self.out.append(effects.Finish(final))
 
-    def _drop(self, live: Live) -> None:
+    def _drop(self, live: lives.Live) -> None:
         self.live.pop(live.call.call_id, None)
         self.by_request.pop(live.request_id, None)
         if live.hedge is not None:
@@ -895,7 +827,7 @@
             self.balancer.given_up(live.hedge.endpoint.key)
             live.hedge = None
 
-    def _note_own(self, live: Live, final: calls.Final) -> None:
+    def _note_own(self, live: lives.Live, final: calls.Final) -> None:
         """Log an answer that no target gave, with what led to it."""
         event = "request.lost" if final.ran else "request.refused"
         endpoint = live.endpoint
@@ -908,7 +840,9 @@
             come_back_ms=final.retry_after_ms,
         )
 
-    def _note(self, event: str, live: Live, **fields: typing.Any) -> None:
+    def _note(
+        self, event: str, live: lives.Live, **fields: typing.Any
+    ) -> None:
         revision = self.table.revision if self.table else 0
         self.out.append(
             common.Note(
