Let the first configuration wait for its voters

Cause: three seeds found the agreement; five hosts that bear the loss of two disks had an acknowledged first document on two disks of three until the others were voters, 2.05 s after the start (the two asked to be let in at the same moment, the second was put off for a second). Ruled out: more founders (two halves that start apart could both found). Change: until a first revision is agreed a leader holds commands back while there are fewer than 2f+1 voters, 3 s from its start at most; hosts ask to be let in every 250 ms. Before: test_the_first_configuration_waits_for_all_disks_it_needs failed (acknowledged with three voters).

--- a/libs/daemon/src/trefoil_daemon/control_process.py
+++ b/libs/daemon/src/trefoil_daemon/control_process.py
@@ -31,7 +31,9 @@
 from . import queries
 
 FIRST = "first"
-JOIN_MS = 1000
+# Two that ask at the same moment are let in one after the other: a change of
+# the voters must be agreed before the next.
+JOIN_MS = 250
 DECIDE_MS = 200
 MAX_HOPS = 3
 DISK_FAILED = 4
@@ -43,6 +45,9 @@
 UNLED_MS = 3000
 # A leader is heard every heartbeat, 150 ms; six in a row are not lost.
 LED_MS = 1000
+# Hosts that start together are voters within a second and a half; one that is
+# not there by then may be down, and the others take the configuration.
+FOUNDING_MS = 3000
 
 
 Reads = tuple[typing.Callable[[], typing.Any], typing.Callable[[], typing.Any]]
@@ -133,6 +138,7 @@
         self.settings = settings
         self.rng = rng
         now_ms = clock.now_ms()
+        self.started_ms = now_ms
         if settings.found and settings.host in settings.founders:
             if disk.read(stores.PROMISE) is None:
                 found_store(disk, settings.host, settings.founders)
@@ -309,7 +315,23 @@
         if self._wait_for(command, reply):
             self._propose_once(command)
 
+    def _is_founding(self) -> bool:
+        """Tell whether the first configuration waits for more voters.
+
+        Some seeds found the agreement and the other hosts join it. What a
+        majority of the founders holds may be on no more disks than are lost
+        at once; with all voters there it is on one more. Commands that wait
+        are taken up again at each tick.
+        """
+        if self.state.items.revision:
+            return False
+        if len(self.raft.voters) >= self.raft.least_voters:
+            return False
+        return self.clock.now_ms() < self.started_ms + FOUNDING_MS
+
     def _propose_once(self, command: messages.Command) -> None:
+        if self._is_founding():
+            return
         self.asked[command.command_id] = self.settings.host
         if command.command_id not in self.in_log:
             self.in_log[command.command_id] = 0
--- a/libs/daemon/tests/test_joining.py
+++ b/libs/daemon/tests/test_joining.py
@@ -9,8 +9,10 @@
 from trefoil_model import clock as clocks
 from trefoil_model import effects as common
 from trefoil_quorum import raft as rafts
+from trefoil_settings import configuration
 from trefoil_settings import settings as setting_store
 from trefoil_store import disk as disks
+from trefoil_wire import frames
 from trefoil_wire import messages
 
 SEEDS = ["10.0.0.1", "10.0.0.2", "10.0.0.3"]
@@ -64,11 +66,12 @@
         self.wire: list[tuple[str, str, typing.Any]] = []
         self.halves: tuple[set[str], ...] = ()
 
-    def start(self, name: str, *, found: bool) -> None:
+    def start(self, name: str, *, found: bool, lost_disks: int = 1) -> None:
         """Start a process, with the disk that it had."""
         checked = setting_store.parse(
             f"host: {name}\ndomain: d\npeers: {name}:7000\n"
             f"admin: {name}:8000\ndata_folder: x\nfound: {str(found).lower()}"
+            f"\nlost_disks: {lost_disks}"
             f"\njoin: [{', '.join(f'{s}:8000' for s in SEEDS)}]\n",
             "control",
         )
@@ -317,3 +320,51 @@
             waited_ms += STEP_MS
         slowest_ms = max(slowest_ms, waited_ms)
     assert slowest_ms <= 700
+
+
+DOCUMENT = """\
+services: [{name: s, version: v1}]
+routes: [{name: r, prefix: /, service: s, timeout: 1s, repeat: any}]
+"""
+
+
+def accepts(net: Net, at: str) -> typing.Callable[[], bool]:
+    """Submit a first configuration; return whether it was acknowledged."""
+    made = configuration.parse(DOCUMENT).ok
+    code, body = frames.pack_any(made)
+    command = messages.Command("first", "op", 0, code, body)
+    told: list[messages.CommandReply] = []
+    net.processes[at].submit(command, told.append)
+    return lambda: any(r.outcome == messages.Outcome.DONE for r in told)
+
+
+def test_the_first_configuration_waits_for_all_disks_it_needs() -> None:
+    """Five hosts bear the loss of two disks, but three of them found.
+
+    The first configuration comes before the others are voters. Acknowledged
+    on two disks of three, it is gone once these two are lost.
+    """
+    net = Net()
+    for name in SEEDS:
+        net.start(name, found=True, lost_disks=2)
+    while not net.leaders():
+        net.run(STEP_MS)
+    done = accepts(net, net.leaders()[0])
+    net.run(500)
+    assert not done()
+    for name in ("10.0.0.4", "10.0.0.5"):
+        net.start(name, found=True, lost_disks=2)
+    net.run(2000)
+    assert len(net.voters(net.leaders()[0])) == 5
+    assert done()
+
+
+def test_the_first_configuration_does_not_wait_for_ever() -> None:
+    """Two of five hosts never start; the others take it all the same."""
+    net = Net()
+    for name in SEEDS:
+        net.start(name, found=True, lost_disks=2)
+    net.run(control_process.FOUNDING_MS + 2000)
+    done = accepts(net, net.leaders()[0])
+    net.run(500)
+    assert done()
