Take out three things that stood twice

Cause: the count of words that vouch without a leader was worked out in two places, the list of control hosts was held by the node and by its overlay, and the readiness page and the metrics page had the same shape. Change: words_needed serves seeds and voters; the overlay alone holds the list; _page.Page answers GET for both pages. No behaviour changes.

--- a/libs/daemon/src/trefoil_daemon/exposition.py
+++ b/libs/daemon/src/trefoil_daemon/exposition.py
@@ -2,7 +2,7 @@
 
 import typing
 
-from . import _http
+from . import _page
 from . import http_server
 from . import metrics as metric_store
 
@@ -11,7 +11,7 @@
 QUANTILES = (50.0, 90.0, 99.0, 99.9)
 
 
-class Exposition:
+class Exposition(_page.Page):
     """Answers GET by all counters, gauges and latencies of a process.
 
     Args:
@@ -32,20 +32,10 @@
         self.bytes_out = bytes_out
         self.gauges = gauges
 
-    def take(
-        self,
-        connection: http_server.ServerConnection,
-        message: _http.Message,
-    ) -> None:
-        """Take a request."""
-        if message.method != "GET":
-            connection.answer_own(405, "only GET")
-            return
+    def get(self, connection: http_server.ServerConnection) -> None:
+        """Answer a GET."""
         connection.answer(200, "OK", TEXT_HEADER, self.text())
 
-    def gone(self, connection: http_server.ServerConnection) -> None:
-        """Nothing is owed to a sender that went away."""
-
     def text(self) -> bytes:
         """Return the metrics in the Prometheus text format."""
         # Most processes are never asked; the library is loaded when one is.
--- a/libs/daemon/src/trefoil_daemon/readiness.py
+++ b/libs/daemon/src/trefoil_daemon/readiness.py
@@ -2,7 +2,7 @@
 
 import typing
 
-from . import _http
+from . import _page
 from . import http_server
 
 
@@ -14,7 +14,7 @@
         """Tell whether callers are served here."""
 
 
-class Readiness:
+class Readiness(_page.Page):
     """Answers every GET by 200 while callers are served, else by 503.
 
     Args:
@@ -26,18 +26,9 @@
     def __init__(self, process: Process) -> None:
         self.process = process
 
-    def take(
-        self,
-        connection: http_server.ServerConnection,
-        message: _http.Message,
-    ) -> None:
-        """Take a request."""
-        if message.method != "GET":
-            connection.answer_own(405, "only GET")
-        elif self.process.ready:
+    def get(self, connection: http_server.ServerConnection) -> None:
+        """Answer a GET."""
+        if self.process.ready:
             connection.answer(200, "OK")
         else:
             connection.answer_own(503, "not ready")
-
-    def gone(self, connection: http_server.ServerConnection) -> None:
-        """Nothing is owed to a sender that went away."""
--- a/libs/fleet/src/trefoil_fleet/floor.py
+++ b/libs/fleet/src/trefoil_fleet/floor.py
@@ -21,6 +21,17 @@
 import collections.abc
 
 
+def words_needed(count: int) -> int:
+    """Return how many of some hosts must vouch without the leader.
+
+    Args:
+        count: How many hosts there are; a majority of them holds whatever
+            was in force.
+    """
+    majority = count // 2 + 1
+    return count - majority + 1
+
+
 class Floor:
     """Collects the proof for one process's life.
 
@@ -49,12 +60,6 @@
         self.words: dict[str, int] = {}
         self.voter_words: dict[str, int] = {}
 
-    @property
-    def words_needed(self) -> int:
-        """Return how many seeds must vouch without the leader."""
-        majority = len(self.seeds) // 2 + 1
-        return len(self.seeds) - majority + 1
-
     def hear(
         self,
         host: str,
@@ -83,7 +88,7 @@
         if revision < 0 or host not in self.seeds or host == self.me:
             return
         self.words[host] = max(self.words.get(host, 0), revision)
-        if len(self.words) >= self.words_needed:
+        if len(self.words) >= words_needed(len(self.seeds)):
             self.revision = max(self.words.values())
             self.proved = True
 
@@ -95,8 +100,7 @@
     ) -> None:
         self.voter_words[host] = revision
         words = [self.voter_words[v] for v in voters if v in self.voter_words]
-        majority = len(voters) // 2 + 1
-        if len(words) >= len(voters) - majority + 1:
+        if len(words) >= words_needed(len(voters)):
             self.revision = max(words)
             self.proved = True
 
--- a/libs/fleet/src/trefoil_fleet/node.py
+++ b/libs/fleet/src/trefoil_fleet/node.py
@@ -84,7 +84,6 @@
         "join_ms",
         "joins_per_s",
         "leader",
-        "control_hosts",
         "led",
         "rng",
         "out",
@@ -136,7 +135,6 @@
         self.join_ms = now_ms
         self.joins_per_s = joins_per_s
         self.leader = ""
-        self.control_hosts = messages.ControlHosts(0, [])
         self.led = True
         self.rng = rng
         self.out: list[typing.Any] = []
@@ -201,8 +199,8 @@
                 now_ms, recent_only=False, reply_wanted=True
             )
             self._send(host, summary)
-        if self.control_hosts.number:
-            self._send(host, self.control_hosts)
+        if self.overlay.listed.number:
+            self._send(host, self.overlay.listed)
         if host in (self.leader, self.overlay.uplink):
             # What was reported while this link was away would else stay
             # unknown on its far side until the next refresh.
@@ -266,10 +264,8 @@
     def _learn_controls(
         self, listed: messages.ControlHosts, source: str
     ) -> None:
-        if listed.number <= self.control_hosts.number:
+        if not self.overlay.learn(listed, self.now_ms):
             return
-        self.control_hosts = listed
-        self.overlay.learn(listed, self.now_ms)
         for peer in self.links:
             if peer != source:
                 self._send(peer, listed)
--- a/libs/fleet/src/trefoil_fleet/overlay.py
+++ b/libs/fleet/src/trefoil_fleet/overlay.py
@@ -45,7 +45,7 @@
         "given",
         "controls",
         "domains",
-        "list_number",
+        "listed",
         "rng",
         "uplinks",
         "current",
@@ -72,7 +72,7 @@
         self.given = dict(controls)
         self.controls = dict(controls)
         self.domains: dict[str, str] = {}
-        self.list_number = 0
+        self.listed = messages.ControlHosts(0, [])
         self.rng = rng
         self.uplinks = self._uplinks()
         self.current = 0
@@ -127,9 +127,9 @@
         Hosts that the settings name stay known: if all that are listed are
         gone, they are the way back.
         """
-        if listed.number <= self.list_number:
+        if listed.number <= self.listed.number:
             return False
-        self.list_number = listed.number
+        self.listed = listed
         hosts = [h for h in listed.hosts if h.name != self.me]
         found = {h.name: h.address for h in hosts if h.address}
         self.domains.update({h.name: h.domain or "" for h in hosts})
