Move the choice of targets into a module of its own

Change: placing.py holds versions, endpoints, balancer and the usual times and sizes of routes; those of routes that are gone are forgotten now, they grew with each change of the configuration before.

--- a/libs/daemon/src/trefoil_daemon/proxy_process.py
+++ b/libs/daemon/src/trefoil_daemon/proxy_process.py
@@ -156,12 +156,12 @@
             if not shares.move_id:
                 self.collectors.pop(service, None)
                 self.guards.pop(service, None)
-                self.entry.halted.pop(service, None)
+                self.entry.placing.halted.pop(service, None)
             elif collector is None or collector.move_id != shares.move_id:
                 self._begin_collecting(service, shares)
 
     def _begin_collecting(self, service: str, shares: messages.Shares) -> None:
-        self.entry.halted.pop(service, None)
+        self.entry.placing.halted.pop(service, None)
         self.collectors[service] = evidences.Collector(
             shares.move_id,
             self.settings.host,
@@ -207,7 +207,9 @@
                 continue
             collector.halted = True
             collector.changed.update(collector.counts)
-            self.entry.halted[service] = frozenset((judge.new_version,))
+            self.entry.placing.halted[service] = frozenset(
+                (judge.new_version,)
+            )
             self.carrier.note(
                 common.Note(
                     "version.halted",
@@ -461,7 +463,7 @@
         return {
             "revision": self.node.config.in_force.revision,
             "calls_waiting": len(self.entry.live),
-            "targets_known": len(self.entry.endpoints.by_key),
+            "targets_known": len(self.entry.placing.endpoints.by_key),
             "running_here": len(self.targets.running),
             "ready": float(self.ready),
         }
--- a/libs/requests/src/trefoil_requests/entry.py
+++ b/libs/requests/src/trefoil_requests/entry.py
@@ -20,23 +20,10 @@
 from . import ledger as ledgers
 from . import live as lives
 from . import patience as patiences
+from . import placing as placings
 from . import quarantine as quarantines
 from . import routing
 
-# How many times a request is sent on from a full target before it waits at
-# the next. With two, a free slot among a dozen targets is found nearly
-# always; each costs a round trip between proxies.
-BOUNCES = 2
-MEAN_WEIGHT = 0.05
-# Traffic between failure domains is paid for: five kilobytes cost as much as
-# an eighth of what a common request is worth. Waiting this much longer for a
-# near target saves them; half of the aim leaves most answers in time. At 1.4
-# times the rates of two routes with answers of 5 KB, a tenth of the calls
-# goes far instead of a quarter, for 0.006 of the callers' credit (played on
-# trefoil_emulator.core_fleet, eight targets in four failure domains).
-FAR_US_A_KIB = 50_000.0
-FAR_AIM_SHARE = 0.5
-FAILED_STATUS = 500
 # A safe request that takes this many times what its route usually does is
 # asked for once more elsewhere: its answer is probably lost, or its target
 # slow. One in thirty does so on a calm day.
@@ -70,16 +57,11 @@
         "quarantine",
         "rng",
         "reserve",
-        "route_means",
-        "route_bytes",
         "patience",
-        "service_means",
-        "table",
-        "endpoints",
+        "placing",
         "balancer",
         "budgets",
         "claims",
-        "halted",
         "live",
         "by_request",
         "draining",
@@ -102,16 +84,11 @@
         self.quarantine = quarantine
         self.rng = rng
         self.reserve = budget.RESERVE
-        self.route_means: dict[str, float] = {}
-        self.route_bytes: dict[str, float] = {}
         self.patience = patiences.Patience()
-        self.service_means: dict[str, float] = {}
-        self.table: routing.RouteTable | None = None
-        self.endpoints = routing.Endpoints()
-        self.balancer = balancers.Balancer(domain, rng)
+        self.placing = placings.Placing(domain, rng)
+        self.balancer = self.placing.balancer
         self.budgets: dict[str, budget.RetryBudget] = {}
         self.claims = ledgers.Claims()
-        self.halted: dict[str, frozenset[str]] = {}
         self.live: dict[int, lives.Live] = {}
         self.by_request: dict[int, int] = {}
         self.draining = False
@@ -122,7 +99,7 @@
 
     def put_in_force(self, table: routing.RouteTable) -> None:
         """Route by a new configuration from now on, in one step."""
-        self.table = table
+        self.placing.put_in_force(table)
         self.patience.keep_only({route.name for route in table.routes})
         self.budgets = {
             name: self.budgets.get(name)
@@ -144,10 +121,8 @@
         self, records: record_store.Records, now_ms: int
     ) -> None:
         """Take in the hosts' records."""
-        drained = self.table.drained if self.table else set()
-        self.endpoints.rebuild(records, drained, now_ms)
-        self.ledger.sets.update(self.endpoints.hosts_of, now_ms)
-        self.balancer.keep_only(self.endpoints.by_key)
+        self.placing.records_changed(records, now_ms)
+        self.ledger.sets.update(self.placing.endpoints.hosts_of, now_ms)
 
     # A call's life
 
@@ -187,11 +162,11 @@
         if self.draining:
             self._refuse(call, 503, "this proxy is leaving")
             return None
-        if self.table is None:
+        if self.placing.table is None:
             self._refuse(call, 503, "no configuration is in force yet")
             return None
         try:
-            return self.table.match(call.host, call.path, call.method)
+            return self.placing.table.match(call.host, call.path, call.method)
         except errors.ProtocolError as error:
             self._refuse(call, error.status, error.reason)
             return None
@@ -250,7 +225,7 @@
 
     def _attempt(self, live: lives.Live, now_ms: int, now_us: int) -> None:
         """Send a call to a target, or answer that none can take it."""
-        endpoint = self._choose_and_settle(live, now_ms)
+        endpoint = self.placing.choose_and_settle(live, now_ms)
         if endpoint is None:
             self._finish_no_target(live)
             return
@@ -297,59 +272,6 @@
             effects.Forward(endpoint.host, endpoint.address, request)
         )
 
-    def _choose_and_settle(
-        self, live: lives.Live, now_ms: int
-    ) -> routing.Endpoint | None:
-        """Return a target, and settle whether a call may wait there.
-
-        A call is sent on from full targets a few times. Then it waits at
-        the one that looks best, full ones among them.
-        """
-        live.settled = len(live.bounced) >= BOUNCES
-        if not live.settled:
-            endpoint = self._choose(live, live.tried | live.bounced, now_ms)
-            if endpoint is not None:
-                return endpoint
-            live.settled = True
-        return self._choose(live, live.tried, now_ms)
-
-    def _far_us(self, route: messages.Route) -> float:
-        """Return what bytes between failure domains are worth in time."""
-        kib = self.route_bytes.get(route.name, 0.0) / 1024
-        most_us = route.latency_aim_ms * 1000 * FAR_AIM_SHARE
-        return min(kib * FAR_US_A_KIB, most_us)
-
-    def _choose(
-        self, live: lives.Live, tried: set[str], now_ms: int
-    ) -> routing.Endpoint | None:
-        """Return a target of the drawn version, else of another in force.
-
-        The other versions are a fallback: a version whose targets are all
-        away or shedding must not cost callers an answer that another
-        version with a share can give.
-        """
-        service = live.service
-        if self.table is None or service not in self.table.shares:
-            return None
-        halted = self.halted.get(service, frozenset())
-        named = {s.version for s in self.table.shares[service].shares}
-        first = self.table.draw_version(service, self.rng, halted)
-        others = [v for v in self.table.versions(service) if v != first]
-        for version in [first] + [v for v in others if v not in halted]:
-            holding = self.endpoints.holding(
-                service, version, live.route.resource, named
-            )
-            endpoint = self.balancer.pick(
-                holding,
-                self.endpoints.first_seen_ms,
-                tried=tried,
-                now_ms=now_ms,
-                far_us=self._far_us(live.route),
-            )
-            if endpoint is not None:
-                return endpoint
-        return None
-
     # Answers
 
     def on_answer(
@@ -384,7 +306,7 @@
         now_us: int,
     ) -> None:
         latency_us = now_us - live.sent_us
-        self._note_answered(live, answer, latency_us, now_ms)
+        self.placing.note_answered(live, answer, latency_us, now_ms)
         failed = answer.status >= FIRST_FAILED_STATUS
         self._observe(live, latency_us, failed, now_ms)
         self._observe_overtaken(live, now_ms, now_us)
@@ -402,41 +324,6 @@
             calls.Final.from_answer(live.call.call_id, answer),
         )
 
-    def _note_answered(
-        self,
-        live: lives.Live,
-        answer: messages.Answer,
-        latency_us: int,
-        now_ms: int,
-    ) -> None:
-        """Tell the balancer how long an average request takes there.
-
-        Routes differ in their work several times over; compared as they
-        are, a target that got two long requests would look slow.
-        """
-        moved = len(answer.body or b"") + len(live.call.body)
-        self._mean(self.route_bytes, live.route.name, moved)
-        failed = answer.unusable or answer.status >= FAILED_STATUS
-        self.balancer.judged(live.endpoint.key, failed, now_ms)
-        took_us = answer.service_us or latency_us
-        route_us = self._mean(self.route_means, live.route.name, took_us)
-        mean_us = self._mean(self.service_means, live.service, took_us)
-        self.balancer.answered(
-            live.endpoint.key,
-            took_us * mean_us / max(route_us, 1.0),
-            -1 if answer.load is None else answer.load,
-            now_ms,
-            answer.usual_us or 0,
-        )
-
-    def _mean(
-        self, means: dict[str, float], name: str, took_us: float
-    ) -> float:
-        mean = means.get(name, float(took_us))
-        mean += MEAN_WEIGHT * (took_us - mean)
-        means[name] = mean
-        return mean
-
     def _on_refused(
         self,
         live: lives.Live,
@@ -489,7 +376,7 @@
     ) -> None:
         """Ask again where that is safe: what came can't be passed on."""
         latency_us = now_us - live.sent_us
-        self._note_answered(live, answer, latency_us, now_ms)
+        self.placing.note_answered(live, answer, latency_us, now_ms)
         self._observe(live, latency_us, True, now_ms)
         live.may_have_run = True
         if live.may_repeat and self._may_retry(live, now_ms):
@@ -546,7 +433,7 @@
 
     def _hedge(self, live: lives.Live, now_ms: int, now_us: int) -> None:
         """Ask a second target beside the first, which goes on."""
-        endpoint = self._choose(live, live.tried | live.bounced, now_ms)
+        endpoint = self.placing.choose(live, live.tried | live.bounced, now_ms)
         if endpoint is None or not self.balancer.has_room(endpoint, now_ms):
             # Where all are full, requests are slow since they wait; asked
             # for twice they would all wait longer.
@@ -573,7 +460,7 @@
             return False
         if live.attempts >= live.route.max_attempts:
             return False
-        usual_us = self.route_means.get(live.route.name, 0.0)
+        usual_us = self.placing.usual_us(live.route)
         bound_us = max(usual_us * HEDGE_FACTOR, LEAST_HEDGE_US)
         return usual_us > 0 and now_us - live.sent_us >= bound_us
 
@@ -684,7 +571,9 @@
             return True
         if endpoint.target.tells_warmup:
             return False
-        seen_ms = self.endpoints.first_seen_ms.get(endpoint.key, now_ms)
+        seen_ms = self.placing.endpoints.first_seen_ms.get(
+            endpoint.key, now_ms
+        )
         return now_ms - seen_ms < balancers.SLOW_START_MS
 
     # Endings
@@ -846,7 +735,7 @@
     def _note(
         self, event: str, live: lives.Live, **fields: typing.Any
     ) -> None:
-        revision = self.table.revision if self.table else 0
+        revision = self.placing.table.revision if self.placing.table else 0
         self.out.append(
             common.Note(
                 event,
--- /dev/null
+++ b/libs/requests/src/trefoil_requests/placing.py
@@ -0,0 +1,163 @@
+"""Which target a call is sent to: version, failure domain, load and speed."""
+
+import random
+
+from trefoil_fleet import records as record_store
+from trefoil_wire import messages
+
+from . import balancer as balancers
+from . import live as lives
+from . import routing
+
+# How many times a request is sent on from a full target before it waits at
+# the next. With two, a free slot among a dozen targets is found nearly
+# always; each costs a round trip between proxies.
+BOUNCES = 2
+# Traffic between failure domains is paid for: five kilobytes cost as much as
+# an eighth of what a common request is worth. Waiting this much longer for a
+# near target saves them; half of the aim leaves most answers in time. At 1.4
+# times the rates of two routes with answers of 5 KB, a tenth of the calls
+# goes far instead of a quarter, for 0.006 of the callers' credit (played on
+# trefoil_emulator.core_fleet, eight targets in four failure domains).
+FAR_US_A_KIB = 50_000.0
+FAR_AIM_SHARE = 0.5
+MEAN_WEIGHT = 0.05
+FAILED_STATUS = 500
+
+
+class Placing:
+    """The choice of targets at one entry proxy.
+
+    Args:
+        domain: This proxy's failure domain.
+        rng: Draws versions and targets.
+    """
+
+    __slots__ = (
+        "rng",
+        "table",
+        "endpoints",
+        "balancer",
+        "halted",
+        "route_means",
+        "route_bytes",
+        "service_means",
+    )
+
+    def __init__(self, domain: str, rng: random.Random) -> None:
+        self.rng = rng
+        self.table: routing.RouteTable | None = None
+        self.endpoints = routing.Endpoints()
+        self.balancer = balancers.Balancer(domain, rng)
+        self.halted: dict[str, frozenset[str]] = {}
+        self.route_means: dict[str, float] = {}
+        self.route_bytes: dict[str, float] = {}
+        self.service_means: dict[str, float] = {}
+
+    def put_in_force(self, table: routing.RouteTable) -> None:
+        """Place by a new configuration; forget what it no longer names."""
+        self.table = table
+        names = {route.name for route in table.routes}
+        for means in (self.route_means, self.route_bytes):
+            for name in [n for n in means if n not in names]:
+                del means[name]
+
+    def records_changed(
+        self, records: record_store.Records, now_ms: int
+    ) -> None:
+        """Take in the hosts' records."""
+        drained = self.table.drained if self.table else set()
+        self.endpoints.rebuild(records, drained, now_ms)
+        self.balancer.keep_only(self.endpoints.by_key)
+
+    def usual_us(self, route: messages.Route) -> float:
+        """Return how long a route's requests run as a rule, 0 if unknown."""
+        return self.route_means.get(route.name, 0.0)
+
+    def choose_and_settle(
+        self, live: lives.Live, now_ms: int
+    ) -> routing.Endpoint | None:
+        """Return a target, and settle whether a call may wait there.
+
+        A call is sent on from full targets a few times. Then it waits at
+        the one that looks best, full ones among them.
+        """
+        live.settled = len(live.bounced) >= BOUNCES
+        if not live.settled:
+            endpoint = self.choose(live, live.tried | live.bounced, now_ms)
+            if endpoint is not None:
+                return endpoint
+            live.settled = True
+        return self.choose(live, live.tried, now_ms)
+
+    def choose(
+        self, live: lives.Live, tried: set[str], now_ms: int
+    ) -> routing.Endpoint | None:
+        """Return a target of the drawn version, else of another in force.
+
+        The other versions are a fallback: a version whose targets are all
+        away or shedding must not cost callers an answer that another
+        version with a share can give.
+        """
+        service = live.service
+        if self.table is None or service not in self.table.shares:
+            return None
+        halted = self.halted.get(service, frozenset())
+        named = {s.version for s in self.table.shares[service].shares}
+        first = self.table.draw_version(service, self.rng, halted)
+        others = [v for v in self.table.versions(service) if v != first]
+        for version in [first] + [v for v in others if v not in halted]:
+            holding = self.endpoints.holding(
+                service, version, live.route.resource, named
+            )
+            endpoint = self.balancer.pick(
+                holding,
+                self.endpoints.first_seen_ms,
+                tried=tried,
+                now_ms=now_ms,
+                far_us=self._far_us(live.route),
+            )
+            if endpoint is not None:
+                return endpoint
+        return None
+
+    def _far_us(self, route: messages.Route) -> float:
+        """Return what bytes between failure domains are worth in time."""
+        kib = self.route_bytes.get(route.name, 0.0) / 1024
+        most_us = route.latency_aim_ms * 1000 * FAR_AIM_SHARE
+        return min(kib * FAR_US_A_KIB, most_us)
+
+    def note_answered(
+        self,
+        live: lives.Live,
+        answer: messages.Answer,
+        latency_us: int,
+        now_ms: int,
+    ) -> None:
+        """Tell the balancer how long an average request takes there.
+
+        Routes differ in their work several times over; compared as they
+        are, a target that got two long requests would look slow.
+        """
+        moved = len(answer.body or b"") + len(live.call.body)
+        self._mean(self.route_bytes, live.route.name, moved)
+        failed = answer.unusable or answer.status >= FAILED_STATUS
+        self.balancer.judged(live.endpoint.key, failed, now_ms)
+        took_us = answer.service_us or latency_us
+        route_us = self._mean(self.route_means, live.route.name, took_us)
+        mean_us = self._mean(self.service_means, live.service, took_us)
+        self.balancer.answered(
+            live.endpoint.key,
+            took_us * mean_us / max(route_us, 1.0),
+            -1 if answer.load is None else answer.load,
+            now_ms,
+            answer.usual_us or 0,
+        )
+
+    def _mean(
+        self, means: dict[str, float], name: str, took_us: float
+    ) -> float:
+        mean = means.get(name, float(took_us))
+        mean += MEAN_WEIGHT * (took_us - mean)
+        means[name] = mean
+        return mean
