Hold the table of safeguards to the code by a test

Cause: four rows of bench/safeguards.yaml named text that had gone, so taking them out would have taken out nothing.

--- /dev/null
+++ b/tests/test_safeguards.py
@@ -0,0 +1,18 @@
+"""The table of safeguards against the code and the tests that it names."""
+
+import pathlib
+
+import pytest
+import yaml
+
+ROOT = pathlib.Path(__file__).parent.parent
+TABLE = yaml.safe_load((ROOT / "bench" / "safeguards.yaml").read_text("utf-8"))
+
+
+@pytest.mark.parametrize("row", TABLE, ids=lambda row: row["name"])
+def test_a_safeguard_stands_where_the_table_says(row: dict[str, str]) -> None:
+    """A row whose text is gone takes nothing out, and so proves nothing."""
+    text = (ROOT / row["file"]).read_text("utf-8")
+    assert text.count(row["old"]) == 1
+    file, _, name = row["test"].partition("::")
+    assert name.partition("[")[0] in (ROOT / file).read_text("utf-8")
