--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 BIN := $(VENV)/bin
 NAME ?= requests
 
-.PHONY: demo test lint format bench plots capacity clean
+.PHONY: demo test lint format bench plots capacity soak clean
 
 $(VENV)/ready: constraints.txt requirements-dev.txt requirements-bench.txt \
 		$(LIBS:%=libs/%/pyproject.toml) platform/pyproject.toml
@@ -37,6 +37,10 @@
 bench: $(VENV)/ready
 	$(BIN)/python bench/$(NAME).py $(ARGS)
 
+# ARGS="--seeds 50 --first 200" plays others; see docs/design/soak.md.
+soak: $(VENV)/ready
+	$(BIN)/python -m soak $(if $(ARGS),$(ARGS),--seeds 5)
+
 plots: $(VENV)/ready
 	$(BIN)/python bench/plots.py
 
