--- a/libs/daemon/src/trefoil_daemon/control.py
+++ b/libs/daemon/src/trefoil_daemon/control.py
@@ -9,6 +9,7 @@
 from trefoil_store import store as stores
 
 from . import control_process
+from . import identities
 from . import runtime
 
 ADMIN_BODY = 4 * 1024 * 1024
@@ -71,7 +72,7 @@
     disk = disks.FolderDisk(settings.data_folder)
     if disk.read(stores.PROMISE) is not None:
         return False
-    stores.Store.create(disk, control_process.first_identity(settings.host))
+    stores.Store.create(disk, identities.first_identity(settings.host))
     return True
 
 
--- a/libs/daemon/src/trefoil_daemon/control_process.py
+++ b/libs/daemon/src/trefoil_daemon/control_process.py
@@ -12,7 +12,6 @@
 from trefoil_language import statements
 from trefoil_model import clock as clocks
 from trefoil_model import effects as common
-from trefoil_model import errors
 from trefoil_moves import conductor as conductors
 from trefoil_moves import knobs as knob_store
 from trefoil_moves import state as states
@@ -27,17 +26,16 @@
 
 from . import _fleet_process
 from . import facade
+from . import identities
 from . import operators
 from . import queries
 
-FIRST = "first"
 # Two that ask at the same moment are let in one after the other: a change of
 # the voters must be agreed before the next.
 JOIN_MS = 250
 DECIDE_MS = 200
 MAX_HOPS = 3
 DISK_FAILED = 4
-FIRST_TERM = 1
 MOST = 1 << 30
 COMMAND_CODE = frames.CODES[messages.CommandRequest]
 # Without a leader's word for this long, a process that the others may have
@@ -57,62 +55,6 @@
     """Do nothing."""
 
 
-def first_identity(name: str) -> str:
-    """Return the identity of a control process's first life."""
-    return f"{name}#{FIRST}"
-
-
-def found_store(disk: disks.Disk, name: str, founders: list[str]) -> None:
-    """Prepare a founder's data folder for its first life.
-
-    Every founder writes the same first entry, which names them all as the
-    voters. Two halves that start apart share these voters, so only one of
-    them can have a majority.
-    """
-    store = stores.Store.create(disk, first_identity(name))
-    voters = [first_identity(founder) for founder in founders]
-    entry = messages.Entry(
-        index=1,
-        term=FIRST_TERM,
-        command=rafts.command_bytes(
-            messages.ChangeVoters(voters=sorted(voters), learners=[])
-        ),
-    )
-    store.save_hard_state(
-        messages.HardState(
-            term=FIRST_TERM, voted_for="", identity=first_identity(name)
-        )
-    )
-    store.append([entry])
-
-
-def open_store(
-    disk: disks.Disk, name: str, rng: random.Random
-) -> tuple[stores.Store, str]:
-    """Open a control process's store.
-
-    Args:
-        disk: Its disk.
-        name: Its name.
-        rng: Draws a new identity where the old one is lost.
-
-    Returns:
-        The store, and why its identity is new (empty if it is not).
-    """
-    try:
-        store = stores.Store.open(disk)
-        why = "" if store.hard_state else "the data folder is empty"
-    except errors.StoreDamaged as error:
-        store = stores.Store(disk)
-        why = f"the store is damaged: {error}"
-    if not why:
-        return store, ""
-    # The old identity may have promised votes that are forgotten now. Under
-    # a new one this process votes only once the leader has taken it in.
-    identity = f"{name}#{rng.getrandbits(40):010x}"
-    return stores.Store.create(disk, identity), why
-
-
 class ControlProcess(_fleet_process.FleetProcess):
     """One control process.
 
@@ -141,8 +83,8 @@
         self.started_ms = now_ms
         if settings.found and settings.host in settings.founders:
             if disk.read(stores.PROMISE) is None:
-                found_store(disk, settings.host, settings.founders)
-        self.store, why_new = open_store(disk, settings.host, rng)
+                identities.found_store(disk, settings.host, settings.founders)
+        self.store, why_new = identities.open_store(disk, settings.host, rng)
         if why_new:
             carrier.note(
                 common.Note("store.new_identity", {"why": why_new}, "warning")
@@ -152,7 +94,9 @@
             self.state = states.State.from_bytes(self.store.snapshot.state)
         self.raft = rafts.Raft(
             self.store.hard_state.identity,
-            voters=[first_identity(name) for name in settings.voters],
+            voters=[
+                identities.first_identity(name) for name in settings.voters
+            ],
             hard_state=self.store.hard_state,
             snapshot=self.store.snapshot,
             entries=self.store.entries,
