--- a/libs/requests/src/trefoil_requests/admission.py
+++ b/libs/requests/src/trefoil_requests/admission.py
@@ -9,7 +9,9 @@
 
 import dataclasses
 
+# Some ten requests: a target that slows down is noticed within a second.
 SERVICE_WEIGHT = 0.1
+# Before anything ran nothing waits long enough to be refused for it.
 FIRST_SERVICE_MS = 5.0
 # A start counts as in time if the usual time and this many mean deviations
 # fit before the aim. Work that spreads by 0.8 of its mean then ends in time
--- a/libs/requests/src/trefoil_requests/placing.py
+++ b/libs/requests/src/trefoil_requests/placing.py
@@ -25,7 +25,10 @@
 # KiB takes 2 ms on each; where they are filled by a burst, calls that stay on
 # their host are what still gets through.
 AWAY_US_A_KIB = 4000.0
+# Some twenty calls: a route's usual work is known within seconds of its first
+# call, and one long call does not make it look slow.
 MEAN_WEIGHT = 0.05
+# A target's own failures; what a caller did wrong (4xx) says nothing of it.
 FAILED_STATUS = 500
 
 
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -23,8 +23,11 @@
 from . import trouble as troubles
 from . import watch
 
+# Nine faults at most, and the whole run within half a minute.
 LASTS_S = 12.0
+# Eleven Python processes start at once, on a machine that may be busy.
 READY_S = 40.0
+# Calls go on for this long after the last fault has begun.
 QUIET_S = 1.0
 
 
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -11,8 +11,11 @@
 
 from . import deployment as deployments
 
+# Some hundred calls a second: each fault meets calls under way, and the
+# processes' own work stays far below one core each.
 CALLERS = 8
 PAUSE_S = 0.05
+# Three times the routes' time limit; what takes longer got no answer.
 ANSWER_S = 6.0
 TRIES = 3
 PAYMENTS_SHARE = 0.4
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -8,6 +8,8 @@
 from . import deployment as deployments
 from . import plan as plans
 
+# A silent link (3.5 s), a start (1 s), an election (1.2 s) and a lease (3 s)
+# one after the other, twice, on a busy machine.
 RECOVER_S = 25.0
 # A fault's effects last longer than the fault: silent links are found after
 # 3.5 s, a control host's successor within a second.
--- a/soak/trouble.py
+++ b/soak/trouble.py
@@ -9,6 +9,7 @@
 from . import plan as plans
 from . import relays as relay_store
 
+# A region's distance both ways, for every piece that is relayed.
 DELAY_S = 0.15
 HELD = {
     plans.Kind.HOLD_IN: {relay_store.Way.IN},
--- a/soak/watch.py
+++ b/soak/watch.py
@@ -9,8 +9,11 @@
 
 from . import deployment as deployments
 
+# Often enough to see each document in force at each proxy.
 LOOK_S = 0.25
 CHANGE_S = 0.6
+# How long one control process is asked before the next; an election and a
+# half.
 SETTLE_S = 5.0
 REVISION = re.compile(rb"^trefoilroute_revision (\S+)", re.MULTILINE)
 DONE = "done"
