--- a/libs/wire/tests/test_frames.py
+++ b/libs/wire/tests/test_frames.py
@@ -9,7 +9,7 @@
 from trefoil_wire import frames
 from trefoil_wire import messages
 
-ROUTE = {"name": "list-slots", "pathPrefix": "/slots/", "timeoutS": 1.5}
+ROUTE = {"name": "list-slots", "prefix": "/slots/", "timeout": "1.5s"}
 REQUEST = messages.Request(
     request_id=7,
     route="list-slots",
