Keep the old uplink until the new one answers

Ruled out: the doubt of a silent uplink (there was no link to doubt) and the overlay's choice (the host was listed rightly). Change: a proxy hangs up on its old uplink once the new one is linked; one without an uplink for a second links to all control hosts; reports and evidence pass an uplink by that says nothing.

--- a/libs/daemon/src/trefoil_daemon/proxy_process.py
+++ b/libs/daemon/src/trefoil_daemon/proxy_process.py
@@ -223,14 +223,14 @@
             )
 
     def _report(self, now_ms: int) -> None:
-        uplink = self.node.overlay.uplink
-        if uplink not in self.node.links:
+        above = self.node.above
+        if not above:
             return
         hosts = len(self.node.members.records.by_host)
         for collector in self.collectors.values():
             report = collector.report(now_ms, hosts)
             if report is not None:
-                self.carrier.link_send(uplink, report)
+                self.carrier.link_send(above, report)
 
     # Links
 
--- a/libs/fleet/src/trefoil_fleet/node.py
+++ b/libs/fleet/src/trefoil_fleet/node.py
@@ -23,6 +23,8 @@
 # Links to other control hosts are cheap beside a stale configuration, so
 # this need not be as sure as SILENT_MS.
 DOUBT_MS = 1800
+# A dial takes a round trip; one to a host that is dark takes seconds to fail.
+UNLINKED_MS = 1000
 REPORT_FLUSH_MS = 100
 SUMMARY_PAUSE_MS = 5000
 QUIET_MS = 1500
@@ -85,6 +87,8 @@
         "joins_per_s",
         "leader",
         "led",
+        "uplinked_ms",
+        "old_uplink",
         "rng",
         "out",
     )
@@ -136,6 +140,8 @@
         self.joins_per_s = joins_per_s
         self.leader = ""
         self.led = True
+        self.uplinked_ms = now_ms
+        self.old_uplink = ""
         self.rng = rng
         self.out: list[typing.Any] = []
         self.members.start(now_ms)
@@ -147,6 +153,22 @@
         """Tell whether a configuration is in force here."""
         return self.config.in_force.revision > 0
 
+    @property
+    def above(self) -> str:
+        """Return the linked peer that reports go to, empty without one.
+
+        The uplink, unless it says nothing or hears of no leader: what it is
+        told then reaches the leader late, and a move is judged without it.
+        """
+        ranked = [self.overlay.uplink, self.old_uplink]
+        ranked += [link.host for link in self.links.values() if link.control]
+        linked = [host for host in ranked if host in self.links]
+        sound = [host for host in linked if self._is_sound(self.links[host])]
+        return next(iter(sound + linked), "")
+
+    def _is_sound(self, link: Link) -> bool:
+        return link.led and self.now_ms - link.heard_ms < DOUBT_MS
+
     def hello(self) -> messages.Hello:
         """Return the greeting for a subscribed link."""
         return messages.Hello(
@@ -382,9 +404,10 @@
             not self.config.floor.proved
             and self.now_ms >= self.started_ms + overlays.SPARE_LINK_MS
         )
-        left = self.overlay.go_home(self.now_ms)
-        if left and left in self.links:
-            self.out.append(effects.HangUp(left))
+        self.old_uplink = self.overlay.go_home(self.now_ms) or self.old_uplink
+        if self.overlay.uplink in self.links:
+            self.uplinked_ms = self.now_ms
+            self._let_go_of_old_uplink()
         spare = spare or self._uplink_is_doubtful()
         wanted = self.overlay.wanted(spare=spare, now_ms=self.now_ms)
         if self.config.floor.proved:
@@ -396,6 +419,23 @@
                 address = self.overlay.address(host)
                 self.out.append(effects.Dial(host, address))
 
+    def _let_go_of_old_uplink(self) -> None:
+        """Hang up on the uplink that was given up, now that another serves.
+
+        The one to move to may be dark, and a dial takes seconds to tell.
+        Hanging up first would leave this proxy without any link, and so
+        without new configurations, for all that time.
+        """
+        old, self.old_uplink = self.old_uplink, ""
+        if old in self.links and old != self.overlay.uplink:
+            self._hang_up(self.links[old])
+
+    def _hang_up(self, link: Link) -> None:
+        """Close a link, once."""
+        if not link.hung_up:
+            link.hung_up = True
+            self.out.append(effects.HangUp(link.host))
+
     def _uplink_is_doubtful(self) -> bool:
         """Tell whether newer configurations may pass the uplink by.
 
@@ -406,10 +446,13 @@
         since in a cut-off failure domain it is the only one; links to the
         others bring what is agreed there.
         """
-        link = self.links.get(self.overlay.uplink)
-        if self.control or link is None:
+        if self.control:
             return False
-        return not link.led or self.now_ms - link.heard_ms >= DOUBT_MS
+        link = self.links.get(self.overlay.uplink)
+        link = link or self.links.get(self.old_uplink)
+        if link is None:
+            return self.now_ms - self.uplinked_ms >= UNLINKED_MS
+        return not self._is_sound(link)
 
     def _drop_spare(self, wanted: list[str]) -> None:
         """Close the links that only the proof of the floor needed."""
@@ -418,7 +461,7 @@
         for link in list(self.links.values()):
             if link.control and link.host not in wanted:
                 if self.overlay.uplink in self.links:
-                    self.out.append(effects.HangUp(link.host))
+                    self._hang_up(link)
 
     def _drop_silent(self) -> None:
         for link in list(self.links.values()):
@@ -430,8 +473,7 @@
                 self.out.append(
                     common.Note("link.silent", {"peer": link.host})
                 )
-                self.out.append(effects.HangUp(link.host))
-                link.hung_up = True
+                self._hang_up(link)
 
     def _beat(self) -> None:
         if self.now_ms >= self.refresh_at_ms:
@@ -472,7 +514,7 @@
 
     def _pass_reports(self) -> None:
         """Send new reports to the uplink, or on to the leader."""
-        peer = self.leader if self.control else self.overlay.uplink
+        peer = self.leader if self.control else self.above
         if peer == self.me:
             self.reports.pending = {}
         elif peer in self.links:
--- a/libs/fleet/tests/test_overlay.py
+++ b/libs/fleet/tests/test_overlay.py
@@ -165,3 +165,67 @@
     """One missed heartbeat is enough; the link itself stays longer."""
     assert nodes.HEARTBEAT_MS < nodes.DOUBT_MS < 2 * nodes.HEARTBEAT_MS
     assert nodes.DOUBT_MS < nodes.SILENT_MS
+
+
+def going_home() -> tuple[nodes.Node, str]:
+    """Return a proxy that is about to move to its domain's control host."""
+    node, uplink, _ = proxy_below()
+    beat(node, uplink, True, 100)
+    node.members.record.domain = node.overlay.domain = "d3"
+    node.receive(uplink, listed(4, "c1", "c2", "c3"), 200)
+    return node, uplink
+
+
+def test_the_old_link_stays_until_the_new_one_works() -> None:
+    """A new proxy moves to the control host of its domain, which is frozen.
+
+    It hung up on the control host that served it and dialled the frozen one;
+    the dial took three seconds to fail, and meanwhile a configuration was
+    accepted that it did not hear of. Now it hangs up once the other answers.
+    """
+    node, old = going_home()
+    now_ms = 200 + overlays.MOVE_HOME_MS[1]
+    found = beat(node, old, True, now_ms)
+    assert dialled(found) == ["c3"]
+    assert hung_up(found) == []
+    node.linked("c3", control=True, served=False, revision=0, now_ms=2000)
+    assert hung_up(beat(node, "c3", True, 2010)) == [old]
+
+
+def test_a_home_that_does_not_answer_costs_no_link() -> None:
+    """The dial of the frozen host fails; the old link serves on."""
+    node, old = going_home()
+    beat(node, old, True, 200 + overlays.MOVE_HOME_MS[1])
+    node.unlinked("c3", 5000)
+    assert hung_up(beat(node, old, True, 5010)) == []
+    assert old in node.links
+
+
+def test_a_proxy_without_its_uplink_looks_beyond_it() -> None:
+    """The link breaks, and the next control host does not answer the dial.
+
+    A dial to a host that is dark takes seconds to fail. After one second
+    without an uplink the others are dialled as well.
+    """
+    node, uplink, other = proxy_below()
+    beat(node, uplink, True, 100)
+    node.unlinked(uplink, 150)
+    assert dialled(node.tick(200)) == [other]
+    node.tick(100 + nodes.UNLINKED_MS - 10)
+    assert dialled(node.tick(100 + nodes.UNLINKED_MS)) == [uplink]
+
+
+def test_reports_pass_a_frozen_uplink_by() -> None:
+    """The uplink is frozen; a link to another control host is up.
+
+    Evidence on a bad version that went to the frozen host would reach the
+    leader only after it woke.
+    """
+    node, uplink, other = proxy_below()
+    beat(node, uplink, True, 100)
+    assert node.above == uplink
+    node.linked(other, control=True, served=False, revision=0, now_ms=1900)
+    beat(node, other, True, 100 + nodes.DOUBT_MS)
+    assert node.above == other
+    beat(node, uplink, True, 2500)
+    assert node.above == uplink
