--- a/libs/emulator/tests/test_core_fleet.py
+++ b/libs/emulator/tests/test_core_fleet.py
@@ -8,6 +8,15 @@
 HOLD = core_fleet.Kind(
     "hold", 85.3, 120, 400, 2500, 1250, 1, 0.3, answer_bytes=5000
 )
+CONFIRM = core_fleet.Kind(
+    "confirm", 65.9, 63, 200, 1200, 600, 0, answer_bytes=1500
+)
+PROFILE = core_fleet.Kind(
+    "profile", 58.2, 36, 150, 1000, 500, 1, answer_bytes=2500
+)
+CHECK = core_fleet.Kind(
+    "check", 150, 22, 100, 250, 250, 1, 0.5, answer_bytes=400
+)
 # Two in three are fast; together they do two and a bit times the rates.
 SLOWS = [0.7, 0.7, 1.6, 0.7, 0.7, 1.6, 0.7, 0.7]
 LATE_WORTH = 0.1
@@ -62,6 +71,21 @@
     assert fleet.credit(LATE_WORTH) >= 0.97
 
 
+def test_routes_with_a_short_aim_do_not_wait_for_near_targets() -> None:
+    """Short work, short aims, and nearly as much of it as the slots can do.
+
+    Calls waited for near targets up to half of their aim, and what was left
+    of it was too short for their work: 0.97 of the credit was earned.
+    """
+    fleet = core_fleet.CoreFleet(
+        [0.7, 0.7, 1.6, 0.7],
+        domains=4,
+        slots=6,
+        kinds=[CONFIRM, PROFILE, CHECK],
+    )
+    assert fleet.play(5000, 2.8).credit(LATE_WORTH) >= 0.975
+
+
 def test_calls_stay_on_their_host_where_that_is_as_good() -> None:
     """Each call to another host passes two links and one proxy more.
 
