--- a/libs/daemon/tests/test_proxy_process.py
+++ b/libs/daemon/tests/test_proxy_process.py
@@ -648,6 +648,35 @@
     assert net.processes["h1"].entry.budgets["tables"].tokens == 10.0
 
 
+@pytest.mark.parametrize(
+    ("retried", "runs", "status"), [(False, 2, 200), (True, 1, 502)]
+)
+def test_a_lost_call_of_a_chain_is_retried_at_one_level(
+    retried: bool, runs: int, status: int
+) -> None:
+    """The link breaks under a call that may be repeated.
+
+    Its caller is a target whose own request is a retry already. Retried at
+    each level of a chain of 19, one loss would become half a million calls.
+    """
+    net = Net()
+    net.processes["h1"].target_leaves("t-h1", "test")
+    net.share_records()
+    call = calls.Call(
+        1, "GET", "x", "/read", headers=b"", body=b"a", retried=retried
+    )
+    net.processes["h1"].call(call)
+    net.settle()
+    ((host, _),) = net.running()
+    net.break_pair(("h1", host))
+    net.settle()
+    for target_host, request_id in net.running():
+        net.target_answers(target_host, request_id)
+    net.settle()
+    assert net.runs["a"] == runs
+    assert net.final("h1", 1).status == status
+
+
 class AtMostOnce(stateful.RuleBasedStateMachine):
     """A once-only request with a key never runs twice."""
 
