Share what a suspicion and a verdict have in common

Cause: Verdict repeated the fields and the text of Suspicion with one field more; the soak's list of control processes with a relay was always the list of control processes. Change: Verdict is a Suspicion with its evidence; the list is gone. No behaviour changes.

--- a/libs/moves/src/trefoil_moves/judge.py
+++ b/libs/moves/src/trefoil_moves/judge.py
@@ -29,41 +29,32 @@
 
 
 @dataclasses.dataclass(slots=True)
-class Verdict:
-    """Why a version is bad.
+class Suspicion:
+    """What speaks against a version.
 
     Args:
         route: The route on which it shows.
         kind: ``failures`` or ``latency``.
         detail: The figures, for people.
-        evidence: Log of the evidence.
     """
 
     route: str
     kind: str
     detail: str
-    evidence: float
 
     def __str__(self) -> str:
         return f"{self.kind} on route {self.route}: {self.detail}"
 
 
 @dataclasses.dataclass(slots=True)
-class Suspicion:
-    """What speaks against a version while the old one has no traffic.
+class Verdict(Suspicion):
+    """A suspicion that the test has proved: the version is bad.
 
     Args:
-        route: The route on which it shows.
-        kind: ``failures`` or ``latency``.
-        detail: The figures, for people.
+        evidence: Log of the evidence.
     """
 
-    route: str
-    kind: str
-    detail: str
-
-    def __str__(self) -> str:
-        return f"{self.kind} on route {self.route}: {self.detail}"
+    evidence: float
 
 
 @dataclasses.dataclass(slots=True)
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -60,12 +60,9 @@
     @property
     def controls(self) -> dict[str, str]:
         """Return where others reach the control processes."""
-        return {name: self._front(name, "peers") for name in self.before_names}
-
-    @property
-    def before_names(self) -> list[str]:
-        """Return the control processes that have a relay."""
-        return [name for name in self.control_names if name in self.before]
+        return {
+            name: self._front(name, "peers") for name in self.control_names
+        }
 
     def _front(self, name: str, port: str) -> str:
         relay = self.before[name][port]
