Let a farewell bind a proxy that did not know its target

Ruled out: other proxies (all 29 went through the proxy that acknowledged). Change: a farewell of a life that is not known ends all lives that began before it, for 15 s; bytes that leave the failure domain are counted by kind and shown with the metrics.

--- a/libs/daemon/src/trefoil_daemon/announcements.py
+++ b/libs/daemon/src/trefoil_daemon/announcements.py
@@ -17,6 +17,8 @@
 MAX_TARGETS = 64
 MAX_FAREWELLS = 256
 MAX_RESOURCES = 256
+# An announcement that was held up on its way comes within seconds.
+STRAY_MS = 15_000
 
 
 @dataclasses.dataclass(slots=True)
@@ -102,6 +104,19 @@
     return Announcement(record, port)
 
 
+@dataclasses.dataclass(slots=True)
+class Farewell:
+    """A target's word that a life of it ends.
+
+    Args:
+        ended: Incarnation of the last life that it ends.
+        until_ms: How long it counts, on the runtime's clock; 0 for ever.
+    """
+
+    ended: int
+    until_ms: int = 0
+
+
 class Announcements:
     """The targets of this host and their leases.
 
@@ -113,7 +128,7 @@
 
     def __init__(self, lease_ms: int) -> None:
         self.lease_ms = lease_ms
-        self.farewells: dict[str, int] = {}
+        self.farewells: dict[str, Farewell] = {}
         self.by_name: dict[str, Announcement] = {}
         self.until_ms: dict[str, int] = {}
 
@@ -126,7 +141,7 @@
         name = announcement.record.name
         if name not in self.by_name and len(self.by_name) >= MAX_TARGETS:
             raise errors.ProtocolError(429, "too many targets on this host")
-        if self._is_late(announcement):
+        if self._is_late(announcement, now_ms):
             return False
         old = self.by_name.get(name)
         self.by_name[name] = announcement
@@ -138,7 +153,7 @@
             announcement.port,
         )
 
-    def _is_late(self, announcement: Announcement) -> bool:
+    def _is_late(self, announcement: Announcement, now_ms: int) -> bool:
         """Tell whether an announcement was overtaken on its way.
 
         A word that was held up may arrive after its sender has said
@@ -148,8 +163,10 @@
         name = announcement.record.name
         if not announcement.incarnation:
             return False
-        if announcement.incarnation <= self.farewells.get(name, 0):
-            return True
+        farewell = self.farewells.get(name)
+        if farewell is not None and announcement.incarnation <= farewell.ended:
+            if not farewell.until_ms or now_ms < farewell.until_ms:
+                return True
         return any(
             announcement.order < other.order
             for other in self.by_name.values()
@@ -166,19 +183,37 @@
             and other.incarnation < announcement.incarnation
         ]
 
-    def take_farewell(self, name: str, incarnation: int) -> bool:
+    def take_farewell(
+        self, name: str, incarnation: int, now_ms: int, wall_ms: int
+    ) -> bool:
         """Note that a target leaves for good; False if it is too late.
 
+        A proxy that restarted beside a target may hear its farewell before
+        any announcement. Which life ends is then not known, and an
+        announcement that was held up would bring the target back after its
+        farewell was acknowledged: its callers' requests go to a target that
+        is leaving. All lives that began before the farewell count as ended,
+        for as long as such an announcement may be on its way; not longer,
+        since the time of day may be ahead of the next life's start.
+
         Args:
             name: Its name.
             incarnation: The life that ends; 0 for the one that is known.
+            now_ms: The time on the runtime's clock.
+            wall_ms: The time of day, Unix time in milliseconds.
         """
         known = self.by_name.get(name)
         if known is not None and incarnation:
             if incarnation < known.incarnation:
                 return False
         ended = incarnation or (known.incarnation if known else 0)
-        self.farewells[name] = max(self.farewells.get(name, 0), ended)
+        if ended:
+            farewell = Farewell(ended)
+        else:
+            farewell = Farewell(wall_ms, now_ms + STRAY_MS)
+        earlier = self.farewells.get(name)
+        if earlier is None or earlier.until_ms or earlier.ended < ended:
+            self.farewells[name] = farewell
         while len(self.farewells) > MAX_FAREWELLS:
             del self.farewells[next(iter(self.farewells))]
         return True
--- a/libs/daemon/src/trefoil_daemon/exposition.py
+++ b/libs/daemon/src/trefoil_daemon/exposition.py
@@ -16,20 +16,23 @@
 
     Args:
         metrics: The process's metrics.
-        bytes_out: Control bytes sent, by kind of message.
+        bytes_out: Bytes sent to peers, by kind of message.
+        far_bytes_out: The part of them that left the failure domain.
         gauges: Returns what is true now, by name.
     """
 
-    __slots__ = ("metrics", "bytes_out", "gauges")
+    __slots__ = ("metrics", "bytes_out", "far_bytes_out", "gauges")
 
     def __init__(
         self,
         metrics: metric_store.Metrics,
         bytes_out: dict[str, int],
+        far_bytes_out: dict[str, int],
         gauges: typing.Callable[[], dict[str, float]],
     ) -> None:
         self.metrics = metrics
         self.bytes_out = bytes_out
+        self.far_bytes_out = far_bytes_out
         self.gauges = gauges
 
     def get(self, connection: http_server.ServerConnection) -> None:
@@ -56,12 +59,15 @@
         for name, value in sorted(self.metrics.totals.items()):
             events.add_metric([name], value)
         yield events
-        sent = core.CounterMetricFamily(
-            f"{PREFIX}_control_bytes", "Bytes sent to peers", labels=["kind"]
+        yield _by_kind(
+            core, "control_bytes", "Bytes sent to peers", self.bytes_out
+        )
+        yield _by_kind(
+            core,
+            "far_bytes",
+            "Bytes sent to peers in other failure domains",
+            self.far_bytes_out,
         )
-        for kind, value in sorted(self.bytes_out.items()):
-            sent.add_metric([kind], value)
-        yield sent
         for name, value in sorted(self.gauges().items()):
             yield core.GaugeMetricFamily(f"{PREFIX}_{name}", name, value)
         yield self._latencies(core)
@@ -78,3 +84,15 @@
                 family.add_metric([tenant, f"{quantile / 100:g}"], value_ms)
             family.add_metric([tenant, "count"], found.get_total_count())
         return family
+
+
+def _by_kind(
+    core: typing.Any, name: str, text: str, counted: dict[str, int]
+) -> typing.Any:
+    """Return a counter with a value for each kind of message."""
+    family = core.CounterMetricFamily(
+        f"{PREFIX}_{name}", text, labels=["kind"]
+    )
+    for kind, value in sorted(counted.items()):
+        family.add_metric([kind], value)
+    return family
--- a/libs/daemon/src/trefoil_daemon/hub.py
+++ b/libs/daemon/src/trefoil_daemon/hub.py
@@ -30,6 +30,9 @@
     def greeting(self, subscribe: bool) -> messages.Hello:
         """Return the greeting of this process."""
 
+    def is_far(self, host: str) -> bool:
+        """Tell whether a peer is in another failure domain."""
+
     def admit(self, hello: messages.Hello) -> int:
         """Return 0 to serve a peer, else how long it should wait in ms."""
 
@@ -99,6 +102,7 @@
         "connections",
         "numbers",
         "bytes_out",
+        "far_bytes_out",
         "bytes_in",
         "probes",
     )
@@ -117,6 +121,7 @@
         self.connections: set[Connection] = set()
         self.numbers = itertools.count(1)
         self.bytes_out: dict[str, int] = {}
+        self.far_bytes_out: dict[str, int] = {}
         self.bytes_in: dict[str, int] = {}
         self.probes: dict[transports.Stream, typing.Any] = {}
 
@@ -162,6 +167,9 @@
         data = frames.encode(message)
         name = type(message).__name__
         self.bytes_out[name] = self.bytes_out.get(name, 0) + len(data)
+        if self.owner.is_far(connection.host):
+            far = self.far_bytes_out.get(name, 0)
+            self.far_bytes_out[name] = far + len(data)
         connection.stream.write(data)
 
     # Opening and closing
--- a/libs/daemon/src/trefoil_daemon/proxy_process.py
+++ b/libs/daemon/src/trefoil_daemon/proxy_process.py
@@ -353,7 +353,10 @@
         Returns:
             False if the word is late: the target has started again.
         """
-        if not self.announced.take_farewell(name, incarnation):
+        taken = self.announced.take_farewell(
+            name, incarnation, self.clock.now_ms(), self.clock.wall_ms()
+        )
+        if not taken:
             return False
         self.target_leaves(name, "it said so")
         return True
--- a/libs/daemon/src/trefoil_daemon/runtime.py
+++ b/libs/daemon/src/trefoil_daemon/runtime.py
@@ -128,7 +128,10 @@
         server = http_server.HttpServer(
             self.transport,
             exposition.Exposition(
-                self.metrics, self.hub.bytes_out, self.engine.gauges
+                self.metrics,
+                self.hub.bytes_out,
+                self.hub.far_bytes_out,
+                self.engine.gauges,
             ),
             self.system_clock,
             limits=http_server.SenderLimits(max_body=0),
@@ -254,6 +257,10 @@
         """Return the greeting of this process."""
         return self.engine.greeting(subscribe)
 
+    def is_far(self, host: str) -> bool:
+        """Tell whether a peer is in another failure domain."""
+        return self.engine.node.is_far(host)
+
     def admit(self, hello: typing.Any) -> int:
         """Return 0 to serve a peer, else how long it should wait in ms."""
         return self.engine.admit(hello)
--- a/libs/daemon/tests/test_edges.py
+++ b/libs/daemon/tests/test_edges.py
@@ -312,12 +312,15 @@
     metrics.flush()
     metrics.count("answers.own.503")
     metrics.latency("browse", 120_000)
-    page = exposition.Exposition(metrics, {"Heartbeat": 7}, lambda: {"up": 1})
+    page = exposition.Exposition(
+        metrics, {"Heartbeat": 7}, {"Heartbeat": 3}, lambda: {"up": 1}
+    )
     caller = Caller(page, http_server.SenderLimits())
     caller.stream.peer_sends(b"GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n")
     text = caller.stream.sent.decode()
     assert 'trefoilroute_events_total{event="answers.own.503"} 3.0' in text
     assert 'trefoilroute_control_bytes_total{kind="Heartbeat"} 7.0' in text
+    assert 'trefoilroute_far_bytes_total{kind="Heartbeat"} 3.0' in text
     assert "trefoilroute_up 1.0" in text
     assert 'quantile="0.99",tenant="browse"' in text
 
--- a/libs/daemon/tests/test_hub.py
+++ b/libs/daemon/tests/test_hub.py
@@ -59,6 +59,10 @@
         """Return a greeting."""
         return messages.Hello(host="me", subscribe=subscribe)
 
+    def is_far(self, host: str) -> bool:
+        """Hosts are near unless their name says otherwise."""
+        return host.startswith("far")
+
     def admit(self, hello: messages.Hello) -> int:
         """Serve everybody."""
         return 0
--- a/libs/fleet/src/trefoil_fleet/node.py
+++ b/libs/fleet/src/trefoil_fleet/node.py
@@ -169,6 +169,12 @@
     def _is_sound(self, link: Link) -> bool:
         return link.led and self.now_ms - link.heard_ms < DOUBT_MS
 
+    def is_far(self, host: str) -> bool:
+        """Tell whether a host is known to be in another failure domain."""
+        record = self.members.records.get(host)
+        domain = record.domain if record else self.overlay.domains.get(host)
+        return bool(domain) and domain != self.members.record.domain
+
     def hello(self) -> messages.Hello:
         """Return the greeting for a subscribed link."""
         return messages.Hello(
