Cross between domains where it gains a caller enough

Ruled out: documents, records, log entries (2.7 MB together). Change: crossing.py weighs the chance of an answer in time there, less the chance near, against the bytes, by at most an even chance. Calls whose bytes are costly wait at the far target that they are sent to, and look at the queue of full near ones.

--- a/libs/requests/src/trefoil_requests/balancer.py
+++ b/libs/requests/src/trefoil_requests/balancer.py
@@ -11,6 +11,7 @@
 
 from trefoil_wire import messages
 
+from . import crossing
 from . import routing
 
 LATENCY_WEIGHT = 0.12
@@ -47,6 +48,8 @@
 LOST_PAUSE_MS = 1000
 LOST_PAUSE_MAX_MS = 10_000
 SILENT_LOSSES = 3
+# Where the caller's aim is not told, the soonest answer is the best.
+NO_HURRY = crossing.Hurry(1_000_000, 1_000_000)
 SLOW_START_MS = 5000
 MIN_START_WEIGHT = 0.1
 # Targets that tell of their warm-up take about twice as long in it.
@@ -106,23 +109,25 @@
         *,
         tried: collections.abc.Collection[str] = (),
         now_ms: int,
-        far_us: float = 0.0,
+        hurry: crossing.Hurry = NO_HURRY,
         away_us: float = 0.0,
     ) -> routing.Endpoint | None:
         """Return the target for a request, None if none can take it.
 
-        The one that is expected to answer first. Proxies hear of a target's
-        load with each answer, so that they neither pile up on the fastest
-        nor keep to a near one that is full.
+        The one that loses its caller least: among near ones the one that is
+        expected to answer first. Proxies hear of a target's load with each
+        answer, so that they neither pile up on the fastest nor keep to a
+        near one that is full.
 
         Args:
             endpoints: The targets to choose among.
             first_seen_ms: When each was first seen.
             tried: Targets that are left out.
             now_ms: The time on the runtime's clock.
-            far_us: How much sooner a target of another failure domain must
-                answer to be worth the bytes between them.
-            away_us: The same for a target of another host.
+            hurry: How long the call can wait, and what it costs to send it
+                to another failure domain.
+            away_us: How much sooner a target of another host must answer to
+                be worth the bytes between them.
         """
         fit = [
             endpoint
@@ -135,15 +140,15 @@
         if not fit:
             return None
         usual_us = self._usual_us(fit, now_ms)
-        return min(
-            fit,
-            key=lambda e: (
-                self._cost(e, usual_us, first_seen_ms, now_ms)
-                + (far_us if e.domain != self.domain else 0.0)
-                + (away_us if e.host != self.host else 0.0)
-            )
-            * self.rng.uniform(1 - JITTER, 1 + JITTER),
-        )
+
+        def loss(endpoint: routing.Endpoint) -> float:
+            expected_us = self._cost(endpoint, usual_us, first_seen_ms, now_ms)
+            if endpoint.host != self.host:
+                expected_us += away_us
+            expected_us *= self.rng.uniform(1 - JITTER, 1 + JITTER)
+            return hurry.loss(expected_us, far=endpoint.domain != self.domain)
+
+        return min(fit, key=loss)
 
     def _some(self, fit: list[routing.Endpoint]) -> list[routing.Endpoint]:
         """Return the near targets and a few others, to bound the work."""
--- /dev/null
+++ b/libs/requests/src/trefoil_requests/crossing.py
@@ -0,0 +1,76 @@
+"""Whether a call is worth sending to another failure domain.
+
+The load that this answers: failure domains whose targets differ in speed and
+whose callers differ in number, on any day. Led to whichever target ends
+first, most large bodies cross between failure domains for a few milliseconds
+that their callers do not notice, and that traffic is paid for by the byte.
+Here a call crosses where that gains its caller enough: the chance of an
+answer in time there, less the chance near, against what its bytes cost.
+"""
+
+import math
+
+# What a KiB between failure domains costs, as a part of what an answer in
+# time is worth.
+COST_A_KIB = 0.03
+# Bytes never cost a caller more than an even chance of an answer in time.
+MOST_COST = 0.5
+# A late answer is worth this part of one in time.
+LATE_WORTH = 0.2
+# Log-logistic times with this shape are within twice their median five times
+# in six: work that spreads by 0.8 of its mean, behind a queue that is guessed.
+SHAPE = 2.5
+
+
+def cost(kib: float) -> float:
+    """Return what it costs to send a call far, in answers in time.
+
+    Args:
+        kib: What the call carries, both ways.
+    """
+    return min(kib * COST_A_KIB, MOST_COST)
+
+
+def chance_late(expected_us: float, within_us: float) -> float:
+    """Return the chance that an answer does not come within a time.
+
+    Args:
+        expected_us: When it is expected.
+        within_us: The time.
+    """
+    if within_us <= 0:
+        return 1.0
+    odds = math.pow(expected_us / within_us, SHAPE)
+    return odds / (1 + odds)
+
+
+class Hurry:
+    """How long a call can wait, and what its bytes cost between domains.
+
+    Args:
+        aim_us: Time left until its answer is late.
+        deadline_us: Time left until nobody waits for it.
+        far_cost: What it costs to send it to another failure domain, as a
+            part of what an answer in time is worth.
+    """
+
+    __slots__ = ("aim_us", "deadline_us", "far_cost")
+
+    def __init__(
+        self, aim_us: float, deadline_us: float, far_cost: float = 0.0
+    ) -> None:
+        self.aim_us = aim_us
+        self.deadline_us = deadline_us
+        self.far_cost = far_cost
+
+    def loss(self, expected_us: float, *, far: bool) -> float:
+        """Return what is lost of an answer's worth, bytes included.
+
+        Args:
+            expected_us: When the answer is expected.
+            far: Whether it comes from another failure domain.
+        """
+        late = chance_late(expected_us, self.aim_us)
+        never = chance_late(expected_us, self.deadline_us)
+        lost = late - LATE_WORTH * max(late - never, 0.0)
+        return lost + self.far_cost if far else lost
--- a/libs/requests/src/trefoil_requests/placing.py
+++ b/libs/requests/src/trefoil_requests/placing.py
@@ -6,6 +6,7 @@
 from trefoil_wire import messages
 
 from . import balancer as balancers
+from . import crossing
 from . import live as lives
 from . import routing
 
@@ -13,19 +14,9 @@
 # the next. With two, a free slot among a dozen targets is found nearly
 # always; each costs a round trip between proxies.
 BOUNCES = 2
-# Traffic between failure domains is paid for: five kilobytes cost as much as
-# an eighth of what a common request is worth. Waiting this much longer for a
-# near target saves them (figures played on trefoil_emulator.core_fleet, eight
-# targets in four failure domains).
-FAR_US_A_KIB = 50_000.0
-# Nine in ten calls whose work spreads by 0.8 of its mean are done within this
-# many times their usual time. Half of what the aim leaves beyond it may be
-# waited for a near target: the whole of it saves a third more of the crossings
-# but costs callers 0.003 to 0.006 of their credit at 1.2 to 1.4 times the
-# rates, and more on a day near capacity; half of the aim cost routes with a
-# short one 0.08 in an overload.
-SAFE_FACTOR = 1.9
-FAR_SPARE_SHARE = 0.5
+# A call that costs this part of an answer in time to send far is not sent far
+# on trial.
+COSTLY = 0.1
 # What goes to another host passes both hosts' links. On links of 4 Mbit/s a
 # KiB takes 2 ms on each; where they are filled by a burst, calls that stay on
 # their host are what still gets through.
@@ -92,9 +83,18 @@
     ) -> routing.Endpoint | None:
         """Return a target, and settle whether a call may wait there.
 
-        A call is sent on from full targets a few times. Then it waits at
-        the one that looks best, full ones among them.
+        A call is sent on from full targets a few times, since one that is
+        free is likely to be found. Then it waits at the one that looks best,
+        full ones among them. A call whose bytes are costly looks at full
+        ones from the start, and waits at the far target that it is sent to:
+        refused there, it would cross once more.
         """
+        if self._far_cost(live.route) >= COSTLY:
+            endpoint = self.choose(live, live.tried, now_ms)
+            live.settled = endpoint is not None and (
+                self._is_far(endpoint) or endpoint.key in live.bounced
+            )
+            return endpoint
         live.settled = len(live.bounced) >= BOUNCES
         if not live.settled:
             endpoint = self.choose(live, live.tried | live.bounced, now_ms)
@@ -104,20 +104,20 @@
             live.settled = True
         return self.choose(live, live.tried, now_ms)
 
+    def _is_far(self, endpoint: routing.Endpoint) -> bool:
+        return endpoint.domain != self.balancer.domain
+
     def _is_refused_far(
         self, live: lives.Live, endpoint: routing.Endpoint, now_ms: int
     ) -> bool:
         """Tell whether a call would go far to be refused once more.
 
-        In an overload all targets are full. Calls that were refused twice in
-        other failure domains before they waited in a third crossed between
-        domains 2.5 times each at 2.3 times the rates; those that wait at the
-        second full one do so 1.9 times, and as many are in time (played on
-        trefoil_emulator.core_fleet).
+        In an overload all targets are full. Calls that are refused in other
+        failure domains, one after the other, cross between them more often
+        and are in time no more often than those that wait.
         """
-        far = endpoint.domain != self.balancer.domain
         return (
-            far
+            self._is_far(endpoint)
             and bool(live.bounced)
             and self.balancer.is_full(endpoint, now_ms)
         )
@@ -138,6 +138,7 @@
         named = {s.version for s in self.table.shares[service].shares}
         first = self.table.draw_version(service, self.rng, halted)
         others = [v for v in self.table.versions(service) if v != first]
+        hurry = self._hurry(live, now_ms)
         for version in [first] + [v for v in others if v not in halted]:
             holding = self.endpoints.holding(
                 service, version, live.route.resource, named
@@ -147,18 +148,23 @@
                 self.endpoints.first_seen_ms,
                 tried=tried,
                 now_ms=now_ms,
-                far_us=self._far_us(live.route),
+                hurry=hurry,
                 away_us=self._kib(live.route) * AWAY_US_A_KIB,
             )
             if endpoint is not None:
                 return endpoint
         return None
 
-    def _far_us(self, route: messages.Route) -> float:
-        """Return what bytes between failure domains are worth in time."""
-        safe_us = SAFE_FACTOR * self.usual_us(route)
-        spare_us = max(route.latency_aim_ms * 1000 - safe_us, 0.0)
-        return min(self._kib(route) * FAR_US_A_KIB, spare_us * FAR_SPARE_SHARE)
+    def _hurry(self, live: lives.Live, now_ms: int) -> crossing.Hurry:
+        return crossing.Hurry(
+            (live.aim_at_ms - now_ms) * 1000,
+            (live.deadline_at_ms - now_ms) * 1000,
+            self._far_cost(live.route),
+        )
+
+    def _far_cost(self, route: messages.Route) -> float:
+        """Return what it costs to send a call far, in answers in time."""
+        return crossing.cost(self._kib(route))
 
     def _kib(self, route: messages.Route) -> float:
         """Return how much a route's calls carry as a rule, both ways."""
@@ -176,8 +182,7 @@
         Routes differ in their work several times over; compared as they
         are, a target that got two long requests would look slow.
         """
-        moved = len(answer.body or b"") + len(live.call.body)
-        self._mean(self.route_bytes, live.route.name, moved)
+        self._mean(self.route_bytes, live.route.name, _moved(live, answer))
         failed = answer.unusable or answer.status >= FAILED_STATUS
         self.balancer.judged(live.endpoint.key, failed, now_ms)
         took_us = answer.service_us or latency_us
@@ -198,3 +203,9 @@
         mean += MEAN_WEIGHT * (took_us - mean)
         means[name] = mean
         return mean
+
+
+def _moved(live: lives.Live, answer: messages.Answer) -> int:
+    """Return how many bytes a call and its answer carry."""
+    asked = len(live.call.headers) + len(live.call.body)
+    return asked + len(answer.headers or b"") + len(answer.body or b"")
--- a/libs/requests/tests/test_balancer.py
+++ b/libs/requests/tests/test_balancer.py
@@ -7,6 +7,7 @@
 
 from trefoil_requests import balancer as balancers
 from trefoil_requests import budget
+from trefoil_requests import crossing
 from trefoil_requests import routing
 from trefoil_requests import silence
 from trefoil_wire import messages
@@ -146,7 +147,8 @@
         made.started(f"{name}/t")
         made.answered(f"{name}/t", took_us)
     assert made.pick(both, WARM, now_ms=NOW_MS).host == "b"
-    near = made.pick(both, WARM, now_ms=NOW_MS, far_us=125_000)
+    hurry = crossing.Hurry(500_000, 2_000_000, crossing.cost(5))
+    near = made.pick(both, WARM, now_ms=NOW_MS, hurry=hurry)
     assert near.host == "a"
 
 
--- a/libs/requests/tests/test_pace.py
+++ b/libs/requests/tests/test_pace.py
@@ -5,10 +5,13 @@
 
 from trefoil_fleet import records
 from trefoil_requests import balancer as balancers
+from trefoil_requests import crossing
 from trefoil_requests import pace as paces
 from trefoil_requests import routing
 from trefoil_wire import messages
 
+# Answers of 5 KiB that are late after 626 ms.
+HURRY = crossing.Hurry(626_000, 4_172_000, crossing.cost(5))
 TARGETS = 48
 PROXIES = 30
 REQUESTS = 60
@@ -69,7 +72,7 @@
         made = balancers.Balancer(f"d{proxy % 4}", rng)
         for number in range(REQUESTS):
             now_ms = 10_000 + 150 * number
-            found = made.pick(holding, {}, now_ms=now_ms, far_us=125_000)
+            found = made.pick(holding, {}, now_ms=now_ms, hurry=HURRY)
             made.started(found.key)
             of = int(found.host[1:])
             slow += is_slow(of)
