Let a full disk cost a control host its vote, not its process

Ruled out: going on with entries that only memory holds. The check that nothing refused is vouched for stands as it was; it expected the process to end and now expects silence.

--- a/libs/daemon/src/trefoil_daemon/control_process.py
+++ b/libs/daemon/src/trefoil_daemon/control_process.py
@@ -1,7 +1,5 @@
 """The engine of ``trefoilroute-control``: its cores joined, no sockets."""
 
-import collections.abc
-import contextlib
 import functools
 import random
 import typing
@@ -12,6 +10,7 @@
 from trefoil_language import statements
 from trefoil_model import clock as clocks
 from trefoil_model import effects as common
+from trefoil_model import errors
 from trefoil_moves import conductor as conductors
 from trefoil_moves import knobs as knob_store
 from trefoil_moves import state as states
@@ -25,6 +24,7 @@
 from trefoil_wire import messages
 
 from . import _fleet_process
+from . import durability
 from . import facade
 from . import identities
 from . import operators
@@ -35,7 +35,6 @@
 JOIN_MS = 250
 DECIDE_MS = 200
 MAX_HOPS = 3
-DISK_FAILED = 4
 MOST = 1 << 30
 COMMAND_CODE = frames.CODES[messages.CommandRequest]
 # Without a leader's word for this long, a process that the others may have
@@ -84,28 +83,9 @@
         if settings.found and settings.host in settings.founders:
             if disk.read(stores.PROMISE) is None:
                 identities.found_store(disk, settings.host, settings.founders)
-        self.store, why_new = identities.open_store(disk, settings.host, rng)
-        if why_new:
-            carrier.note(
-                common.Note("store.new_identity", {"why": why_new}, "warning")
-            )
-        self.state = states.State()
-        if self.store.snapshot is not None:
-            self.state = states.State.from_bytes(self.store.snapshot.state)
-        self.raft = rafts.Raft(
-            self.store.hard_state.identity,
-            voters=[
-                identities.first_identity(name) for name in settings.voters
-            ],
-            hard_state=self.store.hard_state,
-            snapshot=self.store.snapshot,
-            entries=self.store.entries,
-            now_ms=now_ms,
-            rng=rng,
-            heartbeat_ms=settings.heartbeat_ms,
-            election_ms=settings.election_ms,
-            least_voters=2 * settings.lost_disks + 1 if settings.join else 0,
-        )
+        self.disk = disk
+        self.durability = durability.Durability()
+        self._open_agreement(carrier, now_ms)
         record = messages.HostRecord(
             host=settings.host,
             domain=settings.domain,
@@ -140,6 +120,34 @@
         self.asked: dict[str, str] = {}
         self.listed_index = 0
 
+    def _open_agreement(self, carrier: facade.Carrier, now_ms: int) -> None:
+        """Take the agreement up from what the disk holds."""
+        settings = self.settings
+        self.store, why_new = identities.open_store(
+            self.disk, settings.host, self.rng
+        )
+        if why_new:
+            carrier.note(
+                common.Note("store.new_identity", {"why": why_new}, "warning")
+            )
+        self.state = states.State()
+        if self.store.snapshot is not None:
+            self.state = states.State.from_bytes(self.store.snapshot.state)
+        self.raft = rafts.Raft(
+            self.store.hard_state.identity,
+            voters=[
+                identities.first_identity(name) for name in settings.voters
+            ],
+            hard_state=self.store.hard_state,
+            snapshot=self.store.snapshot,
+            entries=self.store.entries,
+            now_ms=now_ms,
+            rng=self.rng,
+            heartbeat_ms=settings.heartbeat_ms,
+            election_ms=settings.election_ms,
+            least_voters=2 * settings.lost_disks + 1 if settings.join else 0,
+        )
+
     def reconfigure(self, settings: setting_store.ControlSettings) -> None:
         """Take changed settings."""
         self.settings = settings
@@ -154,12 +162,28 @@
             "voters": len(self.raft.voters),
             "commit": self.raft.commit,
             "moves_running": len(self.state.running_moves()),
+            "disk_refuses": float(self.durability.failed),
         }
 
     def carry(self, effect: typing.Any) -> None:
         """Carry out one effect."""
         carry(effect, self)
 
+    def perform(self, effects: list[typing.Any]) -> None:
+        """Carry out effects in order, up to a write that the disk refuses.
+
+        What comes after it may vouch for it, here and in the lists that led
+        to this one.
+        """
+        refusals = self.durability.refusals
+        for effect in effects:
+            try:
+                self.carry(effect)
+            except errors.DiskRefused as error:
+                self._suspend(str(error))
+            if self.durability.refusals != refusals:
+                return
+
     # Links
 
     def link_message(self, host: str, message: typing.Any) -> None:
@@ -478,9 +502,7 @@
             return
         self.decide_at_ms = now_ms + DECIDE_MS
         if not self.raft.is_leader:
-            self.conductors = {}
-            self.proposed = {}
-            self.in_log = {}
+            self._forget_leading()
             return
         for move in self.state.running_moves():
             if self.proposed.get(move.move_id, 0) <= self.raft.applied:
@@ -584,22 +606,44 @@
         if leader != source:
             self.carrier.link_send(leader, report)
 
-    @contextlib.contextmanager
-    def durable(self) -> collections.abc.Iterator[None]:
-        """End the process if its disk refuses a write.
+    # Disk
+
+    def _suspend(self, why: str) -> None:
+        """Take no part in the agreement until the disk takes writes.
 
-        The agreement core has the entry in memory already and would vouch
-        for it with its next reply, though no disk holds it: a loss of power
-        could then take back what was acknowledged. A process that starts
-        again knows only what its disk holds, and meanwhile others lead.
+        The others elect a leader as if this host were lost; its proxies are
+        told that no leader is heard here and look for another.
         """
+        now_ms = self.clock.now_ms()
+        self.carrier.note(common.Note("store.failed", {"why": why}, "error"))
+        self.durability.refused(now_ms)
+        self.raft.retire()
+        for found in list(self.reads.values()):
+            found[1]()
+        self.reads = {}
+        self.asked = {}
+        self._forget_leading()
+
+    def _try_disk(self, now_ms: int) -> None:
+        """Go on from what the disk holds if it takes writes again."""
         try:
-            yield
-        except OSError as error:
-            self.carrier.note(
-                common.Note("store.failed", {"why": str(error)}, "error")
-            )
-            raise SystemExit(DISK_FAILED)
+            self._open_agreement(self.carrier, now_ms)
+            self.store.save_hard_state(self.store.hard_state)
+        except OSError:
+            # Logged when it began; each try would only repeat that.
+            self.durability.refused(now_ms)
+            self.raft.retire()
+            return
+        self.durability.works()
+        self.listed_index = 0
+        self.carrier.note(
+            common.Note("store.works_again", {"identity": self.raft.identity})
+        )
+
+    def _forget_leading(self) -> None:
+        self.conductors = {}
+        self.proposed = {}
+        self.in_log = {}
 
     # Floor
 
@@ -640,7 +684,10 @@
     def tick(self) -> None:
         """Let time pass."""
         now_ms = self.clock.now_ms()
-        self.perform(self.raft.tick(now_ms))
+        if self.durability.is_due(now_ms):
+            self._try_disk(now_ms)
+        if not self.durability.failed:
+            self.perform(self.raft.tick(now_ms))
         self.node.follow(rafts.name_of(self.raft.leader))
         heard = now_ms - self.raft.heard_ms < LED_MS
         self.node.note_led(self.raft.is_leader or heard)
@@ -656,6 +703,8 @@
             waiter.reply(self._query_reply(waiter.request, False))
 
     def _join(self, now_ms: int) -> None:
+        if self.durability.failed:
+            return
         raft = self.raft
         known = raft.identity in raft.voters + raft.learners
         # A host that was dropped while it was away does not hear of that:
@@ -743,13 +792,13 @@
 
 @carry.register
 def _(effect: quorum_effects.SaveHardState, process: ControlProcess) -> None:
-    with process.durable():
+    with process.durability.write():
         process.store.save_hard_state(effect.state)
 
 
 @carry.register
 def _(effect: quorum_effects.AppendLog, process: ControlProcess) -> None:
-    with process.durable():
+    with process.durability.write():
         if effect.truncate_from:
             process.store.truncate_from(effect.truncate_from)
         process.store.append(effect.entries)
@@ -757,7 +806,7 @@
 
 @carry.register
 def _(effect: quorum_effects.SaveSnapshot, process: ControlProcess) -> None:
-    with process.durable():
+    with process.durability.write():
         process.store.save_snapshot(effect.snapshot)
 
 
@@ -801,6 +850,11 @@
     now_ms = process.clock.now_ms()
     if link is not None:
         link.heard_ms = now_ms
+    if process.durability.failed:
+        if isinstance(message, messages.AppendRequest):
+            # Operators' commands and queries still find the leader.
+            process.raft.leader = message.leader
+        return
     process.perform(process.raft.receive(host, message, now_ms))
 
 
--- a/libs/model/src/trefoil_model/errors.py
+++ b/libs/model/src/trefoil_model/errors.py
@@ -17,6 +17,10 @@
     """
 
 
+class DiskRefused(TrefoilError):
+    """The disk did not take a write; nothing of it may be vouched for."""
+
+
 class ProtocolError(TrefoilError):
     """A caller, target or operator sent something malformed.
 
--- a/libs/quorum/src/trefoil_quorum/raft.py
+++ b/libs/quorum/src/trefoil_quorum/raft.py
@@ -297,6 +297,13 @@
         self.log.compact(index, self.snapshot.last_term)
         return [effects.SaveSnapshot(self.snapshot)]
 
+    def retire(self) -> None:
+        """Neither lead nor answer any more; this core is not used again."""
+        self.role = Role.FOLLOWER
+        self.leader = ""
+        self.reads = []
+        self.out = []
+
     def change_voters(
         self, voters: list[str], learners: list[str], now_ms: int
     ) -> list[typing.Any]:
