Find a leader and the floor sooner after a loss of power

The first tries of an election meet no links and the next one waits up to 0.45 s; proxies asked for the floor before they had a link, or before there was a leader, and then paused for 0.4 s. Ruled out: disks (1 ms a sync), reading the log. Change: processes ask for votes in turn as soon as a peer is reached; a proxy asks for the floor with its first link; a control process keeps the question until somebody leads.

--- a/libs/daemon/src/trefoil_daemon/control_process.py
+++ b/libs/daemon/src/trefoil_daemon/control_process.py
@@ -119,6 +119,7 @@
         self.decide_at_ms = now_ms
         self.asked: dict[str, str] = {}
         self.listed_index = 0
+        self.floors_waiting: list[int] = []
 
     def _open_agreement(self, carrier: facade.Carrier, now_ms: int) -> None:
         """Take the agreement up from what the disk holds."""
@@ -186,6 +187,12 @@
 
     # Links
 
+    def link_up(self, host: str, hello: messages.Hello, served: bool) -> None:
+        """Note a subscribed link."""
+        super().link_up(host, hello, served)
+        if hello.control:
+            self.raft.peer_reached(self.clock.now_ms())
+
     def link_message(self, host: str, message: typing.Any) -> None:
         """Take a message from a subscribed link."""
         receive(message, self, host)
@@ -206,6 +213,9 @@
     def requests_lost(self, unsent: list[int], lost: list[int]) -> None:
         """Ignore: a control process sends no requests."""
 
+    def peer_doubted(self, host: str, doubted: bool) -> None:
+        """Ignore: a control process sends no requests."""
+
     def origin_lost(self, origin: str) -> None:
         """Ignore: replies to a lost connection are dropped."""
 
@@ -655,14 +665,35 @@
             self.perform(
                 self.node.vouch(nonce, self._newest_known(), voters, now_ms)
             )
-        if self.raft.is_leader:
-            self.read(lambda: self._tell_floor(nonce))
-            return
+        self._ask_leader_for_floor(nonce)
+
+    def _ask_leader_for_floor(self, nonce: int) -> None:
+        """Get the leader's word; kept until somebody leads.
+
+        Proxies that all restarted ask before there is a leader. Left to ask
+        again, they would refuse their callers for another turn after it.
+        """
         leader = rafts.name_of(self.raft.leader)
-        if leader and leader != self.settings.host:
+        if self.raft.is_leader:
+            self.read(
+                lambda: self._tell_floor(nonce),
+                lambda: self._keep_for_leader(nonce),
+            )
+        elif leader in self.node.links:
             self.carrier.link_send(
                 leader, messages.FloorQuery(nonce, self.settings.host)
             )
+        else:
+            self._keep_for_leader(nonce)
+
+    def _keep_for_leader(self, nonce: int) -> None:
+        self.floors_waiting.append(nonce)
+        del self.floors_waiting[: -nodes.FLOOR_RELAYS]
+
+    def _ask_kept_floors(self) -> None:
+        waiting, self.floors_waiting = self.floors_waiting, []
+        for nonce in waiting:
+            self._ask_leader_for_floor(nonce)
 
     def _newest_known(self) -> int:
         """Return a revision that nothing acknowledged is above."""
@@ -689,6 +720,8 @@
         if not self.durability.failed:
             self.perform(self.raft.tick(now_ms))
         self.node.follow(rafts.name_of(self.raft.leader))
+        if self.floors_waiting and self.raft.leader:
+            self._ask_kept_floors()
         heard = now_ms - self.raft.heard_ms < LED_MS
         self.node.note_led(self.raft.is_leader or heard)
         self.perform(self.node.tick(now_ms))
--- a/libs/daemon/tests/test_joining.py
+++ b/libs/daemon/tests/test_joining.py
@@ -367,27 +367,58 @@
     assert all(reply.outcome != messages.Outcome.DONE for reply in told)
 
 
+def restarted(seed: int) -> Net:
+    """Return a net whose processes all lost power and start again."""
+    net = founded("10.0.0.9")
+    names = list(net.processes)
+    for name in names:
+        net.stop(name)
+    net.rng.seed(seed)
+    for name in names:
+        net.start(name, found=False)
+    return net
+
+
+def leader_found_ms(net: Net) -> int:
+    """Let time pass until somebody leads; return how long it took."""
+    waited_ms = 0
+    while not net.leaders():
+        net.run(STEP_MS)
+        waited_ms += STEP_MS
+    return waited_ms
+
+
 def test_a_leader_is_found_soon_after_a_loss_of_power() -> None:
     """All start together and the first tries meet links that are not up.
 
     Waiting a leader's whole silence before the second try left callers
-    unserved for 0.9 s more; the tries now follow each other faster.
+    unserved for 0.9 s more; the tries now follow each other faster, and the
+    next one comes with the first link.
+    """
+    waits_ms = [leader_found_ms(restarted(seed)) for seed in range(20)]
+    assert max(waits_ms) <= 700
+    assert sum(waits_ms) / len(waits_ms) <= 200
+
+
+def test_a_floor_asked_for_before_there_is_a_leader_is_told_soon() -> None:
+    """A proxy asks while nobody leads, as all do after a loss of power.
+
+    Asked again only at its next turn, the proxy refused its callers for up
+    to 0.4 s after there was a leader who could tell.
     """
-    slowest_ms = 0
-    for seed in range(20):
-        net = founded("10.0.0.9")
-        names = list(net.processes)
-        for name in names:
-            net.stop(name)
-        net.rng.seed(seed)
-        for name in names:
-            net.start(name, found=False)
-        waited_ms = 0
-        while not net.leaders():
-            net.run(STEP_MS)
-            waited_ms += STEP_MS
-        slowest_ms = max(slowest_ms, waited_ms)
-    assert slowest_ms <= 700
+    net = restarted(1)
+    name, process = next(iter(net.processes.items()))
+    told: list[messages.FloorReply] = []
+    net.processes[name].carrier.link_send = (
+        lambda host, message, send=process.carrier.link_send: (
+            told.append(message) if host == "proxy" else send(host, message)
+        )
+    )
+    query = messages.FloorQuery(0, "proxy")
+    process.perform(process.node.receive("proxy", query, 0))
+    leader_found_ms(net)
+    net.run(2 * STEP_MS)
+    assert any(reply.certain for reply in told)
 
 
 DOCUMENT = """\
--- a/libs/fleet/src/trefoil_fleet/distribution.py
+++ b/libs/fleet/src/trefoil_fleet/distribution.py
@@ -134,7 +134,7 @@
         for peer in links:
             self._repair(peer, now_ms)
         due_ms = self.asked_floor_ms + FLOOR_PAUSE_MS
-        if not self.floor.proved and now_ms >= due_ms:
+        if links and not self.floor.proved and now_ms >= due_ms:
             self.asked_floor_ms = now_ms
             self._ask_floor(links)
         self._settle(now_ms)
--- a/libs/fleet/src/trefoil_fleet/node.py
+++ b/libs/fleet/src/trefoil_fleet/node.py
@@ -222,6 +222,7 @@
         self.overlay.linked(host, now_ms)
         self.members.trust(host)
         self.config.peer_held[host] = revision
+        self.config.ask_floor_soon()
         if not served:
             summary = self.members.records.summary(
                 now_ms, recent_only=False, reply_wanted=True
--- a/libs/quorum/src/trefoil_quorum/raft.py
+++ b/libs/quorum/src/trefoil_quorum/raft.py
@@ -35,6 +35,9 @@
 # The top bit of the type code; there are far fewer than 128 types.
 COMPRESSED = 0x80
 CATCH_UP_ENTRIES = 2
+# After a loss of power all processes are linked at the same moment; those that
+# ask for votes together would split them, so they ask in turn.
+FIRST_TRY_MS = 100
 # A frozen or cut-off host is back within seconds on most occasions; one
 # that stays away longer only raises the majority that the others must make.
 GONE_MS = 8000
@@ -200,7 +203,12 @@
         self.election_at_ms = 0
         self._find_config()
         self.met_leader = False
-        self.election_at_ms = now_ms + self.rng.randrange(election_ms // 4)
+        # Until a peer is reached there is nobody to ask for a vote.
+        alone = self.majority == 1
+        first_ms = 0 if alone else election_ms // 4
+        self.election_at_ms = (
+            now_ms + first_ms + self.rng.randrange(election_ms // 4)
+        )
 
     # Facts
 
@@ -297,6 +305,19 @@
         self.log.compact(index, self.snapshot.last_term)
         return [effects.SaveSnapshot(self.snapshot)]
 
+    def peer_reached(self, now_ms: int) -> None:
+        """Note that a peer can be reached.
+
+        After a loss of power the first tries of an election meet links that
+        are not up. Callers are refused until somebody leads, so the next try
+        does not wait for its turn.
+        """
+        self.now_ms = now_ms
+        if not self.met_leader and self.role is not Role.LEADER:
+            before = sum(peer < self.identity for peer in self.voters)
+            soon_ms = now_ms + before * FIRST_TRY_MS
+            self.election_at_ms = min(self.election_at_ms, soon_ms)
+
     def retire(self) -> None:
         """Neither lead nor answer any more; this core is not used again."""
         self.role = Role.FOLLOWER
