Reach a leaving proxy's target until shortly before its end

Ruled out: the start itself (0.36 s), the restart's pause (1.0 s). Change: the record without targets goes out 1.2 s before requests are refused, and the platform's linger is 2.7 s: callers leave after two misses of readiness, 2 s.

--- a/libs/daemon/src/trefoil_daemon/proxy_process.py
+++ b/libs/daemon/src/trefoil_daemon/proxy_process.py
@@ -36,6 +36,9 @@
 GUARD_WINDOWS = 600
 GUARD_FLEET = 860
 COLD_MS = 5000
+# Before a leaving proxy refuses requests, others must have heard that its
+# targets are gone, and what they sent before that must have run.
+HAND_OVER_MS = 1200
 
 
 class ProxyProcess(_fleet_process.FleetProcess):
@@ -104,6 +107,7 @@
         self.pace_at_ms = 0
         self.route_service: dict[str, str] = {}
         self.leaving_since_ms = 0
+        self.handed_over = False
         self.busy_origins: dict[str, set[int]] = {}
         self.records_dirty = False
         self.relay = relays.Relay(settings.known_controls, carrier.tell)
@@ -187,9 +191,7 @@
             key = evidences.TallyKey(
                 effect.route, effect.version, effect.domain
             )
-            collector.observe(
-                key, effect.latency_us, effect.failed, effect.cold
-            )
+            collector.observe(key, effect.latency_us, effect.failed, effect.cold)
         self.carrier.observe(effect)
 
     def _guard(self, now_ms: int) -> None:
@@ -375,7 +377,7 @@
         return True
 
     def _publish_targets(self, now_ms: int) -> None:
-        records = [] if self.leaving_since_ms else self.announced.records()
+        records = [] if self.handed_over else self.announced.records()
         records = [self._with_pace(record) for record in records]
         self.perform(self.node.set_targets(records, now_ms))
 
@@ -443,6 +445,7 @@
         self._guard(now_ms)
         self._report(now_ms)
         self._tell_paces(now_ms)
+        self._hand_over_in_time(now_ms)
         self.relay.tick(now_ms)
 
     # Operators
@@ -477,18 +480,13 @@
     def leave(self) -> None:
         """Begin a graceful shutdown.
 
-        The record without targets keeps others from sending more; what
-        they sent before they heard of it still runs. Callers are served
-        until ``refuse_calls``.
+        Its targets go on running, and while callers still come here they are
+        reached through it: a fleet that restarts in turn would else be short
+        of a target for all the time that each proxy lingers.
         """
         if self.leaving_since_ms:
             return
-        now_ms = self.clock.now_ms()
-        self.leaving_since_ms = now_ms
-        if not self.settings.linger_ms:
-            self.refuse_calls()
-        self._publish_targets(now_ms)
-        self.perform(self.node.leave(now_ms))
+        self.leaving_since_ms = self.clock.now_ms()
         self.carrier.note(
             common.Note(
                 "proxy.leaving",
@@ -498,6 +496,23 @@
                 },
             )
         )
+        if not self.settings.linger_ms:
+            self.refuse_calls()
+        self._hand_over_in_time(self.leaving_since_ms)
+
+    def _hand_over_in_time(self, now_ms: int) -> None:
+        """Send others elsewhere once the end is near.
+
+        The record without targets keeps them from sending more; what they
+        sent before they heard of it still runs.
+        """
+        waited_ms = now_ms - self.leaving_since_ms
+        if self.handed_over or not self.leaving_since_ms:
+            return
+        if waited_ms >= self.settings.linger_ms - HAND_OVER_MS:
+            self.handed_over = True
+            self._publish_targets(now_ms)
+            self.perform(self.node.leave(now_ms))
 
     def refuse_calls(self) -> None:
         """Refuse new work as not run; what runs goes on to its end."""
--- a/libs/daemon/tests/test_proxy_process.py
+++ b/libs/daemon/tests/test_proxy_process.py
@@ -166,6 +166,12 @@
             rng=self.rng,
         )
         self.processes[host] = process
+        self.boot_target(host)
+        process.node.config.in_force = self.items
+        process.put_in_force(self.items)
+
+    def boot_target(self, host: str) -> None:
+        """Let a host's target announce itself."""
         record = messages.TargetRecord(
             f"t-{host}",
             "tables",
@@ -174,10 +180,9 @@
             2,
             messages.TargetState.READY,
         )
-        process.announce(announcements.Announcement(record, 1))
+        announcement = announcements.Announcement(record, 1)
+        self.processes[host].announce(announcement)
         self.share_records()
-        process.node.config.in_force = self.items
-        process.put_in_force(self.items)
 
     def share_records(self) -> None:
         """Let every proxy know every other's record."""
@@ -637,6 +642,34 @@
     assert net.processes["h1"].idle
 
 
+def test_a_lingering_proxy_serves_its_target_to_others() -> None:
+    """A proxy is told to leave; its target goes on running.
+
+    For as long as it lingered nobody could reach that target, a quarter of
+    a service of four. Now others reach it until shortly before the end, and
+    nothing is refused or cut when they are sent elsewhere.
+    """
+    net = Net(hosts=["h1", "h2"])
+    process = net.processes["h1"]
+    process.settings.linger_ms = 3000
+    process.leave()
+    net.share_records()
+    assert "h1/t-h1" in net.processes["h2"].entry.placing.endpoints.by_key
+    net.processes["h2"].target_leaves("t-h2", "test")
+    net.share_records()
+    early = net.call("h2", "/pay", "a")
+    net.settle()
+    ((host, request_id),) = net.running()
+    assert host == "h1"
+    net.clock.advance(3000 - proxy_process.HAND_OVER_MS)
+    process.tick()
+    net.share_records()
+    assert not net.processes["h2"].entry.placing.endpoints.by_key
+    net.target_answers(host, request_id)
+    net.settle()
+    assert net.final("h2", early).status == 200
+
+
 def test_retries_do_not_multiply_along_a_chain() -> None:
     """A call that a proxy before retries already is not retried here."""
     net = Net(hosts=["h1"])
