Send nothing new to a peer that does not answer

Ruled out: targets that broke off (34), records (they follow in seconds). Change: a link under a request that is quiet for 150 ms is pinged; without an answer for 200 ms its host gets nothing new, and reads under way are asked for once more elsewhere. The link is closed after a second, as before.

--- a/libs/daemon/src/trefoil_daemon/hub.py
+++ b/libs/daemon/src/trefoil_daemon/hub.py
@@ -18,8 +18,13 @@
 
 GREETING_MS = 3000
 CONNECT_MS = 500
-PING_AFTER_MS = 500
+# A request that runs says nothing for as long; a ping each time is little
+# beside it, and there are no more of them than requests under way.
+PING_AFTER_MS = 150
 PING_IDLE_MS = 5000
+# A round trip takes milliseconds, and a process answers within a beat. One
+# that takes this long stands still, or a cut lies between.
+DOUBT_MS = 200
 PING_ANSWER_MS = 1000
 REQUEST_LINK_IDLE_MS = 60_000
 
@@ -53,6 +58,9 @@
     def requests_lost(self, unsent: list[int], lost: list[int]) -> None:
         """Note the requests that a broken request link carried."""
 
+    def peer_doubted(self, host: str, doubted: bool) -> None:
+        """Note a peer that does not answer, or answers again."""
+
     def origin_lost(self, connection: "Connection") -> None:
         """Note an incoming request link that broke."""
 
@@ -77,6 +85,7 @@
     outstanding: set[int] = dataclasses.field(default_factory=set)
     pinged_ms: int = 0
     used_ms: int = 0
+    doubted: bool = False
 
     @property
     def name(self) -> str:
@@ -266,6 +275,7 @@
     def _request_link_closed(self, connection: Connection) -> None:
         if self.requests.get(connection.host) is connection:
             del self.requests[connection.host]
+        self._doubt(connection, False)
         unsent = [
             message.request_id
             for message in connection.waiting
@@ -281,6 +291,7 @@
         connection = stream.owner
         connection.heard_ms = self.clock.now_ms()
         connection.pinged_ms = 0
+        self._doubt(connection, False)
         try:
             for message in connection.reader.feed(data):
                 self._message(connection, message)
@@ -392,11 +403,16 @@
         Something between the two ends can lose track of a connection: bytes
         go out, nothing ever comes back, no error is told. A ping that stays
         unanswered shows it within seconds; the next request then opens a
-        fresh connection, which works.
+        fresh connection, which works. Long before that new requests are led
+        elsewhere: in a cut between failure domains a second of them would
+        else be lost on their way.
         """
         if connection.pinged_ms:
-            if now_ms - connection.pinged_ms >= PING_ANSWER_MS:
+            waited_ms = now_ms - connection.pinged_ms
+            if waited_ms >= PING_ANSWER_MS:
                 connection.stream.close()
+            elif waited_ms >= DOUBT_MS:
+                self._doubt(connection, True)
             return
         quiet_ms = now_ms - connection.heard_ms
         busy = bool(connection.outstanding)
@@ -407,6 +423,11 @@
             connection.pinged_ms = now_ms
             self._write(connection, messages.Ping(connection.number))
 
+    def _doubt(self, connection: Connection, doubted: bool) -> None:
+        if connection.doubted != doubted:
+            connection.doubted = doubted
+            self.owner.peer_doubted(connection.host, doubted)
+
 
 def _opening_ms(connection: Connection) -> int:
     """Return how long a connection may take to open.
--- a/libs/daemon/src/trefoil_daemon/proxy_process.py
+++ b/libs/daemon/src/trefoil_daemon/proxy_process.py
@@ -279,6 +279,11 @@
         for request_id in lost:
             self.perform(self.entry.on_lost(request_id, now_ms, now_us))
 
+    def peer_doubted(self, host: str, doubted: bool) -> None:
+        """Note a peer that does not answer, or answers again."""
+        now_ms, now_us = self.clock.now_ms(), self.now_us()
+        self.perform(self.entry.doubt(host, doubted, now_ms, now_us))
+
     def origin_lost(self, origin: str) -> None:
         """Stop what a lost entry proxy asked for; nobody waits for it."""
         now_ms = self.clock.now_ms()
--- a/libs/daemon/src/trefoil_daemon/runtime.py
+++ b/libs/daemon/src/trefoil_daemon/runtime.py
@@ -296,6 +296,10 @@
         """Note the requests that a broken request link carried."""
         self.engine.requests_lost(unsent, lost)
 
+    def peer_doubted(self, host: str, doubted: bool) -> None:
+        """Note a peer that does not answer, or answers again."""
+        self.engine.peer_doubted(host, doubted)
+
     def origin_lost(self, connection: hubs.Connection) -> None:
         """Note an incoming request link that broke."""
         if self.origins.pop(connection.name, None) is not None:
--- a/libs/daemon/tests/test_hub.py
+++ b/libs/daemon/tests/test_hub.py
@@ -54,6 +54,7 @@
 
     def __init__(self) -> None:
         self.told: list[typing.Any] = []
+        self.doubts: list[tuple[str, bool]] = []
 
     def greeting(self, subscribe: bool) -> messages.Hello:
         """Return a greeting."""
@@ -87,6 +88,10 @@
         """Remember."""
         self.told.append(("lost", unsent, lost))
 
+    def peer_doubted(self, host: str, doubted: bool) -> None:
+        """Remember."""
+        self.doubts.append((host, doubted))
+
     def origin_lost(self, connection: typing.Any) -> None:
         """Remember."""
         self.told.append(("origin",))
@@ -146,6 +151,32 @@
     assert len(rig.transport.streams) == 2
 
 
+def test_a_peer_behind_a_cut_is_doubted_within_half_a_second() -> None:
+    """A failure domain is cut off under a request; nothing tells it.
+
+    For a second and a half everything sent there was lost on its way. Now
+    others are asked from 0.4 s on, and the peer again once it answers.
+    """
+    rig = Rig()
+    rig.hub.tell("h2", "h2:1", REQUEST)
+    stream = rig.open()
+    rig.wait(450)
+    assert rig.owner.doubts == [("h2", True)]
+    rig.take(stream, messages.Pong(1))
+    assert rig.owner.doubts == [("h2", True), ("h2", False)]
+    rig.wait(2000)
+    assert rig.owner.doubts[2:] == [("h2", True), ("h2", False)]
+    assert rig.owner.told == [("lost", [], [5])]
+
+
+def test_a_link_without_requests_is_not_doubted() -> None:
+    rig = Rig()
+    rig.hub.tell("h2", "h2:1", messages.Cancel(1))
+    rig.open()
+    rig.wait(3000)
+    assert rig.owner.doubts == []
+
+
 def test_a_peer_that_answers_pings_is_kept() -> None:
     rig = Rig()
     rig.hub.tell("h2", "h2:1", REQUEST)
--- a/libs/daemon/tests/test_proxy_process.py
+++ b/libs/daemon/tests/test_proxy_process.py
@@ -642,6 +642,32 @@
     assert net.processes["h1"].idle
 
 
+def test_a_doubted_host_gets_nothing_and_its_reads_go_elsewhere() -> None:
+    """A cut comes between two hosts under a read and a payment.
+
+    The read is asked for once more at the caller's own host at once; the
+    payment may have run and is not. New calls stay away until the peer
+    answers again.
+    """
+    net = Net(hosts=["h1", "h2"])
+    process = net.processes["h1"]
+    process.target_leaves("t-h1", "test")
+    net.share_records()
+    net.call("h1", "/read", "a")
+    net.call("h1", "/pay", "b")
+    net.settle()
+    assert [host for host, _ in net.running()] == ["h2", "h2"]
+    net.boot_target("h1")
+    process.entry.budgets["tables"].tokens = 5
+    process.peer_doubted("h2", True)
+    net.call("h1", "/pay", "c")
+    net.settle()
+    assert net.runs == {"a": 2, "b": 1, "c": 1}
+    assert sorted(host for host, _ in net.running()) == ["h1"] * 2 + ["h2"] * 2
+    process.peer_doubted("h2", False)
+    assert process.entry.balancer.doubted == set()
+
+
 def test_a_lingering_proxy_serves_its_target_to_others() -> None:
     """A proxy is told to leave; its target goes on running.
 
--- a/libs/requests/src/trefoil_requests/balancer.py
+++ b/libs/requests/src/trefoil_requests/balancer.py
@@ -92,7 +92,7 @@
         host: This proxy's host.
     """
 
-    __slots__ = ("host", "domain", "rng", "seen")
+    __slots__ = ("host", "domain", "rng", "seen", "doubted")
 
     def __init__(
         self, domain: str, rng: random.Random, host: str = ""
@@ -101,6 +101,7 @@
         self.domain = domain
         self.rng = rng
         self.seen: dict[str, Seen] = {}
+        self.doubted: set[str] = set()
 
     def pick(
         self,
@@ -133,6 +134,7 @@
             endpoint
             for endpoint in endpoints
             if endpoint.key not in tried
+            and endpoint.host not in self.doubted
             and self.view(endpoint.key).avoid_until_ms <= now_ms
         ]
         if len(fit) > MOST_COMPARED:
@@ -150,6 +152,13 @@
 
         return min(fit, key=loss)
 
+    def doubt(self, host: str, doubted: bool) -> None:
+        """Leave the targets of a host out, or take them in again."""
+        if doubted:
+            self.doubted.add(host)
+        else:
+            self.doubted.discard(host)
+
     def _some(self, fit: list[routing.Endpoint]) -> list[routing.Endpoint]:
         """Return the near targets and a few others, to bound the work."""
         near = [e for e in fit if e.domain == self.domain]
--- a/libs/requests/src/trefoil_requests/entry.py
+++ b/libs/requests/src/trefoil_requests/entry.py
@@ -308,7 +308,7 @@
         latency_us = now_us - live.sent_us
         self.placing.note_answered(live, answer, latency_us, now_ms)
         failed = answer.status >= FIRST_FAILED_STATUS
-        self._observe(live, latency_us, failed, now_ms)
+        self._observe(live, latency_us, failed, now_ms, answer.service_us or 0)
         self._observe_overtaken(live, now_ms, now_us)
         if not failed:
             notice = self.quarantine.succeeded(
@@ -418,6 +418,21 @@
                 self._finish_lost(live, 502, "the target's host is lost")
         return self._flush()
 
+    def doubt(
+        self, host: str, doubted: bool, now_ms: int, now_us: int
+    ) -> list[typing.Any]:
+        """Note a host whose proxy does not answer, or answers again.
+
+        Its targets get nothing new for as long, and what may be repeated is
+        asked for at another target beside.
+        """
+        self.balancer.doubt(host, doubted)
+        if doubted:
+            for live in list(self.live.values()):
+                if self._may_hedge(live) and live.endpoint.host == host:
+                    self._hedge(live, now_ms, now_us)
+        return self._flush()
+
     def _take_attempt(self, request_id: int) -> lives.Live | None:
         call_id = self.by_request.pop(request_id, None)
         live = self.live.get(call_id) if call_id is not None else None
@@ -452,13 +467,16 @@
         self._send_to(live, endpoint, now_ms, now_us)
         live.hedge = first
 
-    def _wants_hedge(self, live: lives.Live, now_us: int) -> bool:
+    def _may_hedge(self, live: lives.Live) -> bool:
         if live.hedge is not None or not live.request_id:
             return False
         repeatable = live.route.repeat == messages.Repeat.ANY
         if not repeatable or live.call.retried:
             return False
-        if live.attempts >= live.route.max_attempts:
+        return live.attempts < live.route.max_attempts
+
+    def _wants_hedge(self, live: lives.Live, now_us: int) -> bool:
+        if not self._may_hedge(live):
             return False
         usual_us = self.placing.usual_us(live.route)
         bound_us = max(usual_us * HEDGE_FACTOR, LEAST_HEDGE_US)
