Judge a version by its own time, not by the wait for a slot

Ruled out: failures (none), cold targets (left out of the evidence). Change: what a target's own proxy measured counts; metrics keep what callers wait. Before: the new test sees 100, 200 and 300 ms of the same work.

--- a/libs/daemon/src/trefoil_daemon/proxy_process.py
+++ b/libs/daemon/src/trefoil_daemon/proxy_process.py
@@ -184,14 +184,19 @@
         )
 
     def observe(self, effect: request_effects.Observe) -> None:
-        """Count an answer as evidence if its service moves."""
+        """Count an answer as evidence if its service moves.
+
+        A version is judged by its own time. The wait for a slot differs
+        between versions as their slots are spread over failure domains, and
+        a good one that is short of slots for a moment would be taken back.
+        """
         service = self.route_service.get(effect.route, "")
         collector = self.collectors.get(service)
         if collector is not None:
             key = evidences.TallyKey(
                 effect.route, effect.version, effect.domain
             )
-            collector.observe(key, effect.latency_us, effect.failed, effect.cold)
+            collector.observe(key, effect.run_us, effect.failed, effect.cold)
         self.carrier.observe(effect)
 
     def _guard(self, now_ms: int) -> None:
--- a/libs/daemon/tests/test_proxy_process.py
+++ b/libs/daemon/tests/test_proxy_process.py
@@ -642,6 +642,31 @@
     assert net.processes["h1"].idle
 
 
+def test_a_version_is_judged_by_its_own_time() -> None:
+    """A good version's one target is full for a moment, and calls wait.
+
+    Counted as its own time the wait made it look slower than the old one,
+    and the move was taken back. What callers wait still shows in metrics.
+    """
+    net = Net(hosts=["h1"])
+    seen: list[request_effects.Observe] = []
+    net.carriers["h1"].observe = seen.append
+    for name in ("a", "b", "c"):
+        net.call("h1", "/read", name)
+    net.settle()
+    for _ in range(3):
+        net.clock.advance(100)
+        host, request_id = net.running()[0]
+        answer = messages.Answer(
+            request_id=request_id, status=200, ran=True, service_us=100_000
+        )
+        net.carriers[host].dispatched.pop(request_id)
+        net.processes[host].target_answered(answer)
+        net.settle()
+    assert [effect.run_us for effect in seen] == [100_000] * 3
+    assert seen[-1].latency_us == 300_000
+
+
 def test_a_doubted_host_gets_nothing_and_its_reads_go_elsewhere() -> None:
     """A cut comes between two hosts under a read and a payment.
 
--- a/libs/requests/src/trefoil_requests/effects.py
+++ b/libs/requests/src/trefoil_requests/effects.py
@@ -81,7 +81,9 @@
         tenant: The route's tenant or class.
         version: The version that answered.
         domain: Failure domain of its target.
-        latency_us: Time from the first byte in to the answer.
+        latency_us: Time from the request's departure to the answer.
+        run_us: How long the target ran it, without the wait for a slot and
+            the way.
         failed: Whether the answer counts against the version.
         cold: Whether the target is new here or says that it is cold.
     """
@@ -91,5 +93,6 @@
     version: str
     domain: str
     latency_us: int
+    run_us: int
     failed: bool
     cold: bool
--- a/libs/requests/src/trefoil_requests/entry.py
+++ b/libs/requests/src/trefoil_requests/entry.py
@@ -534,14 +534,25 @@
         return granted
 
     def _observe(
-        self, live: lives.Live, latency_us: int, failed: bool, now_ms: int
+        self,
+        live: lives.Live,
+        latency_us: int,
+        failed: bool,
+        now_ms: int,
+        run_us: int = 0,
     ) -> None:
         if live.request_id != live.first_id:
             # A call counts once: the retry of a failed one would make the
             # other version look as bad.
             return
         self._observe_attempt(
-            live, live.version, live.endpoint, latency_us, failed, now_ms
+            live,
+            live.version,
+            live.endpoint,
+            latency_us,
+            run_us or latency_us,
+            failed,
+            now_ms,
         )
 
     def _observe_overtaken(
@@ -554,11 +565,13 @@
         """
         other = live.hedge
         if other is not None and other.request_id == live.first_id:
+            waited_us = now_us - other.sent_us
             self._observe_attempt(
                 live,
                 other.version,
                 other.endpoint,
-                now_us - other.sent_us,
+                waited_us,
+                waited_us,
                 False,
                 now_ms,
             )
@@ -569,6 +582,7 @@
         version: str,
         endpoint: routing.Endpoint,
         latency_us: int,
+        run_us: int,
         failed: bool,
         now_ms: int,
     ) -> None:
@@ -579,6 +593,7 @@
                 version=version,
                 domain=endpoint.domain,
                 latency_us=latency_us,
+                run_us=run_us,
                 failed=failed,
                 cold=self._is_cold(endpoint, now_ms),
             )
