Serve callers that come before the configuration is in force

Callers that came meanwhile were told to come back in a second, after their aim. Ruled out: the log's reading, the disks, the targets (they announce first).

--- a/libs/daemon/src/trefoil_daemon/control_process.py
+++ b/libs/daemon/src/trefoil_daemon/control_process.py
@@ -120,6 +120,7 @@
         self.asked: dict[str, str] = {}
         self.listed_index = 0
         self.floors_waiting: list[int] = []
+        self.unpublished = False
 
     def _open_agreement(self, carrier: facade.Carrier, now_ms: int) -> None:
         """Take the agreement up from what the disk holds."""
@@ -184,6 +185,8 @@
                 self._suspend(str(error))
             if self.durability.refusals != refusals:
                 return
+        if self.unpublished:
+            self._publish()
 
     # Links
 
@@ -432,7 +435,7 @@
             self._note_command(command, past)
         self._tell_conductors(phases)
         if self.state.items.revision != before:
-            self._publish()
+            self.unpublished = True
         self._compact(entry.index)
 
     def _note_command(
@@ -454,6 +457,12 @@
         )
 
     def _publish(self) -> None:
+        """Give the fleet the newest agreed configuration.
+
+        Once for all entries that are applied together: a process that
+        starts applies dozens, and the proxies wait for the last.
+        """
+        self.unpublished = False
         self.perform(
             self.node.publish(self.state.items.copy(), self.clock.now_ms())
         )
--- a/libs/daemon/src/trefoil_daemon/proxy_process.py
+++ b/libs/daemon/src/trefoil_daemon/proxy_process.py
@@ -138,6 +138,9 @@
         self.carrier.note(
             common.Note("config.in_force", {"revision": items.revision})
         )
+        self.perform(
+            self.entry.start_early(self.clock.now_ms(), self.now_us())
+        )
 
     def records_changed(self) -> None:
         """Let routing look at the hosts' records again."""
@@ -532,7 +535,8 @@
     @property
     def idle(self) -> bool:
         """Tell whether nothing runs here any more."""
-        return not self.entry.live and not self.targets.running
+        waiting = self.entry.live or self.entry.early.by_id
+        return not waiting and not self.targets.running
 
     def admit(self, hello: messages.Hello) -> int:
         """Return 0 to serve a peer, else how long it should wait in ms."""
--- a/libs/daemon/tests/test_proxy_process.py
+++ b/libs/daemon/tests/test_proxy_process.py
@@ -642,6 +642,68 @@
     assert net.processes["h1"].idle
 
 
+def started_early(net: Net, deadline_ms: int) -> calls.Call:
+    """Let a caller come to a proxy that has no configuration yet."""
+    process = net.processes["h1"]
+    process.entry.placing.table = None
+    call = calls.Call(
+        1, "GET", "x", "/read", body=b"a", deadline_ms=deadline_ms
+    )
+    process.call(call)
+    return call
+
+
+def test_a_caller_that_comes_early_is_served_in_time() -> None:
+    """All proxies start at once and their callers are there already.
+
+    Refused for 0.3 s until the proof comes, callers were back after their
+    answer would have been in time. They wait, and what is left of their
+    time goes with the request.
+    """
+    net = Net(hosts=["h1"])
+    started_early(net, 1500)
+    net.clock.advance(300)
+    net.processes["h1"].tick()
+    assert net.carriers["h1"].finals == {}
+    net.processes["h1"].put_in_force(net.items)
+    net.settle()
+    ((host, request_id),) = net.running()
+    effect = net.carriers[host].dispatched[request_id]
+    assert effect.request.deadline_ms == 1200
+    net.target_answers(host, request_id)
+    net.settle()
+    assert net.final("h1", 1).status == 200
+
+
+@pytest.mark.parametrize(
+    ("deadline_ms", "waits_ms"), [(400, 100), (1500, 375), (5000, 400)]
+)
+def test_a_caller_that_comes_too_early_is_told_to_come_back(
+    deadline_ms: int, waits_ms: int
+) -> None:
+    """No proof comes; nobody is held for more than a part of its time."""
+    net = Net(hosts=["h1"])
+    started_early(net, deadline_ms)
+    net.clock.advance(waits_ms - 1)
+    net.processes["h1"].tick()
+    assert net.carriers["h1"].finals == {}
+    net.clock.advance(1)
+    net.processes["h1"].tick()
+    final = net.final("h1", 1)
+    assert (final.status, final.ran) == (503, False)
+    assert final.retry_after_ms > 0
+    assert net.processes["h1"].idle
+
+
+def test_an_early_caller_that_left_is_forgotten() -> None:
+    net = Net(hosts=["h1"])
+    started_early(net, 1500)
+    net.processes["h1"].caller_gone(1)
+    net.processes["h1"].put_in_force(net.items)
+    net.settle()
+    assert net.running() == []
+
+
 def test_a_version_is_judged_by_its_own_time() -> None:
     """A good version's one target is full for a moment, and calls wait.
 
--- a/libs/fleet/src/trefoil_fleet/distribution.py
+++ b/libs/fleet/src/trefoil_fleet/distribution.py
@@ -141,9 +141,13 @@
 
     # Floor
 
-    def ask_floor_soon(self) -> None:
-        """Ask at the next tick, if there is still no proof."""
-        self.asked_floor_ms = -FLOOR_PAUSE_MS
+    def ask_floor_of(self, peer: str) -> None:
+        """Ask a peer at once, if there is still no proof.
+
+        A proxy that waits for its next turn refuses its callers meanwhile.
+        """
+        if not self.floor.proved:
+            self._ask_floor([peer])
 
     def _ask_floor(self, links: list[str]) -> None:
         query = messages.FloorQuery(nonce=0, host=self.floor.me)
--- a/libs/fleet/src/trefoil_fleet/node.py
+++ b/libs/fleet/src/trefoil_fleet/node.py
@@ -222,7 +222,7 @@
         self.overlay.linked(host, now_ms)
         self.members.trust(host)
         self.config.peer_held[host] = revision
-        self.config.ask_floor_soon()
+        self.config.ask_floor_of(host)
         if not served:
             summary = self.members.records.summary(
                 now_ms, recent_only=False, reply_wanted=True
@@ -538,9 +538,8 @@
         link = self.links.get(peer)
         if link is not None:
             if beat.led and not link.led:
-                # What was asked before there was a leader got no answer;
-                # waiting for the next turn would refuse callers meanwhile.
-                self.config.ask_floor_soon()
+                # What was asked before there was a leader got no answer.
+                self.config.ask_floor_of(peer)
             link.led = bool(beat.led)
             self._compare_records(link, beat.records_digest)
 
--- a/libs/fleet/src/trefoil_fleet/overlay.py
+++ b/libs/fleet/src/trefoil_fleet/overlay.py
@@ -12,7 +12,7 @@
 from trefoil_model import hashing
 from trefoil_wire import messages
 
-RETRY_MS = 200
+RETRY_MS = 100
 RETRY_MAX_MS = 3000
 HOME_AGAIN_MS = 15_000
 SPARE_LINK_MS = 1500
--- a/libs/requests/src/trefoil_requests/entry.py
+++ b/libs/requests/src/trefoil_requests/entry.py
@@ -16,6 +16,7 @@
 from . import balancer as balancers
 from . import budget
 from . import call as calls
+from . import early as earlies
 from . import effects
 from . import ledger as ledgers
 from . import live as lives
@@ -63,6 +64,7 @@
         "budgets",
         "claims",
         "live",
+        "early",
         "by_request",
         "draining",
         "ids",
@@ -90,6 +92,7 @@
         self.budgets: dict[str, budget.RetryBudget] = {}
         self.claims = ledgers.Claims()
         self.live: dict[int, lives.Live] = {}
+        self.early = earlies.Early()
         self.by_request: dict[int, int] = {}
         self.draining = False
         self.ids = rng.getrandbits(61)
@@ -130,6 +133,9 @@
         self, call: calls.Call, now_ms: int, now_us: int
     ) -> list[typing.Any]:
         """Take a caller's request."""
+        if self.placing.table is None and not self.draining:
+            if self.early.hold(call, now_ms):
+                return []
         route = self._route_or_refuse(call)
         if route is None:
             return self._flush()
@@ -158,6 +164,13 @@
             self._attempt(live, now_ms, now_us)
         return self._flush()
 
+    def start_early(self, now_ms: int, now_us: int) -> list[typing.Any]:
+        """Take the requests that came before there was a configuration."""
+        found = []
+        for call in self.early.release(now_ms):
+            found.extend(self.start(call, now_ms, now_us))
+        return found
+
     def _route_or_refuse(self, call: calls.Call) -> messages.Route | None:
         if self.draining:
             self._refuse(call, 503, "this proxy is leaving")
@@ -613,6 +626,7 @@
 
     def cancel(self, call_id: int, now_ms: int) -> list[typing.Any]:
         """Note that the caller went away."""
+        self.early.drop(call_id)
         live = self.live.get(call_id)
         if live is not None:
             self._abandon(live)
@@ -623,6 +637,8 @@
 
     def tick(self, now_ms: int, now_us: int) -> list[typing.Any]:
         """End the calls whose deadline has come."""
+        for call in self.early.expired(now_ms):
+            self._refuse(call, 503, "no configuration is in force yet")
         self._take_claims(self.claims.tick(now_ms), now_ms, now_us)
         late = [
             live
