Let callers connect while a proxy is loaded

Cause: a process that was killed needs 0.35 s to load what it runs. Ruled out: fewer imports (the rest are many small modules). Change: the port that the settings name for callers is opened first; the transport takes it over. Before: a connection while the process is loaded is refused. After: it waits and its bytes are there (test_ports.py).

--- a/libs/daemon/src/trefoil_daemon/transport.py
+++ b/libs/daemon/src/trefoil_daemon/transport.py
@@ -14,8 +14,9 @@
 import circuits
 from circuits.core import pollers
 
+from trefoil_model import ports
+
 READ_BYTES = 65536
-BACKLOG = 512
 ACCEPTS_PER_EVENT = 64
 MAX_BUFFERED_BYTES = 8 * 1024 * 1024
 AGAIN = (errno.EWOULDBLOCK, errno.EAGAIN, errno.EINTR)
@@ -163,12 +164,7 @@
 
     def listen(self, address: str, on_open: OnOpen) -> int:
         """Take connections at an address; return the port."""
-        host, _, port = address.rpartition(":")
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.setblocking(False)
-        sock.bind((host, int(port)))
-        sock.listen(BACKLOG)
+        sock = ports.take(address)
         self.listeners[sock] = on_open
         self.poller.addReader(self, sock)
         return sock.getsockname()[1]
