--- a/bench/safeguards.py
+++ b/bench/safeguards.py
@@ -6,7 +6,9 @@
 """
 
 import argparse
+import collections.abc
 import concurrent.futures
+import contextlib
 import dataclasses
 import json
 import os
@@ -53,35 +55,58 @@
     problem: str = ""
 
 
-def show(safeguard: Safeguard) -> Shown:
-    """Run a safeguard's test on a copy without it."""
+@contextlib.contextmanager
+def copy_with(
+    file: str, old: str, new: str
+) -> collections.abc.Iterator[pathlib.Path]:
+    """Make a scratch copy of the sources with one text replaced.
+
+    Args:
+        file: Where the text stands; empty for an unchanged copy.
+        old: The text.
+        new: What stands in its place.
+
+    Raises:
+        ValueError: The text does not stand there once.
+    """
     with tempfile.TemporaryDirectory() as scratch:
         copy = pathlib.Path(scratch)
         shutil.copytree(ROOT / "libs", copy / "libs")
         for name in ("conftest.py", "pyproject.toml"):
             shutil.copy(ROOT / name, copy / name)
-        path = copy / safeguard.file
-        text = path.read_text(encoding="utf-8")
-        if text.count(safeguard.old) != 1:
-            count = text.count(safeguard.old)
-            problem = f"the text stands there {count} times"
-            return Shown(safeguard.name, safeguard.test, False, problem)
-        path.write_text(
-            text.replace(safeguard.old, safeguard.new), encoding="utf-8"
-        )
-        return _run(safeguard, copy)
-
-
-def _run(safeguard: Safeguard, copy: pathlib.Path) -> Shown:
+        if file:
+            path = copy / file
+            text = path.read_text(encoding="utf-8")
+            if text.count(old) != 1:
+                count = text.count(old)
+                raise ValueError(f"the text stands there {count} times")
+            path.write_text(text.replace(old, new), encoding="utf-8")
+        yield copy
+
+
+def environment_of(copy: pathlib.Path) -> dict[str, str]:
+    """Return the environment in which a copy's sources are imported."""
     sources = sorted(str(path) for path in copy.glob("libs/*/src"))
-    environment = os.environ | {
+    return os.environ | {
         "PYTHONPATH": os.pathsep.join(sources),
         "TREFOIL_PROFILE": "no-shrink",
     }
+
+
+def show(safeguard: Safeguard) -> Shown:
+    """Run a safeguard's test on a copy without it."""
+    try:
+        with copy_with(safeguard.file, safeguard.old, safeguard.new) as copy:
+            return _run(safeguard, copy)
+    except ValueError as error:
+        return Shown(safeguard.name, safeguard.test, False, str(error))
+
+
+def _run(safeguard: Safeguard, copy: pathlib.Path) -> Shown:
     ran = subprocess.run(
         [sys.executable, "-m", "pytest", "-x", "-q", safeguard.test],
         cwd=copy,
-        env=environment,
+        env=environment_of(copy),
         capture_output=True,
         text=True,
         timeout=TIMEOUT_S,
--- a/libs/emulator/src/trefoil_emulator/core_fleet.py
+++ b/libs/emulator/src/trefoil_emulator/core_fleet.py
@@ -21,6 +21,7 @@
 from trefoil_requests import quarantine as quarantines
 from trefoil_requests import routing
 from trefoil_requests import target_side
+from trefoil_wire import frames
 from trefoil_wire import messages
 
 HOP_MS = 1.0
@@ -121,6 +122,7 @@
         self.callers: list[Caller] = []
         self.sent = 0
         self.sent_far = 0
+        self.far_bytes = 0
         self.sent_away = 0
         self.hosts = {
             f"h{number}": self._make(
@@ -245,7 +247,7 @@
                 case effects.Dispatch():
                     self._run(host, effect.request)
                 case effects.Reply():
-                    self._reply(effect)
+                    self._reply(host, effect)
                 case effects.Tell(message=messages.Cancel() as cancel):
                     self._cancel(effect.host, cancel.request_id)
                 case effects.Abort():
@@ -265,6 +267,8 @@
             )
             self._carry(there, found)
 
+        if host.domain != there.domain:
+            self.far_bytes += len(frames.encode(effect.request))
         self._at(self.now_ms + self._hop_ms(host, there), come)
 
     def _hop_ms(self, host: Host, there: Host) -> float:
@@ -298,8 +302,10 @@
         # Its caller has its answer: another attempt was sooner.
         return Caller(self.kinds[0], self.now_ms, self.kinds[0].work_ms)
 
-    def _reply(self, effect: effects.Reply) -> None:
+    def _reply(self, there: Host, effect: effects.Reply) -> None:
         host = self.hosts[effect.origin]
+        if host.domain != there.domain:
+            self.far_bytes += len(frames.encode(effect.answer))
 
         def come() -> None:
             found = host.entry.on_answer(
