Move what answers tell of versions out of the entry core

Cause: entry.py holds several jobs; the newcomer looks for the evidence of moves in the file of a call's life. Measured: tests of requests, daemon, emulator and safeguards pass; the cores' behaviour is the same.

--- a/libs/requests/src/trefoil_requests/entry.py
+++ b/libs/requests/src/trefoil_requests/entry.py
@@ -13,7 +13,6 @@
 from trefoil_model import errors
 from trefoil_wire import messages
 
-from . import balancer as balancers
 from . import bodies
 from . import budget
 from . import call as calls
@@ -21,6 +20,7 @@
 from . import effects
 from . import ledger as ledgers
 from . import live as lives
+from . import observing
 from . import patience as patiences
 from . import placing as placings
 from . import quarantine as quarantines
@@ -341,8 +341,11 @@
         latency_us = now_us - live.sent_us
         self.placing.note_answered(live, answer, latency_us, now_ms)
         failed = answer.status >= FIRST_FAILED_STATUS
-        self._observe(live, latency_us, failed, now_ms, answer.service_us or 0)
-        self._observe_overtaken(live, now_ms, now_us)
+        run_us = answer.service_us or latency_us
+        self._observe(live, latency_us, run_us, failed, now_ms)
+        self.out.extend(
+            observing.overtaken(self.placing.endpoints, live, now_ms, now_us)
+        )
         if not failed:
             notice = self.quarantine.succeeded(
                 live.fingerprint, self._next_id()
@@ -389,7 +392,7 @@
         now_us: int,
     ) -> None:
         self.balancer.lost(live.endpoint.key, now_ms)
-        self._observe(live, now_us - live.sent_us, True, now_ms)
+        self._observe_failure(live, now_ms, now_us)
         live.may_have_run = True
         live.crashes += 1
         # A request that ran alone in the crash is the likely cause: sending
@@ -410,7 +413,7 @@
         """Ask again where that is safe: what came can't be passed on."""
         latency_us = now_us - live.sent_us
         self.placing.note_answered(live, answer, latency_us, now_ms)
-        self._observe(live, latency_us, True, now_ms)
+        self._observe_failure(live, now_ms, now_us)
         live.may_have_run = True
         if live.may_repeat and self._may_retry(live, now_ms):
             self._attempt(live, now_ms, now_us)
@@ -570,77 +573,26 @@
         self,
         live: lives.Live,
         latency_us: int,
-        failed: bool,
-        now_ms: int,
-        run_us: int = 0,
-    ) -> None:
-        if live.request_id != live.first_id:
-            # A call counts once: the retry of a failed one would make the
-            # other version look as bad.
-            return
-        self._observe_attempt(
-            live,
-            live.version,
-            live.endpoint,
-            latency_us,
-            run_us or latency_us,
-            failed,
-            now_ms,
-        )
-
-    def _observe_overtaken(
-        self, live: lives.Live, now_ms: int, now_us: int
-    ) -> None:
-        """Count a first attempt that its hedge overtook as slow as it was.
-
-        Left out, a version that is slow would only show the answers that
-        came in time.
-        """
-        other = live.hedge
-        if other is not None and other.request_id == live.first_id:
-            waited_us = now_us - other.sent_us
-            self._observe_attempt(
-                live,
-                other.version,
-                other.endpoint,
-                waited_us,
-                waited_us,
-                False,
-                now_ms,
-            )
-
-    def _observe_attempt(
-        self,
-        live: lives.Live,
-        version: str,
-        endpoint: routing.Endpoint,
-        latency_us: int,
         run_us: int,
         failed: bool,
         now_ms: int,
     ) -> None:
-        self.out.append(
-            effects.Observe(
-                route=live.route.name,
-                tenant=live.route.tenant,
-                version=version,
-                domain=endpoint.domain,
+        self.out.extend(
+            observing.answered(
+                self.placing.endpoints,
+                live,
                 latency_us=latency_us,
                 run_us=run_us,
                 failed=failed,
-                cold=self._is_cold(endpoint, now_ms),
+                now_ms=now_ms,
             )
         )
 
-    def _is_cold(self, endpoint: routing.Endpoint, now_ms: int) -> bool:
-        if endpoint.target.state == messages.TargetState.COLD:
-            return True
-        if endpoint.target.tells_warmup:
-            return False
-        seen_ms = self.placing.endpoints.first_seen_ms.get(
-            endpoint.key, now_ms
-        )
-        return now_ms - seen_ms < balancers.SLOW_START_MS
+    def _observe_failure(
+        self, live: lives.Live, now_ms: int, now_us: int
+    ) -> None:
+        waited_us = now_us - live.sent_us
+        self._observe(live, waited_us, waited_us, True, now_ms)
 
     # Endings
 
@@ -672,7 +624,7 @@
             self._abandon(live)
             if live.request_id:
                 self.balancer.timed_out(live.endpoint.key, now_ms)
-                self._observe(live, now_us - live.sent_us, True, now_ms)
+                self._observe_failure(live, now_ms, now_us)
                 live.may_have_run = True
             self._finish_lost(live, 504, "the deadline has passed")
         return self._flush()
--- /dev/null
+++ b/libs/requests/src/trefoil_requests/observing.py
@@ -0,0 +1,103 @@
+"""What an answer tells of its version, for metrics and for moves."""
+
+from trefoil_wire import messages
+
+from . import balancer as balancers
+from . import effects
+from . import live as lives
+from . import routing
+
+
+def answered(
+    endpoints: routing.Endpoints,
+    live: lives.Live,
+    *,
+    latency_us: int,
+    run_us: int,
+    failed: bool,
+    now_ms: int,
+) -> list[effects.Observe]:
+    """Return what the attempt that counts has shown.
+
+    A call counts once: the retry of a failed one would make the other
+    version look as bad.
+
+    Args:
+        endpoints: The targets that are known.
+        live: The call.
+        latency_us: Time from the request's departure.
+        run_us: How long the target ran it.
+        failed: Whether that counts against the version.
+        now_ms: The time on the runtime's clock.
+    """
+    if live.request_id != live.first_id:
+        return []
+    return [
+        _observed(
+            endpoints,
+            live,
+            live.attempt,
+            latency_us=latency_us,
+            run_us=run_us,
+            failed=failed,
+            now_ms=now_ms,
+        )
+    ]
+
+
+def overtaken(
+    endpoints: routing.Endpoints, live: lives.Live, now_ms: int, now_us: int
+) -> list[effects.Observe]:
+    """Return a first attempt that its hedge overtook, as slow as it was.
+
+    Left out, a version that is slow would only show the answers that came
+    in time.
+    """
+    other = live.hedge
+    if other is None or other.request_id != live.first_id:
+        return []
+    waited_us = now_us - other.sent_us
+    return [
+        _observed(
+            endpoints,
+            live,
+            other,
+            latency_us=waited_us,
+            run_us=waited_us,
+            failed=False,
+            now_ms=now_ms,
+        )
+    ]
+
+
+def _observed(
+    endpoints: routing.Endpoints,
+    live: lives.Live,
+    attempt: lives.Attempt,
+    *,
+    latency_us: int,
+    run_us: int,
+    failed: bool,
+    now_ms: int,
+) -> effects.Observe:
+    return effects.Observe(
+        route=live.route.name,
+        tenant=live.route.tenant,
+        version=attempt.version,
+        domain=attempt.endpoint.domain,
+        latency_us=latency_us,
+        run_us=run_us,
+        failed=failed,
+        cold=_is_cold(endpoints, attempt.endpoint, now_ms),
+    )
+
+
+def _is_cold(
+    endpoints: routing.Endpoints, endpoint: routing.Endpoint, now_ms: int
+) -> bool:
+    if endpoint.target.state == messages.TargetState.COLD:
+        return True
+    if endpoint.target.tells_warmup:
+        return False
+    seen_ms = endpoints.first_seen_ms.get(endpoint.key, now_ms)
+    return now_ms - seen_ms < balancers.SLOW_START_MS
