Give moves and floors rooms of their own beside the control process

Change: leading_moves.py conducts the moves of a leader, floor_words.py answers proxies that restarted, as they stood; a leader that steps down forgets its moves at the next beat instead of after 0.2 s at most. Measured: tests of the daemon, of moves and of control processes pass.

--- a/libs/daemon/src/trefoil_daemon/control_process.py
+++ b/libs/daemon/src/trefoil_daemon/control_process.py
@@ -5,13 +5,11 @@
 import typing
 
 from trefoil_fleet import effects as fleet_effects
-from trefoil_fleet import items as item_store
 from trefoil_fleet import node as nodes
 from trefoil_language import statements
 from trefoil_model import clock as clocks
 from trefoil_model import effects as common
 from trefoil_model import errors
-from trefoil_moves import conductor as conductors
 from trefoil_moves import knobs as knob_store
 from trefoil_moves import state as states
 from trefoil_quorum import effects as quorum_effects
@@ -26,17 +24,16 @@
 from . import _fleet_process
 from . import durability
 from . import facade
+from . import floor_words
 from . import identities
+from . import leading_moves
 from . import operators
 from . import queries
 
 # Two that ask at the same moment are let in one after the other: a change of
 # the voters must be agreed before the next.
 JOIN_MS = 250
-DECIDE_MS = 200
 MAX_HOPS = 3
-MOST = 1 << 30
-COMMAND_CODE = frames.CODES[messages.CommandRequest]
 # Without a leader's word for this long, a process that the others may have
 # dropped asks to be let in; longer than any election.
 UNLED_MS = 3000
@@ -107,19 +104,18 @@
         super().__init__(node, carrier, clock)
         self.node.config.publish(self.state.items.copy(), now_ms)
         self.quarantine = quarantines.Quarantine()
-        self.knobs = knob_store.Knobs.from_settings(settings)
-        self.conductors: dict[str, conductors.Conductor] = {}
-        self.proposed: dict[str, int] = {}
+        self.moves = leading_moves.LeadingMoves(
+            self, knob_store.Knobs.from_settings(settings)
+        )
         self.commands = operators.Waiters()
         self.queries = operators.Waiters()
         self.in_log: dict[str, int] = {}
         self.reads: dict[int, Reads] = {}
         self.read_number = 0
         self.join_at_ms = now_ms
-        self.decide_at_ms = now_ms
         self.asked: dict[str, str] = {}
         self.listed_index = 0
-        self.floors_waiting: list[int] = []
+        self.floors = floor_words.FloorWords(self)
         self.unpublished = False
 
     def _open_agreement(self, carrier: facade.Carrier, now_ms: int) -> None:
@@ -336,7 +332,7 @@
         self.perform(effects)
         return index
 
-    def _propose_own(self, body: typing.Any) -> int:
+    def propose_own(self, body: typing.Any) -> int:
         """Append a decision of this leader; return its entry's index."""
         kind, data = frames.pack_any(body)
         return self._propose(
@@ -433,7 +429,7 @@
         if past is not None:
             self._answer_waiters(command.command_id)
             self._note_command(command, past)
-        self._tell_conductors(phases)
+        self.moves.stepped(phases)
         if self.state.items.revision != before:
             self.unpublished = True
         self._compact(entry.index)
@@ -503,128 +499,6 @@
         self.state = states.State.from_bytes(snapshot.state)
         self._publish()
 
-    # Moves
-
-    def _tell_conductors(self, before: dict[str, int]) -> None:
-        now_ms = self.clock.now_ms()
-        for move_id, conductor in list(self.conductors.items()):
-            move = self.state.moves.get(move_id)
-            if move is None or move.outcome:
-                del self.conductors[move_id]
-                self.proposed.pop(move_id, None)
-            elif before.get(move_id) != move.step_ms:
-                conductor.stepped(move, now_ms)
-
-    def _decide(self) -> None:
-        now_ms = self.clock.now_ms()
-        if now_ms < self.decide_at_ms:
-            return
-        self.decide_at_ms = now_ms + DECIDE_MS
-        if not self.raft.is_leader:
-            self._forget_leading()
-            return
-        for move in self.state.running_moves():
-            if self.proposed.get(move.move_id, 0) <= self.raft.applied:
-                self._decide_move(move, now_ms)
-        for shares in self.state.items.all(item_store.SHARES):
-            if not states.version_in_force(shares) and not shares.move_id:
-                self._adopt_version(shares.service_name)
-
-    def _adopt_version(self, service: str) -> None:
-        """Agree on the version that a service's targets announce.
-
-        Only where the configuration names none: what is announced first is
-        in force, and later versions come by moves.
-        """
-        if self.proposed.get(service, 0) > self.raft.applied:
-            return
-        slots: dict[str, int] = {}
-        for record in self.node.members.records.present():
-            for target in record.targets or ():
-                if target.service_name == service:
-                    version = target.version
-                    slots[version] = slots.get(version, 0) + target.slots
-        if not slots:
-            return
-        version = max(sorted(slots), key=slots.__getitem__)
-        self.proposed[service] = self._propose_own(
-            messages.AdoptVersion(service_name=service, version=version)
-        )
-        self.carrier.note(
-            common.Note(
-                "version.adopted",
-                {"service": service, "version": version, "slots": slots},
-            )
-        )
-
-    def _decide_move(self, move: messages.MoveRecord, now_ms: int) -> None:
-        conductor = self.conductors.get(move.move_id)
-        if conductor is None:
-            conductor = conductors.Conductor(move, self.knobs, now_ms)
-            self.conductors[move.move_id] = conductor
-        decision = conductor.decide(
-            move,
-            self._capacity(move),
-            now_ms=now_ms,
-            wall_ms=max(self.clock.wall_ms(), self.state.clock_ms),
-        )
-        body = _body_of(move, decision)
-        if body is None:
-            return
-        self.proposed[move.move_id] = self._propose_own(body)
-        self.carrier.note(
-            common.Note(
-                "move.decided",
-                {
-                    "move": move.move_id,
-                    "decision": type(decision).__name__.lower(),
-                    "reason": decision.reason,
-                },
-            )
-        )
-
-    def _capacity(self, move: messages.MoveRecord) -> conductors.Capacity:
-        drained = {d.host for d in self.state.items.all(item_store.DRAIN)}
-        held: set[str] = set()
-        slots = {move.from_version: 0, move.to_version: 0}
-        new_targets = 0
-        for record in self.node.members.records.present():
-            if record.host in drained:
-                continue
-            for target in record.targets or ():
-                ready = target.state == messages.TargetState.READY
-                if target.service_name != move.service_name or not ready:
-                    continue
-                if target.version in slots:
-                    slots[target.version] += target.slots
-                if target.version == move.to_version:
-                    new_targets += 1
-                    held.update(target.resources)
-        wanted = {
-            route.resource
-            for route in self.state.items.all(item_store.ROUTE)
-            if route.service_name == move.service_name and route.resource
-        }
-        return conductors.Capacity(
-            old_slots=slots[move.from_version],
-            new_slots=slots[move.to_version],
-            new_targets=new_targets,
-            missing=sorted(wanted - held),
-        )
-
-    def on_evidence(
-        self, source: str, report: messages.EvidenceReport
-    ) -> None:
-        """Take a proxy's report, or pass it to the leader."""
-        if self.raft.is_leader:
-            conductor = self.conductors.get(report.move_id)
-            if conductor is not None:
-                conductor.hear(report, self.clock.now_ms())
-            return
-        leader = rafts.name_of(self.raft.leader)
-        if leader != source:
-            self.carrier.link_send(leader, report)
-
     # Disk
 
     def _suspend(self, why: str) -> None:
@@ -659,65 +533,17 @@
             common.Note("store.works_again", {"identity": self.raft.identity})
         )
 
-    def _forget_leading(self) -> None:
-        self.conductors = {}
-        self.proposed = {}
-        self.in_log = {}
+    # Leading
 
-    # Floor
-
-    def ask_floor(self, nonce: int) -> None:
-        """Find the newest revision for a restarted proxy."""
-        now_ms = self.clock.now_ms()
-        if self.raft.identity in self.raft.voters:
-            voters = [rafts.name_of(voter) for voter in self.raft.voters]
-            self.perform(
-                self.node.vouch(nonce, self._newest_known(), voters, now_ms)
-            )
-        self._ask_leader_for_floor(nonce)
-
-    def _ask_leader_for_floor(self, nonce: int) -> None:
-        """Get the leader's word; kept until somebody leads.
-
-        Proxies that all restarted ask before there is a leader. Left to ask
-        again, they would refuse their callers for another turn after it.
-        """
-        leader = rafts.name_of(self.raft.leader)
-        if self.raft.is_leader:
-            self.read(
-                lambda: self._tell_floor(nonce),
-                lambda: self._keep_for_leader(nonce),
-            )
-        elif leader in self.node.links:
-            self.carrier.link_send(
-                leader, messages.FloorQuery(nonce, self.settings.host)
-            )
+    def _decide(self, now_ms: int) -> None:
+        if not self.raft.is_leader:
+            self._forget_leading()
         else:
-            self._keep_for_leader(nonce)
-
-    def _keep_for_leader(self, nonce: int) -> None:
-        self.floors_waiting.append(nonce)
-        del self.floors_waiting[: -nodes.FLOOR_RELAYS]
-
-    def _ask_kept_floors(self) -> None:
-        waiting, self.floors_waiting = self.floors_waiting, []
-        for nonce in waiting:
-            self._ask_leader_for_floor(nonce)
-
-    def _newest_known(self) -> int:
-        """Return a revision that nothing acknowledged is above."""
-        log = self.raft.log
-        for entry in reversed(log.slice_from(self.raft.applied + 1, MOST)):
-            if rafts.code_of(entry) == COMMAND_CODE:
-                return entry.index
-        return self.state.items.revision
-
-    def _tell_floor(self, nonce: int) -> None:
-        self.perform(
-            self.node.floor_known(
-                nonce, self.state.items.revision, self.clock.now_ms()
-            )
-        )
+            self.moves.decide(now_ms)
+
+    def _forget_leading(self) -> None:
+        self.moves.forget()
+        self.in_log = {}
 
     # Time
 
@@ -729,12 +555,11 @@
         if not self.durability.failed:
             self.perform(self.raft.tick(now_ms))
         self.node.follow(rafts.name_of(self.raft.leader))
-        if self.floors_waiting and self.raft.leader:
-            self._ask_kept_floors()
+        self.floors.tick()
         heard = now_ms - self.raft.heard_ms < LED_MS
         self.node.note_led(self.raft.is_leader or heard)
         self.perform(self.node.tick(now_ms))
-        self._decide()
+        self._decide(now_ms)
         self._join(now_ms)
         self._pass_on_again()
         self._list_controls(now_ms)
@@ -786,26 +611,6 @@
     return messages.CommandRequest(command=command, hops=0)
 
 
-def _body_of(
-    move: messages.MoveRecord, decision: conductors.Decision
-) -> typing.Any:
-    match decision:
-        case conductors.Step():
-            return messages.StepMove(
-                move_id=move.move_id,
-                permille=decision.permille,
-                phase=decision.phase,
-                reason=decision.reason,
-            )
-        case conductors.End():
-            return messages.EndMove(
-                move_id=move.move_id,
-                outcome=decision.outcome,
-                reason=decision.reason,
-            )
-    return None
-
-
 @functools.singledispatch
 def carry(effect: typing.Any, process: ControlProcess) -> None:
     """Carry out one effect."""
@@ -829,7 +634,7 @@
 
 @carry.register
 def _(effect: fleet_effects.AskFloor, process: ControlProcess) -> None:
-    process.ask_floor(effect.nonce)
+    process.floors.ask(effect.nonce)
 
 
 @carry.register
@@ -945,7 +750,7 @@
 def _(
     message: messages.EvidenceReport, process: ControlProcess, host: str
 ) -> None:
-    process.on_evidence(host, message)
+    process.moves.hear(host, message)
 
 
 @receive.register
