--- a/libs/daemon/tests/test_proxy_process.py
+++ b/libs/daemon/tests/test_proxy_process.py
@@ -678,6 +678,23 @@
     return []
 
 
+def test_both_attempts_of_a_hedged_call_get_its_body() -> None:
+    """A read with a large body is asked for at two hosts at once."""
+    net = Net(hosts=["h1", "h2", "h3"])
+    uploads(net, "/read")
+    net.settle()
+    ((first, _),) = net.running()
+    net.processes["h1"].entry.budgets["tables"].tokens = 5
+    net.processes["h1"].peer_doubted(first, True)
+    net.settle()
+    bodies = {
+        host: effect.request.body
+        for host, carrier in net.carriers.items()
+        for effect in carrier.dispatched.values()
+    }
+    assert bodies == {"h2": LARGE, "h3": LARGE}
+
+
 def test_a_body_goes_where_the_link_is_free() -> None:
     """The link to one host is taken for longer than the caller waits.
 
