Look an attempt up by its number in one place

Change: Live.attempt_of tells that there is none. Measured: tests of requests and of whole proxies pass.

--- a/libs/requests/src/trefoil_requests/entry.py
+++ b/libs/requests/src/trefoil_requests/entry.py
@@ -292,12 +292,10 @@
     def on_body_pull(self, pull: messages.BodyPull) -> list[typing.Any]:
         """Send a piece of a body to the target's proxy that asks for it."""
         live = self.live.get(self.by_request.get(pull.request_id, -1))
-        if live is None:
+        attempt = live.attempt_of(pull.request_id) if live else None
+        if attempt is None:
             # The request was given up; the cancellation is on its way.
             return []
-        attempt = live.attempt
-        if attempt.request_id != pull.request_id:
-            attempt = live.hedge
         end = pull.offset + pull.length
         piece = messages.BodyPiece(
             pull.request_id, pull.offset, live.call.body[pull.offset : end]
--- a/libs/requests/src/trefoil_requests/live.py
+++ b/libs/requests/src/trefoil_requests/live.py
@@ -90,6 +90,14 @@
             self.request_id, self.endpoint, self.version, self.sent_us
         )
 
+    def attempt_of(self, request_id: int) -> Attempt | None:
+        """Return the one of its attempts that has a number."""
+        if self.request_id == request_id:
+            return self.attempt
+        if self.hedge is not None and self.hedge.request_id == request_id:
+            return self.hedge
+        return None
+
     def swap(self) -> None:
         """Make the other of two attempts the one that counts."""
         other, self.hedge = self.hedge, self.attempt
