Ping only links whose requests are still waited for

Cause: the cost of a host grew with the fleet. Read in the code, shown by test: (1) a request that was given up (hedged, cancelled, timed out) gets no answer and stayed in its link's account, so the link was pinged each 150 ms for as long as both processes lived; (2) a proxy keeps a link to each host that it ever sent to, 188 of them in a fleet of 200, and pinged each every 5 s; (3) a request of 520 ms had three pings. Change: a cancellation ends the account; links that nobody used for 6 s are given up, which is as soon as the idle ping found a silent one; a peer that answered is asked again after 600 ms unless it gets a new request. Test replaced: the idle link was probed each 5 s and given up after 60 s; now it is given up before a probe would have found it silent (6 s). Before: three of the new tests fail.

--- a/libs/daemon/src/trefoil_daemon/hub.py
+++ b/libs/daemon/src/trefoil_daemon/hub.py
@@ -21,12 +21,16 @@
 # A request that runs says nothing for as long; a ping each time is little
 # beside it, and there are no more of them than requests under way.
 PING_AFTER_MS = 150
-PING_IDLE_MS = 5000
+# A peer that answered while a long request runs is asked less often until it
+# gets the next one.
+PING_AGAIN_MS = 600
 # A round trip takes milliseconds, and a process answers within a beat. One
 # that takes this long stands still, or a cut lies between.
 DOUBT_MS = 200
 PING_ANSWER_MS = 1000
-REQUEST_LINK_IDLE_MS = 60_000
+# What is kept for each peer of a fleet costs with the square of its hosts; a
+# new connection is one round trip.
+REQUEST_LINK_IDLE_MS = 6000
 
 
 class Owner(typing.Protocol):
@@ -84,6 +88,7 @@
     waiting: list[typing.Any] = dataclasses.field(default_factory=list)
     outstanding: set[int] = dataclasses.field(default_factory=set)
     pinged_ms: int = 0
+    answered: bool = False
     used_ms: int = 0
     doubted: bool = False
 
@@ -159,8 +164,7 @@
             connection = self._dial(host, address, subscribe=False)
             self.requests[host] = connection
         connection.used_ms = self.clock.now_ms()
-        if isinstance(message, messages.Request):
-            connection.outstanding.add(message.request_id)
+        _note_sent(connection, message)
         if connection.ready:
             self._write(connection, message)
         else:
@@ -319,7 +323,7 @@
         elif isinstance(message, messages.Ping):
             self._write(connection, messages.Pong(message.nonce))
         elif isinstance(message, messages.Pong):
-            return
+            connection.answered = True
         elif connection.subscribe:
             self.owner.link_message(connection.host, message)
         else:
@@ -414,12 +418,12 @@
             elif waited_ms >= DOUBT_MS:
                 self._doubt(connection, True)
             return
-        quiet_ms = now_ms - connection.heard_ms
-        busy = bool(connection.outstanding)
-        if not busy and now_ms - connection.used_ms > REQUEST_LINK_IDLE_MS:
-            connection.stream.close()
+        if not connection.outstanding:
+            if now_ms - connection.used_ms >= REQUEST_LINK_IDLE_MS:
+                connection.stream.close()
             return
-        if quiet_ms >= (PING_AFTER_MS if busy else PING_IDLE_MS):
+        pause_ms = PING_AGAIN_MS if connection.answered else PING_AFTER_MS
+        if now_ms - connection.heard_ms >= pause_ms:
             connection.pinged_ms = now_ms
             self._write(connection, messages.Ping(connection.number))
 
@@ -429,6 +433,20 @@
             self.owner.peer_doubted(connection.host, doubted)
 
 
+def _note_sent(connection: Connection, message: typing.Any) -> None:
+    """Keep account of the requests whose answers a connection waits for.
+
+    A request that was given up gets no answer. Counted on, it would have its
+    link pinged for as long as both processes live.
+    """
+    match message:
+        case messages.Request():
+            connection.outstanding.add(message.request_id)
+            connection.answered = False
+        case messages.Cancel():
+            connection.outstanding.discard(message.request_id)
+
+
 def _opening_ms(connection: Connection) -> int:
     """Return how long a connection may take to open.
 
