Ask all keepers for keys only where keys are in use

Cause: a keeper that starts asks every host of its service for the keys it forgot, each 500 ms, until all vouch; hosts that started within ten minutes can't. In a fleet that starts together each host so asked each other one twice a second for ten minutes: at 188 proxies 70,000 questions and as many answers a second, over 35,000 connections that were never idle, against 1,300 calls. Ruled out: no questions at all (keys would be lost when keepers restart one after the other: test_a_keeper_that_restarts_gets_its_keys_back). Change: three are asked after a start; all of them only once an answer brings keys or a claim can't be vouched for, with pauses from 0.5 to 30 s. What vouches is unchanged.

--- a/libs/requests/src/trefoil_requests/ledger.py
+++ b/libs/requests/src/trefoil_requests/ledger.py
@@ -23,6 +23,11 @@
 KEEP_MS = 600_000
 SKEW_MS = 5000
 SYNC_PAUSE_MS = 500
+# Hosts that restarted themselves can't vouch for minutes; asking them goes on
+# ever less often.
+SYNC_PAUSE_MAX_MS = 30_000
+# Asked first, to learn whether callers send keys at all.
+SAMPLE = 3
 MAX_ENTRIES = 100_000
 MAX_ANSWER_BYTES = 8192
 MAX_ANSWERS_BYTES = 8 * 1024 * 1024
@@ -104,8 +109,11 @@
         "sets",
         "kept",
         "synced",
+        "in_use",
+        "unheard",
         "sync_wanted",
         "sync_at_ms",
+        "sync_pause_ms",
         "answers",
         "answer_bytes",
     )
@@ -120,8 +128,11 @@
         self.sets = KeeperSets()
         self.kept: dict[int, Kept] = {}
         self.synced = False
+        self.in_use = False
+        self.unheard: set[str] = set()
         self.sync_wanted: set[str] | None = None
         self.sync_at_ms = 0
+        self.sync_pause_ms = SYNC_PAUSE_MS
         self.answers: collections.deque[tuple[int, int]] = collections.deque()
         self.answer_bytes = 0
 
@@ -147,6 +158,7 @@
         # A claimant with another view of the hosts could gather its
         # majority from other keepers than the claimant before it.
         if not same_view or not self.vouches(claim.issued_ms, now_ms):
+            self._note_in_use()
             return self._reply(claim, ABSTAIN)
         self._drop_old(now_ms)
         if len(self.kept) >= MAX_ENTRIES:
@@ -184,13 +196,31 @@
     # Coming back after a restart
 
     def tick(self, now_ms: int, ready: bool) -> list[str]:
-        """Return the hosts to pull the ledger from now."""
+        """Return the hosts to pull the ledger from now.
+
+        A few are asked after each start; all of them only once keys are seen
+        to be in use. Else each host of a fleet would ask each other one for
+        as long as none has lived long enough to vouch.
+        """
         if self.synced or not ready or now_ms < self.sync_at_ms:
             return []
-        self.sync_at_ms = now_ms + SYNC_PAUSE_MS
         if self.sync_wanted is None:
             self.sync_wanted = self._sharers()
-        return sorted(self.sync_wanted)
+            ranked = hashing.rank(self.me, self.sync_wanted)
+            self.unheard = set(ranked[:SAMPLE])
+        asked = self.sync_wanted if self.in_use else self.unheard
+        self.sync_at_ms = now_ms + self.sync_pause_ms
+        if asked:
+            pause_ms = 2 * self.sync_pause_ms
+            self.sync_pause_ms = min(pause_ms, SYNC_PAUSE_MAX_MS)
+        return sorted(asked)
+
+    def _note_in_use(self) -> None:
+        """Note that callers send keys, so that all keepers matter."""
+        if not self.in_use:
+            self.in_use = True
+            self.sync_at_ms = 0
+            self.sync_pause_ms = SYNC_PAUSE_MS
 
     def _sharers(self) -> set[str]:
         found: set[str] = set()
@@ -219,6 +249,9 @@
 
     def push(self, push: messages.LedgerPush, now_ms: int) -> None:
         """Take back what another keeper held."""
+        if push.entries:
+            self._note_in_use()
+        self.unheard.discard(push.host)
         for entry in push.entries or ():
             if entry.key not in self.kept:
                 self.kept[entry.key] = Kept(
--- a/libs/requests/tests/test_ledger.py
+++ b/libs/requests/tests/test_ledger.py
@@ -72,3 +72,42 @@
 )
 def test_keys_tell_when_they_were_issued(key: str, issued_ms: int) -> None:
     assert ledgers.issued_ms_of(key) == issued_ms
+
+
+def fleet_keeper(hosts: int) -> ledgers.Ledger:
+    made = ledgers.Ledger("h0", 1, 0, 0)
+    names = [f"h{number}" for number in range(hosts)]
+    made.sets.update({"s": names}, 0)
+    return made
+
+
+def pulls(made: ledgers.Ledger, from_ms: int, to_ms: int) -> int:
+    """Let time pass while every host that is asked says that it restarted."""
+    count = 0
+    for now_ms in range(from_ms, to_ms, 50):
+        for host in made.tick(now_ms, True):
+            count += 1
+            made.push(messages.LedgerPush(host, [], False), now_ms)
+    return count
+
+
+def test_a_fleet_whose_callers_send_no_keys_hardly_pulls() -> None:
+    """Each host asked each other one twice a second for ten minutes."""
+    assert pulls(fleet_keeper(200), 0, 60_000) <= ledgers.SAMPLE
+
+
+def test_once_keys_are_in_use_every_keeper_is_asked_ever_less_often() -> None:
+    made = fleet_keeper(200)
+    pulls(made, 0, 5000)
+    made.claim(claim(1), 5000)
+    assert pulls(made, 5000, 5500) == 199
+    assert pulls(made, 5500, 65_000) <= 8 * 199
+
+
+def test_a_host_that_holds_keys_tells_that_they_are_in_use() -> None:
+    """A keeper that restarted in a fleet with keys asks everyone for them."""
+    made = fleet_keeper(200)
+    asked = made.tick(0, True)
+    entry = messages.LedgerEntry(7, 1, 2, 100, None)
+    made.push(messages.LedgerPush(asked[0], [entry], True), 10)
+    assert len(made.tick(50, True)) == 198
