--- a/libs/moves/src/trefoil_moves/state.py
+++ b/libs/moves/src/trefoil_moves/state.py
@@ -178,7 +178,7 @@
             del self.past[first.command_id]
 
     def document_tag(self) -> str:
-        """Return what tells the agreed document from others, empty for none."""
+        """Return what tells the agreed document from others."""
         if self.document is None:
             return ""
         return f"{self.document.number}-{hashing.hash64(self.document.text)}"
