Pass news of hosts on in one message for 100 ms

Cause: records are passed on one by one. At 200 hosts the seconds of the start brought 118,235 of the 134,306 messages that proxies heard, 13.8 MB sent by control hosts. Change: news goes at once after a quiet 100 ms, else with what else comes until then; each peer gets what it has not told itself. Ruled out: a longer pause (a leaving target's word should not wait for it); a summary a failure domain (calls choose among targets, one by one).

--- a/libs/fleet/src/trefoil_fleet/node.py
+++ b/libs/fleet/src/trefoil_fleet/node.py
@@ -26,6 +26,10 @@
 # A dial takes a round trip; one to a host that is dark takes seconds to fail.
 UNLINKED_MS = 1000
 REPORT_FLUSH_MS = 100
+# News that comes sooner after the last waits for this long, to go in one
+# message with what else comes: when a fleet starts, each of its hosts has news
+# for each other one several times within seconds.
+NEWS_PAUSE_MS = 100
 SUMMARY_PAUSE_MS = 5000
 QUIET_MS = 1500
 FLOOR_RELAYS = 256
@@ -33,6 +37,19 @@
 JOIN_BURST = 50
 
 
+@dataclasses.dataclass(slots=True)
+class News:
+    """A record to pass on.
+
+    Args:
+        record: The record.
+        source: The peer that told it, empty for this process itself.
+    """
+
+    record: messages.HostRecord
+    source: str
+
+
 @dataclasses.dataclass(slots=True)
 class Link:
     """A subscribed link to a peer.
@@ -80,6 +97,8 @@
         "heartbeat_at_ms",
         "report_at_ms",
         "refresh_at_ms",
+        "news",
+        "news_at_ms",
         "floor_relays",
         "floor_nonce",
         "join_tokens",
@@ -133,6 +152,8 @@
         self.heartbeat_at_ms = now_ms
         self.report_at_ms = now_ms
         self.refresh_at_ms = now_ms
+        self.news: dict[str, News] = {}
+        self.news_at_ms = now_ms
         self.floor_relays: dict[int, messages.FloorQuery] = {}
         self.floor_nonce = 0
         self.join_tokens = float(JOIN_BURST)
@@ -344,6 +365,8 @@
         self.members.settle_doubts(heard_ms, now_ms)
         self.members.tick(set(self.links), now_ms)
         self.config.tick(list(self.links), now_ms)
+        if self.news and now_ms >= self.news_at_ms:
+            self._pass_news()
         self._beat()
         return self._flush()
 
@@ -393,10 +416,23 @@
     def _spread_records(
         self, records: list[messages.HostRecord], source: str
     ) -> None:
+        for record in records:
+            self.news[record.host] = News(record, source)
+        if self.now_ms >= self.news_at_ms:
+            self._pass_news()
+
+    def _pass_news(self) -> None:
+        """Send each peer the records that it has not told itself."""
+        news, self.news = self.news, {}
+        self.news_at_ms = self.now_ms + NEWS_PAUSE_MS
+        due: dict[str, list[messages.HostRecord]] = {}
+        for item in news.values():
+            for peer in self._onward(item.source):
+                due.setdefault(peer, []).append(item.record)
         size = memberships.RECORDS_PER_FRAME
-        for start in range(0, len(records), size):
-            delta = messages.RecordsDelta(records[start : start + size])
-            for peer in self._onward(source):
+        for peer, records in due.items():
+            for start in range(0, len(records), size):
+                delta = messages.RecordsDelta(records[start : start + size])
                 self._send(peer, delta)
 
     def _onward(self, source: str) -> list[str]:
