--- a/bench/convergence.py
+++ b/bench/convergence.py
@@ -70,7 +70,7 @@
             }
         )
         fleet.start(*fleet.control_names)
-        fleets.wait_for("a leader", fleet.leader)
+        fleet.wait_leader()
         for start in range(0, self.size, 25):
             fleet.start(*self.proxies[start : start + 25])
             time.sleep(1)
--- a/bench/once.py
+++ b/bench/once.py
@@ -57,7 +57,7 @@
             behave={"delay_ms": 0},
         )
     fleet.start()
-    fleets.wait_for("a leader", fleet.leader)
+    fleet.wait_leader()
     document = (ROOT / "demo" / "matbakh.yaml").read_text(encoding="utf-8")
     fleet.say("apply matbakh.yaml", document=document)
     fleet.wait_ready(len(HOSTS))
--- a/bench/requests.py
+++ b/bench/requests.py
@@ -54,7 +54,7 @@
         behave={"delay_ms": SMALL_MS, "jitter": 0, "workers": SLOTS},
     )
     fleet.start()
-    fleets.wait_for("a leader", fleet.leader)
+    fleet.wait_leader()
     answer = fleet.say("apply bench.yaml", document=DOCUMENT)
     assert answer["outcome"] == "done", answer
     fleet.wait_ready(2)
--- a/demo/run.py
+++ b/demo/run.py
@@ -142,7 +142,7 @@
     tell("starting 3 control processes, 8 proxies and 8 targets")
     build(fleet)
     fleet.start()
-    leader = fleets.wait_for("a leader", fleet.leader)
+    leader = fleet.wait_leader()
     tell(f"  {leader} leads")
     document = (DEMO / "matbakh.yaml").read_text(encoding="utf-8")
     answer = fleet.say("apply matbakh.yaml", document=document)
--- a/libs/emulator/src/trefoil_emulator/fleet.py
+++ b/libs/emulator/src/trefoil_emulator/fleet.py
@@ -95,6 +95,27 @@
     ip: str = LOOPBACK
     process: subprocess.Popen | None = None
 
+    def state(self, log: pathlib.Path) -> str:
+        """Return what the process is doing, as the kernel tells it.
+
+        Args:
+            log: Where it writes.
+        """
+        written = log.stat().st_size if log.exists() else 0
+        ended = self.process.poll()
+        if ended is not None:
+            return f"{self.name}: ended with {ended}, {written} bytes of log"
+        proc = pathlib.Path("/proc") / str(self.process.pid)
+        # After the name in brackets, which may hold spaces.
+        fields = (proc / "stat").read_text().rpartition(")")[2].split()
+        ticks = int(fields[11]) + int(fields[12])
+        used_s = ticks / os.sysconf("SC_CLK_TCK")
+        waits_in = (proc / "wchan").read_text() or "?"
+        return (
+            f"{self.name}: state {fields[0]} in {waits_in}, "
+            f"{used_s:.2f} s of processor time, {written} bytes of log"
+        )
+
     def address(self, port: str) -> str:
         """Return the address of one of its ports."""
         return f"{self.ip}:{self.ports[port]}"
@@ -370,6 +391,27 @@
                     return row["control"]
         return ""
 
+    def wait_leader(self, within_s: float = 20.0) -> str:
+        """Return the control process that leads, once one does.
+
+        Raises:
+            NeverCame: None did in time; says what each process was doing,
+                which tells one that waits from one that got no processor.
+        """
+        try:
+            return wait_for("a leader", self.leader, within_s)
+        except NeverCame as error:
+            states = "\n".join(self.states())
+            raise NeverCame(f"{error}\n{states}") from error
+
+    def states(self) -> list[str]:
+        """Return a line on each started process: state, time used, log."""
+        return [
+            member.state(self.folder / f"{member.name}.log")
+            for member in self.members.values()
+            if member.process is not None
+        ]
+
     def in_force(self, at: str = "control1") -> list[dict[str, typing.Any]]:
         """Return what is in force at each host, as reported."""
         answer = self.try_say("in force by host", at=at)
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -65,7 +65,7 @@
         plan = plans.Plan.from_seed(self.seed, made.names, self.lasts_s)
         self.faults = plan.faults
         made.start()
-        fleets.wait_for("a leader", made.leader, READY_S)
+        made.wait_leader(READY_S)
         operator = watch.Operator(made, self.seed)
         if not operator.change():
             raise fleets.NeverCame("the first document was not accepted")
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -75,7 +75,7 @@
             resources="listings,payments",
         )
         made.start()
-        fleets.wait_for("a leader", made.leader)
+        made.wait_leader()
         made.say("apply matbakh.yaml", document=DOCUMENT)
         fleets.wait_for(
             "an answer", lambda: made.call("h1", "/slots").status == 200
--- a/tests/test_control_processes.py
+++ b/tests/test_control_processes.py
@@ -29,7 +29,7 @@
             {"h1": "ariana", "h2": "ariana", "h3": "manouba", "h4": "manouba"}
         )
         made.start()
-        fleets.wait_for("a leader", made.leader)
+        made.wait_leader()
         answer = made.say("apply matbakh.yaml", document=DOCUMENT)
         assert answer["outcome"] == "done"
         made.wait_ready(4)
@@ -151,7 +151,7 @@
     names = list(fleet.members)
     fleet.kill(*names)
     fleet.start(*names)
-    fleets.wait_for("a leader", fleet.leader)
+    fleet.wait_leader()
     fleet.wait_ready(4)
     after = revisions(fleet, fleet.leader())
     assert all(after[host] >= before[host] for host in before)
--- a/tests/test_move_processes.py
+++ b/tests/test_move_processes.py
@@ -28,7 +28,7 @@
         for host in HOSTS:
             _add(made, host, "v1", {})
         made.start()
-        fleets.wait_for("a leader", made.leader)
+        made.wait_leader()
         made.say("apply matbakh.yaml", document=DOCUMENT)
         made.wait_ready(2)
         for host in HOSTS:
--- a/tests/test_request_processes.py
+++ b/tests/test_request_processes.py
@@ -37,7 +37,7 @@
                 resources="listings,payments",
             )
         made.start()
-        fleets.wait_for("a leader", made.leader)
+        made.wait_leader()
         made.say("apply matbakh.yaml", document=DOCUMENT)
         made.wait_ready(4)
         for host in HOSTS:
