Keep the accounts of repeats in a module of their own

Change: requests/accounts.py holds the budgets, who pays and who is paid back; entry.py is 836 lines instead of 884. Behaviour is the same; tests changed only where they reach the budgets. After: tests of the proxy process, budgets and the emulator pass.

--- a/libs/daemon/src/trefoil_daemon/proxy_process.py
+++ b/libs/daemon/src/trefoil_daemon/proxy_process.py
@@ -105,7 +105,7 @@
             targets=self.targets,
             rng=rng,
         )
-        self.entry.most_ratio = settings.retry_ratio
+        self.entry.accounts.most_ratio = settings.retry_ratio
         self.announced = announcements.Announcements(settings.lease_ms)
         self.collectors: dict[str, evidences.Collector] = {}
         self.guards: dict[str, judges.Judge] = {}
@@ -163,7 +163,8 @@
             # Hosts that are away count too: cut off, they go on spending. And
             # one more: it has just joined, and is not known here.
             hosts = len(records.by_host) + 1
-            self.entry.share_slack(self.settings.retry_slack / hosts)
+            reserve = self.settings.retry_slack / hosts
+            self.entry.accounts.share_slack(reserve)
 
     def reconfigure(self, settings: setting_store.ProxySettings) -> None:
         """Take changed settings."""
@@ -473,7 +474,7 @@
         self._guard(now_ms)
         self._report(now_ms)
         self._tell_paces(now_ms)
-        self.perform(self.spending.tell(self.entry.budgets, now_ms))
+        self.perform(self.spending.tell(self.entry.accounts.budgets, now_ms))
         self._hand_over_in_time(now_ms)
         self.relay.tick(now_ms)
 
@@ -506,7 +507,7 @@
 
     def families(self) -> list[exposition.Family]:
         """Return what repeats each service got from here, and its budget."""
-        return budget_metrics.families(self.entry.budgets)
+        return budget_metrics.families(self.entry.accounts.budgets)
 
     # Leaving
 
--- a/libs/daemon/tests/test_proxy_process.py
+++ b/libs/daemon/tests/test_proxy_process.py
@@ -288,7 +288,7 @@
 
     def let_repeat(self, host: str) -> None:
         """Give a proxy some repeats; a start has saved none."""
-        self.processes[host].entry.budgets["tables"].tokens = 5.0
+        self.processes[host].entry.accounts.budgets["tables"].tokens = 5.0
 
     def final(self, host: str, call_id: int) -> calls.Final | None:
         """Return a call's final answer."""
@@ -913,7 +913,7 @@
     net.settle()
     assert net.final("h1", 1).status == 503
     assert net.processes["h1"].entry.balancer.view("h1/t-h1").losses == 0
-    made = net.processes["h1"].entry.budgets["tables"]
+    made = net.processes["h1"].entry.accounts.budgets["tables"]
     assert made.tokens == -budget.CALL_PRICE
     assert made.spent[budget.Cause.CALLED] == 1
 
--- a/libs/emulator/src/trefoil_emulator/troubled_fleet.py
+++ b/libs/emulator/src/trefoil_emulator/troubled_fleet.py
@@ -194,7 +194,7 @@
         known = self.known[name]
         host = self.hosts[name]
         host.entry.records_changed(known, int(self.now_ms))
-        host.entry.share_slack(self.slack / (len(known.by_host) + 1))
+        host.entry.accounts.share_slack(self.slack / (len(known.by_host) + 1))
         host.targets.origins.hosts = attribution.hosts_by_services(
             [target.service_name for target in record.targets]
             for record in known.present()
--- a/libs/requests/src/trefoil_requests/entry.py
+++ b/libs/requests/src/trefoil_requests/entry.py
@@ -13,6 +13,7 @@
 from trefoil_model import errors
 from trefoil_wire import messages
 
+from . import accounts
 from . import attribution
 from . import bodies
 from . import budget
@@ -77,12 +78,10 @@
         "ledger",
         "quarantine",
         "rng",
-        "most_ratio",
-        "reserve",
         "patience",
         "placing",
         "balancer",
-        "budgets",
+        "accounts",
         "claims",
         "live",
         "early",
@@ -109,12 +108,10 @@
         self.ledger = ledger
         self.quarantine = quarantine
         self.rng = rng
-        self.most_ratio = 1.0
-        self.reserve = budget.RESERVE
         self.patience = patiences.Patience()
         self.placing = placings.Placing(me, domain, rng)
         self.balancer = self.placing.balancer
-        self.budgets: dict[str, budget.RetryBudget] = {}
+        self.accounts = accounts.Accounts()
         self.claims = ledgers.Claims()
         self.live: dict[int, lives.Live] = {}
         self.early = earlies.Early()
@@ -131,24 +128,7 @@
         names = {route.name for route in table.routes}
         self.patience.keep_only(names)
         self.called.keep_only(names)
-        self.budgets = {
-            name: self.budgets.get(name) or self._budget_of(service)
-            for name, service in table.services.items()
-        }
-
-    def _budget_of(self, service: messages.Service) -> budget.RetryBudget:
-        ratio = min(service.retry_budget, self.most_ratio)
-        return budget.RetryBudget(ratio, self.reserve)
-
-    def share_slack(self, reserve: float) -> None:
-        """Take this proxy's part of the retries beyond the budgets.
-
-        All proxies together must keep to one slack for each service. Their
-        parts are equal, so that the sum holds while some are cut off.
-        """
-        self.reserve = reserve
-        for found in self.budgets.values():
-            found.limit(reserve)
+        self.accounts.put_in_force(table.services)
 
     def records_changed(
         self, records: record_store.Records, now_ms: int
@@ -195,13 +175,13 @@
         return self._flush()
 
     def _open_account(self, live: lives.Live) -> None:
-        """Earn a request's part of a repeat, and pay if it is one itself."""
+        """Settle how likely a request is a repeat's call, and book it."""
         if live.call.retried:
             live.repeat = 1.0
         else:
             part = self.called.part(live.route.name)
             live.repeat = self.targets.repeat_share(part) if part else 0.0
-        self.budgets[live.service].deposit(live.repeat)
+        self.accounts.deposit(live)
 
     def start_early(self, now_ms: int, now_us: int) -> list[typing.Any]:
         """Take the requests that came before there was a configuration."""
@@ -279,7 +259,7 @@
         """Send a call to a target, or answer that none can take it."""
         endpoint = self.placing.choose_and_settle(live, now_ms)
         if endpoint is None:
-            self._give_back(live)
+            self.accounts.give_back(live)
             self._finish_no_target(live)
             return
         self._send_to(live, endpoint, now_ms, now_us)
@@ -534,8 +514,7 @@
             # Where all are full, requests are slow since they wait; asked
             # for twice they would all wait longer.
             return
-        account = self.budgets.get(live.service)
-        if account is None or not account.withdraw(budget.Cause.HEDGED):
+        if not self.accounts.withdraw(live.service, budget.Cause.HEDGED):
             return
         first = live.attempt
         live.settled = False
@@ -545,7 +524,7 @@
             target=first.endpoint.key,
             waited_ms=(now_us - first.sent_us) // 1000,
             also=endpoint.key,
-            budget=round(account.tokens, 1),
+            budget=round(self.accounts.left(live.service), 1),
         )
         live.paid = True
         self._send_to(live, endpoint, now_ms, now_us)
@@ -580,24 +559,11 @@
             live.may_have_run = True
         else:
             live.attempts -= 1
-        self._end_paid(live)
+        self.accounts.end(live)
         live.swap()
         live.hedge = None
         return True
 
-    def _end_paid(self, live: lives.Live) -> None:
-        """Note that an attempt has ended, if it was a repeat.
-
-        Of two attempts the one that arrives last is the repeat, whichever
-        was paid for. The other may still be on its way.
-        """
-        paid = live.paid
-        live.paid = False
-        if paid and live.hedge is not None and not live.hedge.paid:
-            live.hedge.paid = True
-        elif paid:
-            self._release(live.service)
-
     def on_repeat_arrived(self, request_id: int) -> None:
         """Note that a repeat is at its target.
 
@@ -607,19 +573,7 @@
         live = self.live.get(self.by_request.get(request_id, -1))
         if live is not None and live.request_id == request_id:
             if live.hedge is None:
-                self._end_paid(live)
-
-    def _give_back(self, live: lives.Live) -> None:
-        """Take back what was paid for a repeat that found no target."""
-        account = self.budgets.get(live.service)
-        if live.paid and account is not None:
-            live.paid = False
-            account.give_back()
-
-    def _release(self, service: str) -> None:
-        account = self.budgets.get(service)
-        if account is not None:
-            account.arrived()
+                self.accounts.end(live)
 
     def _may_place_again(
         self, live: lives.Live, answer: messages.Answer, now_ms: int
@@ -646,12 +600,10 @@
             return False
         if now_ms >= live.deadline_at_ms:
             return False
-        account = self.budgets.get(live.service)
-        if account is None:
-            # The service left the configuration while its request ran.
+        if not self.accounts.keeps(live.service):
             return False
-        self._end_paid(live)
-        granted = account.withdraw(cause)
+        self.accounts.end(live)
+        granted = self.accounts.withdraw(live.service, cause)
         live.paid = granted
         self._note(
             "request.retried" if granted else "request.out_of_budget",
@@ -659,7 +611,7 @@
             target=live.endpoint.key,
             cause=cause,
             left_ms=live.deadline_at_ms - now_ms,
-            budget=round(account.tokens, 1),
+            budget=round(self.accounts.left(live.service), 1),
         )
         return granted
 
@@ -833,9 +785,9 @@
             self._tell_cancel(live.hedge.request_id, live.hedge.endpoint)
             self.balancer.given_up(live.hedge.endpoint.key)
             if live.hedge.paid:
-                self._release(live.service)
+                self.accounts.arrived(live.service)
             live.hedge = None
-        self._end_paid(live)
+        self.accounts.end(live)
 
     def _note_own(self, live: lives.Live, final: calls.Final) -> None:
         """Log an answer that no target gave, with what led to it."""
