Let a new leader go on with a step and its account

Cause: a leader that took over counted time from its own start, but heard all that was counted before: it took too little for spent, and its step lasted once more. Change: the account counts from the move's start, a trial or ramp goes on from when its step was agreed; a watch begins anew, as before. One DECIDE_MS. The test's moves now note when a step was agreed, as the state does.

--- a/libs/daemon/src/trefoil_daemon/leading_moves.py
+++ b/libs/daemon/src/trefoil_daemon/leading_moves.py
@@ -13,8 +13,6 @@
 if typing.TYPE_CHECKING:
     from . import control_process
 
-DECIDE_MS = 200
-
 
 class LeadingMoves:
     """Conducts the running moves while its process leads.
@@ -61,7 +59,7 @@
         """Propose the steps that are due."""
         if now_ms < self.decide_at_ms:
             return
-        self.decide_at_ms = now_ms + DECIDE_MS
+        self.decide_at_ms = now_ms + conductors.DECIDE_MS
         for move in self.process.state.running_moves():
             if self.proposed.get(move.move_id, 0) <= self.process.raft.applied:
                 self._decide_move(move, now_ms)
--- a/libs/moves/src/trefoil_moves/conductor.py
+++ b/libs/moves/src/trefoil_moves/conductor.py
@@ -21,7 +21,7 @@
 LEANING_PATIENCE = 2
 LEANING_FACTOR = 3
 FAINT_SHARE = 0.02
-WHOLE = 1000
+WHOLE = exposures.WHOLE
 RAMP_RESERVE = 0.25
 # How often a leader looks for the next step.
 DECIDE_MS = 200
@@ -108,7 +108,7 @@
             requests=knobs.exposed_requests,
             span_ms=move.deadline_ms - move.started_ms,
         )
-        self.counted_since_ms = now_ms
+        self.counted_since_ms = -1
         self.window_at_ms = now_ms
         self.step_started_ms = now_ms
         self.seen_at_step: dict[str, int] = {}
@@ -151,6 +151,8 @@
             now_ms: The time on the runtime's clock.
             wall_ms: The time that the deadline is measured by.
         """
+        if self.counted_since_ms < 0:
+            self._take_over(move, now_ms, wall_ms)
         self._close_window(now_ms)
         bad = self._fault()
         if bad:
@@ -164,6 +166,19 @@
                 return self._decide_compare(now_ms)
         return self._decide_ramp(move, capacity, now_ms, wall_ms)
 
+    def _take_over(
+        self, move: messages.MoveRecord, now_ms: int, wall_ms: int
+    ) -> None:
+        """Go on with a move that another leader may have led until now.
+
+        The proxies' cumulative reports tell what was counted before; begun
+        anew, the step would last, and its version cost, once more. A watch
+        does begin anew: this leader has seen nothing of it yet.
+        """
+        self.counted_since_ms = now_ms - (wall_ms - move.started_ms)
+        if move.phase in (phases.TRIAL, phases.RAMP):
+            self.step_started_ms = now_ms - (wall_ms - move.step_ms)
+
     def _close_window(self, now_ms: int) -> None:
         if now_ms < self.window_at_ms + self.knobs.window_ms:
             return
@@ -268,7 +283,10 @@
         until_due_ms = self._until_due_ms(move, left_ms)
         at_step_ms = now_ms - self.step_started_ms
         later_ms = self._later_shares(move) * self.knobs.least_step_ms
-        spare_ms = self._spare_ms(move, now_ms) - later_ms
+        spare_ms = self.exposure.spare_ms(
+            now_ms - self.counted_since_ms, move.permille, self._seen_late_ms()
+        )
+        spare_ms -= later_ms
         small = move.permille <= move.risk_permille
         if small and spare_ms + at_step_ms * move.permille / WHOLE <= 0:
             # The bound can't be kept where faults take long to be seen. Then
@@ -277,16 +295,6 @@
         by_exposure_ms = at_step_ms + spare_ms * WHOLE / max(move.permille, 1)
         return max(min(by_exposure_ms, until_due_ms), 0)
 
-    def _spare_ms(self, move: messages.MoveRecord, now_ms: int) -> float:
-        """Return what may be spent beyond what the whole share will cost.
-
-        The whole share costs the time until a fault is seen and taken back.
-        """
-        seen_late_ms = self._seen_late_ms()
-        spent_ms = seen_late_ms * move.permille / WHOLE
-        left_ms = self.exposure.left_ms(now_ms - self.counted_since_ms)
-        return left_ms - spent_ms - seen_late_ms
-
     def _seen_late_ms(self) -> float:
         """Return how long a fault takes at most to be taken back."""
         pauses_ms = evidences.report_pause_ms(len(self.merger.by_host))
--- a/libs/moves/src/trefoil_moves/exposure.py
+++ b/libs/moves/src/trefoil_moves/exposure.py
@@ -10,6 +10,7 @@
 
 # An entry of the log and a publication to every proxy.
 SPREAD_MS = 100
+WHOLE = 1000
 
 
 class Exposure:
@@ -50,13 +51,19 @@
             if key.version == self.version:
                 self.given += counts.requests
 
-    def left_ms(self, counted_ms: float) -> float:
-        """Return what is left to spend.
+    def spare_ms(
+        self, counted_ms: float, permille: int, seen_late_ms: float
+    ) -> float:
+        """Return what may be spent beyond what the whole share will cost.
 
         Args:
             counted_ms: How long requests have been counted.
+            permille: The version's share now; some of what it got is not
+                reported yet.
+            seen_late_ms: How long a fault takes to be seen and taken back,
+                which is what the whole share costs.
         """
         left_ms = self.part * self.span_ms
         if self.total:
             left_ms += (self.requests - self.given) * counted_ms / self.total
-        return left_ms
+        return left_ms - seen_late_ms * (1 + permille / WHOLE)
--- a/libs/moves/tests/test_short_moves.py
+++ b/libs/moves/tests/test_short_moves.py
@@ -120,6 +120,7 @@
         if decision is not None:
             move.permille = decision.permille
             move.phase = decision.phase
+            move.step_ms = now_ms
             conductor.stepped(move, now_ms)
     raise AssertionError("the move did not end")
 
@@ -234,6 +235,20 @@
     assert found.exposed + 0.6 * rate <= allowed(rate)
 
 
+@pytest.mark.parametrize("new_leader_ms", [1500, 3500, 4500])
+def test_a_leader_that_takes_over_knows_what_was_spent(
+    new_leader_ms: int,
+) -> None:
+    """Counted from its own start, the version would get it all once more."""
+    found = play(
+        bucket=lambda v, t: COLD if v == "v2" else USUAL_BUCKET,
+        loaded=0.15,
+        new_leader_ms=new_leader_ms,
+    )
+    assert found.outcome == messages.Outcome.TAKEN_BACK
+    assert found.exposed + 0.6 * RATE <= allowed()
+
+
 @pytest.mark.parametrize("rate", [150, 300, 600])
 def test_a_good_version_of_thin_evidence_is_whole_in_time(rate: int) -> None:
     found = play(
