Share how tests read a document and follow what arrives

Read again: test_joining.py had written Net.run's loop and the asking for the document a second and third time; CoreFleet passed a share through a method that its subclass ignored. Net keeps what arrived, read_document asks, the share is an attribute. Assertions are the same; no product code changed.

--- a/libs/daemon/tests/test_joining.py
+++ b/libs/daemon/tests/test_joining.py
@@ -64,6 +64,7 @@
         self.disks: dict[str, disks.MemoryDisk] = {}
         self.links: set[frozenset[str]] = set()
         self.wire: list[tuple[str, str, typing.Any]] = []
+        self.arrived: list[typing.Any] = []
         self.halves: tuple[set[str], ...] = ()
 
     def start(self, name: str, *, found: bool, lost_disks: int = 1) -> None:
@@ -134,6 +135,7 @@
                 arriving, self.wire = self.wire, []
                 for source, target, message in arriving:
                     if frozenset((source, target)) in self.links:
+                        self.arrived.append(message)
                         self.processes[target].link_message(source, message)
 
     def leaders(self) -> list[str]:
@@ -235,6 +237,16 @@
     assert net.voters("10.0.0.1") == everyone
 
 
+def read_document(net: Net, at: str) -> list[messages.QueryReply]:
+    """Ask a process for the document; return what the operator is told."""
+    told: list[messages.QueryReply] = []
+    net.processes[at].ask(
+        messages.Query("q", "", 0, messages.QueryKind.DOCUMENT, ""),
+        told.append,
+    )
+    return told
+
+
 def test_a_query_survives_its_leader() -> None:
     """The leader that was asked dies before it answers.
 
@@ -244,12 +256,8 @@
     net = founded()
     (leader,) = net.leaders()
     at = next(name for name in SEEDS if name != leader)
-    told: list[messages.QueryReply] = []
     net.stop(leader)
-    net.processes[at].ask(
-        messages.Query("q", "", 0, messages.QueryKind.DOCUMENT, ""),
-        told.append,
-    )
+    told = read_document(net, at)
     net.run(2500)
     assert [reply.confirmed for reply in told] == [True]
 
@@ -262,21 +270,6 @@
     return messages.Command(f"d{number}", "op", 0, code, body)
 
 
-def replies_on_the_way(net: Net, for_ms: int) -> list[messages.QueryReply]:
-    """Let time pass; return the replies that went between processes."""
-    found = []
-    for _ in range(for_ms // STEP_MS):
-        net.clock.advance(STEP_MS)
-        for process in net.processes.values():
-            process.tick()
-        while net.wire:
-            arriving, net.wire = net.wire, []
-            found += [m for _, _, m in arriving]
-            for source, target, message in arriving:
-                net.processes[target].link_message(source, message)
-    return [m for m in found if isinstance(m, messages.QueryReply)]
-
-
 def test_a_document_that_the_asker_holds_does_not_travel() -> None:
     """An operator reads it from each control host, which asks the leader."""
     net = founded()
@@ -284,12 +277,10 @@
     at = next(name for name in SEEDS if name != leader)
     net.processes[leader].submit(numbered(1, b"the text"), lambda reply: None)
     net.run(1000)
-    told: list[messages.QueryReply] = []
-    net.processes[at].ask(
-        messages.Query("q", "", 0, messages.QueryKind.DOCUMENT, ""),
-        told.append,
-    )
-    (passed,) = replies_on_the_way(net, 500)
+    told = read_document(net, at)
+    net.run(500)
+    replies = messages.QueryReply
+    (passed,) = [m for m in net.arrived if isinstance(m, replies)]
     assert passed.body == ""
     assert [reply.confirmed for reply in told] == [True]
     assert "the text" in told[0].body
@@ -304,11 +295,7 @@
     net.run(1000)
     state = net.processes[at].state
     state.document = messages.Document(0, 0, b"older")
-    told: list[messages.QueryReply] = []
-    net.processes[at].ask(
-        messages.Query("q", "", 0, messages.QueryKind.DOCUMENT, ""),
-        told.append,
-    )
+    told = read_document(net, at)
     net.run(500)
     assert "old" in told[0].body and "older" not in told[0].body
 
--- a/libs/emulator/src/trefoil_emulator/core_fleet.py
+++ b/libs/emulator/src/trefoil_emulator/core_fleet.py
@@ -143,7 +143,8 @@
         }
         for host in list(self.hosts.values())[len(slows) - trial :]:
             host.version = NEW_VERSION
-        self._configure(slots, trial_permille)
+        self.trial_permille = trial_permille
+        self._configure(slots)
 
     def _make(self, name: str, domain: str, slow: float) -> Host:
         quarantine = quarantines.Quarantine()
@@ -164,14 +165,14 @@
             targets,
         )
 
-    def _configure(self, slots: int, trial_permille: int) -> None:
+    def _configure(self, slots: int) -> None:
         items = item_store.Items()
         items.set(
             1,
             item_store.SERVICE + SERVICE,
             messages.Service(SERVICE, [], VERSION, retry_budget=0.2),
         )
-        shares = shares_of(trial_permille)
+        shares = shares_of(self.trial_permille)
         items.set(1, item_store.SHARES + SERVICE, shares)
         for kind in self.kinds:
             items.set(1, item_store.ROUTE + kind.name, route_of(kind))
--- a/libs/emulator/src/trefoil_emulator/troubled_fleet.py
+++ b/libs/emulator/src/trefoil_emulator/troubled_fleet.py
@@ -136,7 +136,7 @@
                 self._await_caller(service.name, kind)
         self._tick()
 
-    def _configure(self, slots: int, trial_permille: int) -> None:
+    def _configure(self, slots: int) -> None:
         self.items = item_store.Items()
         for service in self.services:
             self._put_service(service.name)
