Give back what waits at a target that leaves

A draining target kept its queue, and a farewell only gave the queue back, not what waited for its body. Ruled out: news that comes late (the request was at the leaving target's own proxy before the target left). Change: what has not been handed to a target is refused as not run when the target drains or says farewell, so its entry proxy sends it elsewhere.

--- a/libs/daemon/src/trefoil_daemon/proxy_process.py
+++ b/libs/daemon/src/trefoil_daemon/proxy_process.py
@@ -366,8 +366,12 @@
         for name in self.announced.replaced_by(announcement):
             self.target_leaves(name, "another started at its port")
         if self.announced.put(announcement, now_ms):
-            self.targets.put_target(announcement.record, announcement.port)
             self._publish_targets(now_ms)
+            self.perform(
+                self.targets.put_target(
+                    announcement.record, announcement.port, now_ms
+                )
+            )
             self.carrier.note(
                 common.Note(
                     "target.announced",
--- a/libs/emulator/src/trefoil_emulator/core_fleet.py
+++ b/libs/emulator/src/trefoil_emulator/core_fleet.py
@@ -180,7 +180,7 @@
         for host in self.hosts.values():
             record = record_of(host, slots)
             known.put(record, 0)
-            host.targets.put_target(record.targets[0], 1)
+            host.targets.put_target(record.targets[0], 1, 0)
         for host in self.hosts.values():
             host.entry.put_in_force(routing.RouteTable(items))
             host.entry.records_changed(known, 0)
--- a/libs/emulator/src/trefoil_emulator/troubled_fleet.py
+++ b/libs/emulator/src/trefoil_emulator/troubled_fleet.py
@@ -187,7 +187,7 @@
         host = self.hosts[name]
         record = self.known[name].get(name)
         host.entry.put_in_force(routing.RouteTable(self.items))
-        host.targets.put_target(record.targets[0], 1)
+        host.targets.put_target(record.targets[0], 1, 0)
         self._learn(name)
 
     def _learn(self, name: str) -> None:
--- a/libs/requests/src/trefoil_requests/target_side.py
+++ b/libs/requests/src/trefoil_requests/target_side.py
@@ -135,7 +135,9 @@
         runs = [r for r in self.running.values() if r.dispatched_ms >= 0]
         return self.parents.repeat_share(runs, part)
 
-    def put_target(self, record: messages.TargetRecord, port: int) -> None:
+    def put_target(
+        self, record: messages.TargetRecord, port: int, now_ms: int
+    ) -> list[typing.Any]:
         """Add or update a target from its announcement."""
         known = self.targets.get(record.name)
         draining = record.state == messages.TargetState.DRAINING
@@ -144,11 +146,14 @@
             self.targets[record.name] = LocalTarget(
                 record, port, slots, draining
             )
-            return
+            return []
         known.record = record
         known.port = port
         known.slots.slots = record.slots
         known.draining = draining
+        if draining:
+            self._give_back(record.name, "the target is draining", now_ms)
+        return self._flush()
 
     def keep_routes(self, names: collections.abc.Container[str]) -> None:
         """Forget what was learned of routes that are no longer in force."""
@@ -161,13 +166,31 @@
         if target is None:
             return []
         target.draining = True
-        for request_id in [w.request_id for w in target.slots.queue]:
-            target.slots.withdraw(request_id)
-            self._refuse(self._drop(request_id, now_ms), "the target left")
+        self._give_back(name, "the target left", now_ms)
         if not target.slots.running:
-            del self.targets[name]
+            self.targets.pop(name, None)
         return self._flush()
 
+    def _give_back(self, name: str, reason: str, now_ms: int) -> None:
+        """Refuse what waits at a target for a slot or for its body.
+
+        Both can take seconds, and a target that leaves must get nothing by
+        then. The entry proxies may send it elsewhere: it has not run.
+        """
+        waiting = [
+            entry
+            for entry in self.running.values()
+            if entry.target == name and entry.dispatched_ms < 0
+        ]
+        slots = self.targets[name].slots
+        for entry in waiting:
+            if entry.has_slot:
+                slots.finished()
+            else:
+                slots.withdraw(entry.request.request_id)
+            self._drop(entry.request.request_id, now_ms)
+            self._refuse(entry, reason)
+
     def busy(self, name: str) -> int:
         """Return how many requests run on a target."""
         target = self.targets.get(name)
