Take the time of a shutdown from the platform

Change: grace is the time after which the process is killed, taken from the platform's own bound; a proxy ends half a second sooner, or as soon as nothing runs. The decision is ProxyProcess.may_end, tested on the paused clock.

--- a/libs/daemon/src/trefoil_daemon/proxy.py
+++ b/libs/daemon/src/trefoil_daemon/proxy.py
@@ -19,8 +19,6 @@
 
 MIB = 1024 * 1024
 ADMIN_BODY = MIB
-# What other proxies sent before they heard of a shutdown arrives in this.
-LEAST_LEAVE_MS = 1500
 
 
 class ProxyDaemon(runtime.Runtime):
@@ -116,9 +114,7 @@
         if waited_ms >= self.settings.linger_ms:
             self.engine.refuse_calls()
             self.callers.close_idle()
-        over = waited_ms >= max(self.settings.linger_ms, LEAST_LEAVE_MS)
-        idle = over and self.engine.idle
-        if idle or waited_ms >= self.settings.grace_ms:
+        if self.engine.may_end():
             self.note(
                 common.Note(
                     "proxy.left",
--- a/libs/daemon/src/trefoil_daemon/proxy_process.py
+++ b/libs/daemon/src/trefoil_daemon/proxy_process.py
@@ -43,6 +43,10 @@
 # Before a leaving proxy refuses requests, others must have heard that its
 # targets are gone, and what they sent before that must have run.
 HAND_OVER_MS = 1200
+# What other proxies sent before they heard of a shutdown arrives in this.
+LEAST_LEAVE_MS = 1500
+# A process that is killed can't tell its callers how their requests ended.
+END_MARGIN_MS = 500
 
 
 class ProxyProcess(_fleet_process.FleetProcess):
@@ -563,6 +567,18 @@
         waiting = self.entry.live or self.entry.early.by_id
         return not waiting and not self.targets.running
 
+    def may_end(self) -> bool:
+        """Tell whether a shutdown is through, or its time is.
+
+        A request that its target still runs is waited for until shortly
+        before the process is killed.
+        """
+        waited_ms = self.clock.now_ms() - self.leaving_since_ms
+        if waited_ms >= self.settings.grace_ms - END_MARGIN_MS:
+            return True
+        least_ms = max(self.settings.linger_ms, LEAST_LEAVE_MS)
+        return waited_ms >= least_ms and self.idle
+
     def admit(self, hello: messages.Hello) -> int:
         """Return 0 to serve a peer, else how long it should wait in ms."""
         if self.leaving_since_ms:
--- a/libs/daemon/tests/test_proxy_process.py
+++ b/libs/daemon/tests/test_proxy_process.py
@@ -904,6 +904,30 @@
     assert net.final("h2", early).status == 200
 
 
+def test_a_shutdown_waits_for_what_its_target_runs() -> None:
+    """A proxy ended at 5.5 s of 10 and cut a request that still ran."""
+    net = Net(hosts=["h1"])
+    process = net.processes["h1"]
+    process.settings.grace_ms = 10_000
+    net.call("h1", "/pay", "a")
+    process.leave()
+    net.clock.advance(10_000 - proxy_process.END_MARGIN_MS - 1)
+    assert not process.may_end()
+    net.clock.advance(1)
+    assert process.may_end()
+
+
+def test_an_idle_shutdown_ends_early() -> None:
+    """A restart in turn would else take each proxy away for its grace."""
+    net = Net(hosts=["h1"])
+    process = net.processes["h1"]
+    process.settings.grace_ms = 10_000
+    process.leave()
+    assert not process.may_end()
+    net.clock.advance(proxy_process.LEAST_LEAVE_MS)
+    assert process.may_end()
+
+
 def test_retries_do_not_multiply_along_a_chain() -> None:
     """A call that a proxy before retries already is not retried here."""
     net = Net(hosts=["h1"])
--- a/libs/settings/src/trefoil_settings/settings.py
+++ b/libs/settings/src/trefoil_settings/settings.py
@@ -34,7 +34,8 @@
         log_level: Least level that is logged.
         max_body_mib: Largest body of a request or an answer.
         lease_ms: How long an announced target counts without a renewal.
-        grace_ms: Longest time that a shutdown waits for running requests.
+        grace_ms: How long after it was told to leave the process is killed;
+            it ends half a second sooner at the latest.
         linger_ms: How long a shutdown goes on taking requests, so that
             callers who have not heard of it yet are still served; 0
             refuses new requests at once.
