Split what commands do from the agreed state

state.py was 512 lines with two jobs: what is remembered, and what each kind of command does. The second is rulings.py now; no line of behaviour changed, tests untouched but for no import. Read before evacuations are added there.

--- a/libs/daemon/src/trefoil_daemon/leading_moves.py
+++ b/libs/daemon/src/trefoil_daemon/leading_moves.py
@@ -6,7 +6,7 @@
 from trefoil_model import effects as common
 from trefoil_moves import conductor as conductors
 from trefoil_moves import knobs as knob_store
-from trefoil_moves import state as states
+from trefoil_moves import rulings
 from trefoil_quorum import raft as rafts
 from trefoil_wire import messages
 
@@ -64,7 +64,7 @@
             if self.proposed.get(move.move_id, 0) <= self.process.raft.applied:
                 self._decide_move(move, now_ms)
         for shares in self.process.state.items.all(item_store.SHARES):
-            if not states.version_in_force(shares) and not shares.move_id:
+            if not rulings.version_in_force(shares) and not shares.move_id:
                 self._adopt_version(shares.service_name)
 
     def _adopt_version(self, service: str) -> None:
--- a/libs/daemon/src/trefoil_daemon/operators.py
+++ b/libs/daemon/src/trefoil_daemon/operators.py
@@ -8,7 +8,7 @@
 
 from trefoil_language import statements
 from trefoil_model import errors
-from trefoil_moves import state as states
+from trefoil_moves import rulings
 from trefoil_settings import configuration
 from trefoil_wire import frames
 from trefoil_wire import messages
@@ -90,7 +90,7 @@
     )
 
 
-def refused(command_id: str, refusal: states.Ruling) -> messages.CommandReply:
+def refused(command_id: str, refusal: rulings.Ruling) -> messages.CommandReply:
     """Return the answer to a command that was never appended."""
     return messages.CommandReply(
         command_id=command_id,
--- /dev/null
+++ b/libs/moves/src/trefoil_moves/rulings.py
@@ -0,0 +1,321 @@
+"""What each kind of agreed command does to the agreed state.
+
+Every control process runs the same commands in the same order and must come
+to the same state, so nothing here reads a clock or draws at random.
+"""
+
+import dataclasses
+import functools
+import typing
+
+from trefoil_fleet import check
+from trefoil_fleet import items as item_store
+from trefoil_wire import messages
+
+from . import phases
+
+if typing.TYPE_CHECKING:
+    from . import state as states
+
+Outcome = messages.Outcome
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Ruling:
+    """What came of a command, and what its operator is told."""
+
+    outcome: int
+    reason: str
+    cause: int = messages.Cause.OTHER
+
+
+@functools.singledispatch
+def run(
+    body: typing.Any,
+    state: "states.State",
+    index: int,
+    command: messages.Command,
+) -> Ruling:
+    """Run one kind of command and return its outcome and reason."""
+    return Ruling(Outcome.NOT_RUN, f"not a command: {type(body).__name__}")
+
+
+@run.register(messages.ApplyConfiguration)
+def _(
+    body: messages.ApplyConfiguration,
+    state: "states.State",
+    index: int,
+    command: messages.Command,
+) -> Ruling:
+    current = configuration_revision(state.items)
+    if body.expected_revision and body.expected_revision != current:
+        return Ruling(
+            Outcome.NOT_RUN,
+            f"expected revision {body.expected_revision}, "
+            f"but {current} is in force",
+            messages.Cause.CONFLICT,
+        )
+    if body.document is not None:
+        refused = _document_refusal(state.document, body.document)
+        if refused is not None:
+            return refused
+    candidate = state.items.copy()
+    _put_configuration(candidate, index, body)
+    found = check.problems(candidate) + _move_problems(state, candidate)
+    if found:
+        return Ruling(
+            Outcome.NOT_RUN, "; ".join(found), messages.Cause.INVALID
+        )
+    state.items = candidate
+    state.document = body.document
+    return Ruling(Outcome.DONE, f"revision {candidate.revision}")
+
+
+def _document_refusal(
+    current: messages.Document | None, offered: messages.Document
+) -> Ruling | None:
+    """Return why a numbered document may not follow the one in force.
+
+    Two writers who build on the same document would else overwrite each
+    other; the second is told that another one is in force.
+    """
+    number = current.number if current is not None else 0
+    if offered.base != number:
+        return Ruling(
+            Outcome.NOT_RUN,
+            f"builds on document {offered.base}, but {number} is in force",
+            messages.Cause.CONFLICT,
+        )
+    if offered.number <= number:
+        return Ruling(
+            Outcome.NOT_RUN,
+            f"document {offered.number} is not above {number}",
+            messages.Cause.INVALID,
+        )
+    return None
+
+
+def configuration_revision(items: item_store.Items) -> int:
+    """Return the revision at which services or routes last changed."""
+    return max(
+        (
+            item.revision
+            for item in items.by_key.values()
+            if item.key.startswith(item_store.OF_DOCUMENT)
+        ),
+        default=0,
+    )
+
+
+def _put_configuration(
+    items: item_store.Items, index: int, body: messages.ApplyConfiguration
+) -> None:
+    wanted: dict[str, typing.Any] = {}
+    for service in body.services:
+        wanted[item_store.SERVICE + service.name] = service
+        if items.get(item_store.SHARES + service.name) is None:
+            wanted[item_store.SHARES + service.name] = messages.Shares(
+                service_name=service.name,
+                shares=[messages.VersionShare(service.version, 1000)],
+                move_id="",
+            )
+    for route in body.routes:
+        wanted[item_store.ROUTE + route.name] = route
+    if body.limits is not None:
+        wanted[item_store.LIMITS] = body.limits
+    names = {service.name for service in body.services}
+    for key, item in list(items.by_key.items()):
+        kind, _, name = key.partition("/")
+        owned = kind + "/" in item_store.OF_DOCUMENT
+        orphan = kind + "/" == item_store.SHARES and name not in names
+        if not item.deleted and (orphan or (owned and key not in wanted)):
+            items.delete(index, key)
+    for key, record in wanted.items():
+        if items.get(key) != record:
+            items.set(index, key, record)
+
+
+def _move_problems(
+    state: "states.State", candidate: item_store.Items
+) -> list[str]:
+    found = []
+    for move in state.running_moves():
+        key = item_store.SERVICE + move.service_name
+        if candidate.get(key) is None:
+            found.append(
+                f"service {move.service_name}: a move runs on it; "
+                "reverse it first"
+            )
+    return found
+
+
+@run.register(messages.StartMove)
+def _(
+    body: messages.StartMove,
+    state: "states.State",
+    index: int,
+    command: messages.Command,
+) -> Ruling:
+    name = body.service_name
+    shares = state.items.get(item_store.SHARES + name)
+    if shares is None:
+        return Ruling(Outcome.NOT_RUN, f"there is no service {name}")
+    running = state.running_move(name)
+    if running is not None:
+        return Ruling(
+            Outcome.NOT_RUN, f"move {running.move_id} runs on {name}"
+        )
+    present = {s.version for s in shares.shares if s.permille}
+    from_version = body.from_version or version_in_force(shares)
+    if from_version not in present:
+        there = ", ".join(sorted(present))
+        return Ruling(Outcome.NOT_RUN, f"{name} is at version {there}")
+    if body.to_version == from_version:
+        return Ruling(Outcome.NOT_RUN, "both versions are the same")
+    deadline_ms = body.deadline_ms
+    if body.duration_ms:
+        deadline_ms = state.clock_ms + body.duration_ms
+    if deadline_ms <= state.clock_ms:
+        return Ruling(Outcome.NOT_RUN, "the deadline has passed")
+    move = messages.MoveRecord(
+        move_id=command.command_id,
+        service_name=name,
+        from_version=from_version,
+        to_version=body.to_version,
+        deadline_ms=deadline_ms,
+        risk_permille=body.risk_permille,
+        watch_ms=body.watch_ms,
+        started_ms=state.clock_ms,
+        permille=0,
+        phase=phases.WAITING,
+        outcome=0,
+        reason="",
+        step_ms=state.clock_ms,
+        history=[],
+    )
+    state.moves[move.move_id] = move
+    state.note(move, "started")
+    return Ruling(Outcome.DONE, f"move {move.move_id} runs")
+
+
+def version_in_force(shares: messages.Shares) -> str:
+    """Return the version with the greatest share of a service."""
+    return max(shares.shares, key=lambda share: share.permille).version
+
+
+@run.register(messages.AdoptVersion)
+def _(
+    body: messages.AdoptVersion,
+    state: "states.State",
+    index: int,
+    command: messages.Command,
+) -> Ruling:
+    """Take a version that targets announced for the one in force.
+
+    A document need not name versions. Without an agreed one, targets of a
+    version that no move has brought in yet would get traffic as soon as
+    they start.
+    """
+    shares = state.items.get(item_store.SHARES + body.service_name)
+    if shares is None or version_in_force(shares):
+        return Ruling(Outcome.NOT_RUN, "a version is in force already")
+    if state.running_move(body.service_name) is not None:
+        return Ruling(Outcome.NOT_RUN, "a move runs")
+    state.set_shares(index, body.service_name, {body.version: 1000}, "")
+    return Ruling(Outcome.DONE, f"version {body.version}")
+
+
+@run.register(messages.StepMove)
+def _(
+    body: messages.StepMove,
+    state: "states.State",
+    index: int,
+    command: messages.Command,
+) -> Ruling:
+    move = state.moves.get(body.move_id)
+    if move is None or move.outcome:
+        return Ruling(Outcome.NOT_RUN, "no such move runs")
+    if body.permille != move.permille:
+        rest = 1000 - body.permille
+        state.set_shares(
+            index,
+            move.service_name,
+            {move.from_version: rest, move.to_version: body.permille},
+            move.move_id,
+        )
+    move.permille = body.permille
+    move.phase = body.phase
+    move.step_ms = state.clock_ms
+    state.note(move, body.reason)
+    return Ruling(Outcome.DONE, "")
+
+
+@run.register(messages.EndMove)
+def _(
+    body: messages.EndMove,
+    state: "states.State",
+    index: int,
+    command: messages.Command,
+) -> Ruling:
+    move = state.moves.get(body.move_id)
+    if move is None or move.outcome:
+        return Ruling(Outcome.NOT_RUN, "no such move runs")
+    state.end_move(index, move, body.outcome, body.reason)
+    return Ruling(Outcome.DONE, "")
+
+
+@run.register(messages.ReverseMove)
+def _(
+    body: messages.ReverseMove,
+    state: "states.State",
+    index: int,
+    command: messages.Command,
+) -> Ruling:
+    move = state.running_move(body.service_name)
+    if move is None:
+        return Ruling(Outcome.NOT_RUN, f"no move runs on {body.service_name}")
+    reason = f"reversed by {command.operator_name}"
+    state.end_move(index, move, Outcome.TAKEN_BACK, reason)
+    return Ruling(Outcome.DONE, f"move {move.move_id} taken back")
+
+
+@run.register(messages.DrainHost)
+def _(
+    body: messages.DrainHost,
+    state: "states.State",
+    index: int,
+    command: messages.Command,
+) -> Ruling:
+    key = item_store.DRAIN + body.host
+    present = state.items.get(key) is not None
+    if present == body.draining:
+        return Ruling(Outcome.DONE, "nothing to change")
+    if body.draining:
+        state.items.set(index, key, messages.Drain(host=body.host))
+    else:
+        state.items.delete(index, key)
+    return Ruling(Outcome.DONE, f"revision {index}")
+
+
+@run.register(messages.CancelCommand)
+def _(
+    body: messages.CancelCommand,
+    state: "states.State",
+    index: int,
+    command: messages.Command,
+) -> Ruling:
+    past = state.past.get(body.cancelled_id)
+    if past is not None:
+        name = Outcome._VALUES_TO_NAMES[past.outcome].lower()
+        return Ruling(Outcome.NOT_RUN, f"it has an outcome already: {name}")
+    state._remember(
+        messages.PastCommand(
+            command_id=body.cancelled_id,
+            digest=0,
+            outcome=Outcome.NOT_RUN,
+            reason="cancelled before it was agreed",
+            revision=state.items.revision,
+            stamped_ms=state.clock_ms,
+        )
+    )
+    return Ruling(Outcome.DONE, f"{body.cancelled_id} will never run")
