Evacuate failure domains by an agreed, durable word

Change: an evacuation is an entry of the log and an item of the configuration, so it is spread, floored and kept like routes. No proxy places calls there; the proxies of the domain itself give back what waits and refuse what still comes, as not run; what runs ends. Moves do not count the domain's slots. Operators say evacuate, readmit, show evacuations; who, when, why and which hosts lag stand in the answer. Gauges, two log events, a setting with all domains against slips. A call that numbers nothing becomes a command that runs only if the domain did not change since its control host last knew, and only if its caller still waits after two ticks: a call that a frozen host reads late must not empty a domain that was taken back. Weighed: a command known by its content, as documents are (the second evacuation of a domain would be taken for the first); one without a condition (the held-up call runs); the leader's knowledge as the condition (the late call gets a fresh one).

--- a/bench/roles.py
+++ b/bench/roles.py
@@ -120,7 +120,7 @@
         "hosts": hosts,
         "records_kb": round(kept / 1024, 1),
         "rebuild_ms": round(
-            timed_ms(lambda: endpoints.rebuild(records, set(), 0), 20), 3
+            timed_ms(lambda: endpoints.rebuild(records, None, 0), 20), 3
         ),
         "record_us": round(timed_ms(one_record, 2000) * 1000, 2),
         "tick_ms": round(timed_ms(lambda: records.expire(0), 200), 4),
--- a/libs/daemon/src/trefoil_daemon/control_process.py
+++ b/libs/daemon/src/trefoil_daemon/control_process.py
@@ -5,12 +5,14 @@
 import typing
 
 from trefoil_fleet import effects as fleet_effects
+from trefoil_fleet import items as item_store
 from trefoil_fleet import node as nodes
 from trefoil_language import statements
 from trefoil_model import clock as clocks
 from trefoil_model import effects as common
 from trefoil_model import errors
 from trefoil_moves import knobs as knob_store
+from trefoil_moves import rulings
 from trefoil_moves import state as states
 from trefoil_quorum import effects as quorum_effects
 from trefoil_quorum import raft as rafts
@@ -23,6 +25,7 @@
 
 from . import _fleet_process
 from . import durability
+from . import evacuations
 from . import facade
 from . import floor_words
 from . import identities
@@ -42,6 +45,7 @@
 # Hosts that start together are voters within a second and a half; one that is
 # not there by then may be down, and the others take the configuration.
 FOUNDING_MS = 3000
+EVACUATE_CODE = frames.CODES[messages.EvacuateDomain]
 
 
 Reads = tuple[typing.Callable[[], typing.Any], typing.Callable[[], typing.Any]]
@@ -107,6 +111,7 @@
         self.moves = leading_moves.LeadingMoves(
             self, knob_store.Knobs.from_settings(settings)
         )
+        self.evacuations = evacuations.EvacuationCalls(self)
         self.commands = operators.Waiters()
         self.queries = operators.Waiters()
         self.in_log: dict[str, int] = {}
@@ -160,6 +165,7 @@
             "voters": len(self.raft.voters),
             "commit": self.raft.commit,
             "moves_running": len(self.state.running_moves()),
+            "evacuations": len(self.state.items.all(item_store.EVACUATION)),
             "disk_refuses": float(self.durability.failed),
         }
 
@@ -236,6 +242,10 @@
         if known is not None:
             reply(operators.reply_from(known))
             return
+        refusal = self._refusal_here(command)
+        if refusal is not None:
+            reply(operators.refused(command.command_id, refusal))
+            return
         if self.raft.is_leader:
             self._submit_here(command, reply)
             return
@@ -246,6 +256,28 @@
         if self._wait_for(command, reply):
             self._forward(command, hops)
 
+    def _refusal_here(
+        self, command: messages.Command
+    ) -> rulings.Ruling | None:
+        """Return why a command can't be meant, by this host's settings.
+
+        A slip in the name of a failure domain would else be acknowledged,
+        and the domain that is meant would go on getting requests.
+        """
+        domains = self.settings.domains
+        if command.kind != EVACUATE_CODE or not domains:
+            return None
+        try:
+            body = frames.unpack_any(command.kind, command.body)
+        except errors.FrameError:
+            # Refused as malformed where it is run.
+            return None
+        if body.domain in domains:
+            return None
+        reason = f"there is no failure domain {body.domain}"
+        cause = messages.Cause.INVALID
+        return rulings.Ruling(messages.Outcome.NOT_RUN, reason, cause)
+
     def _forward(self, command: messages.Command, hops: int) -> None:
         """Pass a command to the leader, if one is linked."""
         leader = rafts.name_of(self.raft.leader)
@@ -574,6 +606,7 @@
             self.perform(self.raft.tick(now_ms))
         self.node.follow(rafts.name_of(self.raft.leader))
         self.floors.tick()
+        self.evacuations.tick()
         heard = now_ms - self.raft.heard_ms < LED_MS
         self.node.note_led(self.raft.is_leader or heard)
         self.perform(self.node.tick(now_ms))
--- a/libs/daemon/src/trefoil_daemon/leading_moves.py
+++ b/libs/daemon/src/trefoil_daemon/leading_moves.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from trefoil_fleet import exclusions
 from trefoil_fleet import items as item_store
 from trefoil_model import effects as common
 from trefoil_moves import conductor as conductors
@@ -123,14 +124,12 @@
         )
 
     def _capacity(self, move: messages.MoveRecord) -> conductors.Capacity:
-        drained = {
-            d.host for d in self.process.state.items.all(item_store.DRAIN)
-        }
+        excluded = exclusions.Exclusions.from_items(self.process.state.items)
         held: set[str] = set()
         slots = {move.from_version: 0, move.to_version: 0}
         new_targets = 0
         for record in self.process.node.members.records.present():
-            if record.host in drained:
+            if excluded.cover(record):
                 continue
             for target in record.targets or ():
                 ready = target.state == messages.TargetState.READY
--- a/libs/daemon/src/trefoil_daemon/operators.py
+++ b/libs/daemon/src/trefoil_daemon/operators.py
@@ -159,6 +159,12 @@
             return messages.DrainHost(
                 host=statement.host, draining=statement.draining
             )
+        case statements.Evacuate():
+            return messages.EvacuateDomain(
+                domain=statement.domain,
+                evacuated=statement.evacuated,
+                reason=statement.reason,
+            )
         case statements.Cancel():
             return messages.CancelCommand(cancelled_id=statement.command_id)
     return None
--- a/libs/daemon/src/trefoil_daemon/proxy_process.py
+++ b/libs/daemon/src/trefoil_daemon/proxy_process.py
@@ -144,6 +144,7 @@
         }
         self.targets.keep_routes(self.route_service)
         self.records_changed()
+        self._follow_evacuation(table)
         self._update_collectors(table)
         if table.limits is not None:
             self.carrier.limit_callers(table.limits)
@@ -154,6 +155,24 @@
             self.entry.start_early(self.clock.now_ms(), self.now_us())
         )
 
+    def _follow_evacuation(self, table: routing.RouteTable) -> None:
+        """Close or open the targets of this host with their domain."""
+        evacuated = self.settings.domain in table.excluded.domains
+        if evacuated == self.targets.evacuated:
+            return
+        event = "evacuation.begun" if evacuated else "evacuation.ended"
+        self.carrier.note(
+            common.Note(
+                event,
+                {
+                    "domain": self.settings.domain,
+                    "revision": table.revision,
+                    "running": len(self.targets.running),
+                },
+            )
+        )
+        self.perform(self.targets.evacuate(evacuated, self.clock.now_ms()))
+
     def records_changed(self) -> None:
         """Let routing look at the hosts' records again."""
         self.records_dirty = False
@@ -511,6 +530,7 @@
             "targets_known": len(self.entry.placing.endpoints.by_key),
             "running_here": len(self.targets.running),
             "ready": float(self.ready),
+            "evacuated": float(self.targets.evacuated),
         }
 
     def families(self) -> list[exposition.Family]:
--- a/libs/daemon/src/trefoil_daemon/queries.py
+++ b/libs/daemon/src/trefoil_daemon/queries.py
@@ -1,5 +1,6 @@
 """Answers to operators' queries, from what this control process knows."""
 
+import datetime
 import functools
 import json
 import typing
@@ -152,6 +153,40 @@
     ]
 
 
+@answer.register
+def _(statement: statements.ShowEvacuations, known: Knowledge) -> list[Row]:
+    found = known.state.items.all(item_store.EVACUATION)
+    return [_evacuation_row(evacuation, known) for evacuation in found]
+
+
+def _evacuation_row(evacuation: messages.Evacuation, known: Knowledge) -> Row:
+    """Return an evacuation, and how many hosts do not follow it yet."""
+    domain = evacuation.domain
+    revision = known.state.items.revision_of(item_store.EVACUATION + domain)
+    hosts = [
+        _host_row(record, known)
+        for record in known.node.members.records.present()
+    ]
+    behind = [
+        row["host"]
+        for row in hosts
+        if row["revision"] is None or row["revision"] < revision
+    ]
+    since = datetime.datetime.fromtimestamp(
+        evacuation.since_ms // 1000, datetime.UTC
+    )
+    return {
+        "domain": domain,
+        "revision": revision,
+        "since": since.strftime("%Y-%m-%dT%H:%M:%SZ"),
+        "by": evacuation.operator_name,
+        "reason": evacuation.reason,
+        "in_force_at": len(hosts) - len(behind),
+        "of": len(hosts),
+        "behind": " ".join(behind),
+    }
+
+
 @answer.register
 def _(statement: statements.ShowMoves, known: Knowledge) -> list[Row]:
     return [
--- a/libs/daemon/tests/test_proxy_process.py
+++ b/libs/daemon/tests/test_proxy_process.py
@@ -904,6 +904,46 @@
     assert net.final("h2", early).status == 200
 
 
+def evacuate(net: Net, host: str, evacuated: bool) -> None:
+    """Let a proxy learn that the domain is evacuated, or taken back."""
+    process = net.processes[host]
+    items = process.node.config.in_force.copy()
+    key = item_store.EVACUATION + DOMAIN
+    if evacuated:
+        items.set(
+            items.revision + 1, key, messages.Evacuation(DOMAIN, "ann", 0)
+        )
+    else:
+        items.delete(items.revision + 1, key)
+    process.node.config.in_force = items
+    process.put_in_force(items)
+
+
+def test_an_evacuated_domain_gets_nothing_from_any_proxy() -> None:
+    """One proxy knows it, the other does not yet; the target is the first's.
+
+    What the second sends is refused as not run, so its caller is told the
+    truth and when to come back.
+    """
+    net = Net(hosts=["h1", "h2"])
+    net.processes["h2"].target_leaves("t-h2", "test")
+    net.share_records()
+    evacuate(net, "h1", True)
+    number = net.call("h2", "/pay", "a")
+    net.settle()
+    final = net.final("h2", number)
+    assert (final.status, final.ran) == (503, False)
+    assert final.retry_after_ms > 0
+    evacuate(net, "h2", True)
+    assert not net.processes["h2"].entry.placing.endpoints.by_key
+    assert net.running() == []
+    for host in net.hosts:
+        evacuate(net, host, False)
+    net.call("h2", "/pay", "b")
+    net.settle()
+    assert [host for host, _ in net.running()] == ["h1"]
+
+
 def test_a_shutdown_waits_for_what_its_target_runs() -> None:
     """A proxy ended at 5.5 s of 10 and cut a request that still ran."""
     net = Net(hosts=["h1"])
--- /dev/null
+++ b/libs/fleet/src/trefoil_fleet/exclusions.py
@@ -0,0 +1,36 @@
+"""Which hosts' targets get no requests by the operators' word."""
+
+import typing
+
+from trefoil_wire import messages
+
+from . import items as item_store
+
+
+class Exclusions:
+    """Hosts that are drained and failure domains that are evacuated.
+
+    Args:
+        hosts: Names of the drained hosts.
+        domains: Names of the evacuated failure domains.
+    """
+
+    __slots__ = ("hosts", "domains")
+
+    def __init__(self, hosts: set[str], domains: set[str]) -> None:
+        self.hosts = hosts
+        self.domains = domains
+
+    @classmethod
+    def from_items(cls, items: item_store.Items) -> typing.Self:
+        """Read them from a configuration."""
+        drains = items.all(item_store.DRAIN)
+        evacuations = items.all(item_store.EVACUATION)
+        return cls(
+            {drain.host for drain in drains},
+            {evacuation.domain for evacuation in evacuations},
+        )
+
+    def cover(self, record: messages.HostRecord) -> bool:
+        """Tell whether the targets of a host get no requests."""
+        return record.host in self.hosts or record.domain in self.domains
--- a/libs/fleet/src/trefoil_fleet/items.py
+++ b/libs/fleet/src/trefoil_fleet/items.py
@@ -16,12 +16,14 @@
 ROUTE = "route/"
 SHARES = "shares/"
 DRAIN = "drain/"
+EVACUATION = "evacuation/"
 LIMITS = "limits/callers"
 KINDS: dict[str, type] = {
     SERVICE: messages.Service,
     ROUTE: messages.Route,
     SHARES: messages.Shares,
     DRAIN: messages.Drain,
+    EVACUATION: messages.Evacuation,
     "limits/": messages.CallerLimits,
 }
 # What a configuration document holds; the rest comes by other commands.
@@ -103,6 +105,11 @@
             self.decoded[key] = record
         return record
 
+    def revision_of(self, key: str) -> int:
+        """Return when a key last changed; 0 if that is not remembered."""
+        item = self.by_key.get(key)
+        return item.revision if item is not None else 0
+
     def all(self, prefix: str) -> list[typing.Any]:
         """Return the records of one kind in order of their keys."""
         keys = sorted(
@@ -159,7 +166,12 @@
         self.digest ^= digest_of(item)
 
     def _drop_tombstones(self) -> None:
-        dead = [item for item in self.by_key.values() if item.deleted]
+        # Those of evacuations tell a command that was held up from a new one.
+        dead = [
+            item
+            for item in self.by_key.values()
+            if item.deleted and not item.key.startswith(EVACUATION)
+        ]
         if len(dead) <= MAX_TOMBSTONES:
             return
         dead.sort(key=lambda item: item.revision)
--- a/libs/language/src/trefoil_language/parser.py
+++ b/libs/language/src/trefoil_language/parser.py
@@ -160,6 +160,10 @@
         """Build ``ShowDocument``."""
         return statements.ShowDocument()
 
+    def show_evacuations(self, parts: list[str]) -> typing.Any:
+        """Build ``ShowEvacuations``."""
+        return statements.ShowEvacuations()
+
     def apply(self, parts: list[str]) -> typing.Any:
         """Build ``Apply``."""
         expected = int(parts[1]) if len(parts) > 1 else 0
@@ -202,6 +206,18 @@
         """Build ``Drain`` with the drain ended."""
         return statements.Drain(parts[0], False)
 
+    def reason(self, parts: list[str]) -> str:
+        """Return the words of a reason."""
+        return " ".join(parts)
+
+    def evacuate(self, parts: list[str]) -> typing.Any:
+        """Build ``Evacuate``."""
+        return statements.Evacuate(parts[0], True, *parts[1:])
+
+    def readmit(self, parts: list[str]) -> typing.Any:
+        """Build ``Evacuate`` with the evacuation ended."""
+        return statements.Evacuate(parts[0], False)
+
     def cancel(self, parts: list[str]) -> typing.Any:
         """Build ``Cancel``."""
         return statements.Cancel(*parts)
--- a/libs/language/src/trefoil_language/statements.py
+++ b/libs/language/src/trefoil_language/statements.py
@@ -76,6 +76,11 @@
     """Ask for the document that the configuration was made from."""
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class ShowEvacuations:
+    """Ask which failure domains are evacuated, since when and why."""
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Apply:
     """Apply the configuration document that comes with the line.
@@ -128,6 +133,21 @@
     draining: bool
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Evacuate:
+    """Send the targets of a failure domain nothing, or something again.
+
+    Args:
+        domain: The failure domain.
+        evacuated: False takes the domain back.
+        reason: Why, for those who read the status.
+    """
+
+    domain: str
+    evacuated: bool
+    reason: str = ""
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Cancel:
     """Make sure that a command that is not agreed yet never runs."""
--- a/libs/language/tests/test_parser.py
+++ b/libs/language/tests/test_parser.py
@@ -39,6 +39,13 @@
         ("reverse tables", statements.Reverse("tables")),
         ("undrain host-1", statements.Drain("host-1", False)),
         ("cancel 17-ab", statements.Cancel("17-ab")),
+        ("evacuate la-marsa", statements.Evacuate("la-marsa", True)),
+        (
+            "evacuate la-marsa because cooling fails",
+            statements.Evacuate("la-marsa", True, "cooling fails"),
+        ),
+        ("readmit la-marsa", statements.Evacuate("la-marsa", False)),
+        ("show evacuations", statements.ShowEvacuations()),
     ],
 )
 def test_lines(line: str, statement: object) -> None:
--- a/libs/model/src/trefoil_model/events.py
+++ b/libs/model/src/trefoil_model/events.py
@@ -11,6 +11,8 @@
     "config.rejected": "a revision that can't be served; the old one stays",
     "control.left": "the control process ends as it was told",
     "control.started": "a control process runs, with what its disk held",
+    "evacuation.begun": "the targets of this host get nothing from here on",
+    "evacuation.ended": "the targets of this host get requests again",
     "http.malformed": "a caller, target or operator sent garbage",
     "ledger.answer_too_large": "an answer that is not kept for its key",
     "link.down": "a peer was lost, or refused the link",
--- a/libs/moves/src/trefoil_moves/rulings.py
+++ b/libs/moves/src/trefoil_moves/rulings.py
@@ -297,6 +297,38 @@
     return Ruling(Outcome.DONE, f"revision {index}")
 
 
+@run.register(messages.EvacuateDomain)
+def _(
+    body: messages.EvacuateDomain,
+    state: "states.State",
+    index: int,
+    command: messages.Command,
+) -> Ruling:
+    """Evacuate a failure domain, or take it back.
+
+    A command that was held up on its way may arrive after its operator has
+    sent it again and then taken the domain back: run then, it would empty the
+    domain once more, with nobody to take it back. So it runs only if the
+    domain did not change since its sender last knew.
+    """
+    key = item_store.EVACUATION + body.domain
+    present = state.items.get(key) is not None
+    if present == body.evacuated:
+        return Ruling(Outcome.DONE, "nothing to change")
+    changed = state.items.revision_of(key)
+    if body.known_revision and changed > body.known_revision:
+        reason = f"{body.domain} was changed at revision {changed} meanwhile"
+        return Ruling(Outcome.NOT_RUN, reason, messages.Cause.CONFLICT)
+    if body.evacuated:
+        record = messages.Evacuation(
+            body.domain, command.operator_name, state.clock_ms, body.reason
+        )
+        state.items.set(index, key, record)
+    else:
+        state.items.delete(index, key)
+    return Ruling(Outcome.DONE, f"revision {index}")
+
+
 @run.register(messages.CancelCommand)
 def _(
     body: messages.CancelCommand,
--- /dev/null
+++ b/libs/moves/tests/test_evacuations.py
@@ -0,0 +1,175 @@
+"""Evacuations as agreed state: resent, held up, raced with a withdrawal."""
+
+import dataclasses
+
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies as st
+import pytest
+
+from trefoil_fleet import items as item_store
+from trefoil_moves import state as states
+from trefoil_wire import frames
+from trefoil_wire import messages
+
+Outcome = messages.Outcome
+DOMAIN = "la-marsa"
+KEY = item_store.EVACUATION + DOMAIN
+NOW_MS = 1_700_000_000_000
+
+
+def evacuation(
+    number: str, evacuated: bool = True, known: int = 0
+) -> messages.Command:
+    """Return a command that evacuates a domain, or takes it back."""
+    body = messages.EvacuateDomain(DOMAIN, evacuated, known, "cooling")
+    kind, data = frames.pack_any(body)
+    return messages.Command(
+        command_id=number,
+        operator_name="ann",
+        issued_ms=NOW_MS,
+        kind=kind,
+        body=data,
+        stamped_ms=NOW_MS,
+    )
+
+
+def is_evacuated(state: states.State) -> bool:
+    """Tell whether the domain is evacuated."""
+    return state.items.get(KEY) is not None
+
+
+def test_an_evacuation_tells_who_when_and_why() -> None:
+    state = states.State()
+    assert state.apply(5, evacuation("a")).outcome == Outcome.DONE
+    found = state.items.get(KEY)
+    assert (found.operator_name, found.since_ms) == ("ann", NOW_MS)
+    assert found.reason == "cooling"
+    assert state.items.revision == 5
+
+
+@pytest.mark.parametrize("evacuated", [True, False])
+def test_a_resent_call_is_acknowledged_again(evacuated: bool) -> None:
+    """Its answer was lost, so the same call came as another command."""
+    state = states.State()
+    state.apply(5, evacuation("a"))
+    state.apply(6, evacuation("b", evacuated, known=5))
+    again = state.apply(7, evacuation("c", evacuated, known=5))
+    assert again.outcome == Outcome.DONE
+    assert is_evacuated(state) == evacuated
+
+
+def test_a_call_that_was_held_up_does_not_empty_the_domain_again() -> None:
+    """A frozen host handed it in after the domain had been taken back."""
+    state = states.State()
+    state.apply(5, evacuation("a", known=4))
+    state.apply(6, evacuation("b", evacuated=False, known=5))
+    late = state.apply(7, evacuation("c", known=4))
+    assert late.outcome == Outcome.NOT_RUN
+    assert late.cause == messages.Cause.CONFLICT
+    assert not is_evacuated(state)
+
+
+def test_an_evacuation_outlives_a_snapshot() -> None:
+    state = states.State()
+    state.apply(5, evacuation("a"))
+    assert is_evacuated(states.State.from_bytes(state.to_bytes()))
+
+
+def test_a_withdrawal_is_remembered_beside_many_dropped_routes() -> None:
+    """Its trace was dropped with those of routes, and an old call ran."""
+    state = states.State()
+    state.apply(5, evacuation("a"))
+    state.apply(6, evacuation("b", evacuated=False))
+    for number in range(item_store.MAX_TOMBSTONES + 10):
+        key = f"{item_store.ROUTE}r{number}"
+        state.items.set(7, key, messages.Drain("x"))
+        state.items.delete(8, key)
+    assert state.items.revision_of(KEY) == 6
+
+
+@dataclasses.dataclass
+class Sent:
+    """A command on its way.
+
+    Args:
+        call: Number of the operator's call that it belongs to.
+        host: The control host that made it.
+        command: The command.
+    """
+
+    call: int
+    host: int
+    command: messages.Command
+
+
+HOSTS = 3
+
+
+class Operator(stateful.RuleBasedStateMachine):
+    """One operator, hosts that lag, and commands that are held up.
+
+    The operator makes one call after the other and sends each as often as it
+    likes, to any host. Whatever arrives late, the domain is as the newest
+    acknowledged call wants it.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.state = states.State()
+        self.index = 1
+        self.numbers = 0
+        self.known = [1] * HOSTS
+        self.call = 0
+        self.wanted = False
+        self.acknowledged = True
+        self.under_way: list[Sent] = []
+
+    def _send(self, host: int) -> None:
+        self.numbers += 1
+        command = evacuation(f"n{self.numbers}", self.wanted, self.known[host])
+        self.under_way.append(Sent(self.call, host, command))
+
+    @stateful.precondition(lambda self: self.acknowledged)
+    @stateful.rule(wanted=st.booleans())
+    def decide(self, wanted: bool) -> None:
+        """Begin another call."""
+        self.call += 1
+        self.wanted = wanted
+        self.acknowledged = False
+
+    @stateful.precondition(lambda self: not self.acknowledged)
+    @stateful.rule(host=st.integers(0, HOSTS - 1))
+    def send(self, host: int) -> None:
+        """Send the present call to a host, which makes a command of it."""
+        self._send(host)
+
+    @stateful.rule(host=st.integers(0, HOSTS - 1))
+    def learn(self, host: int) -> None:
+        """Let a host catch up."""
+        self.known[host] = self.index
+
+    @stateful.precondition(lambda self: self.under_way)
+    @stateful.rule(at=st.integers(0, 20))
+    def arrive(self, at: int) -> None:
+        """Let some command be agreed, however late."""
+        sent = self.under_way.pop(at % len(self.under_way))
+        self.index += 1
+        past = self.state.apply(self.index, sent.command)
+        present = sent.call == self.call and not self.acknowledged
+        if past.outcome == Outcome.DONE:
+            self.acknowledged |= present
+        else:
+            self.known[sent.host] = past.revision
+            if present:
+                self._send(sent.host)
+
+    @stateful.invariant()
+    def the_acknowledged_call_holds(self) -> None:
+        """Check the domain against the newest acknowledged call."""
+        if self.acknowledged:
+            assert is_evacuated(self.state) == self.wanted
+
+
+TestOperator = Operator.TestCase
+TestOperator.settings = settings(max_examples=200, stateful_step_count=40)
--- a/libs/requests/src/trefoil_requests/placing.py
+++ b/libs/requests/src/trefoil_requests/placing.py
@@ -71,8 +71,7 @@
         self, records: record_store.Records, now_ms: int
     ) -> None:
         """Take in the hosts' records."""
-        drained = self.table.drained if self.table else set()
-        self.endpoints.rebuild(records, drained, now_ms)
+        self.endpoints.rebuild(records, self.table, now_ms)
         self.balancer.keep_only(self.endpoints.by_key)
 
     def usual_us(self, route: messages.Route) -> float:
--- a/libs/requests/src/trefoil_requests/routing.py
+++ b/libs/requests/src/trefoil_requests/routing.py
@@ -4,6 +4,7 @@
 import dataclasses
 import random
 
+from trefoil_fleet import exclusions
 from trefoil_fleet import items as item_store
 from trefoil_fleet import records as record_store
 from trefoil_model import errors
@@ -42,7 +43,7 @@
         "places",
         "shares",
         "services",
-        "drained",
+        "excluded",
         "limits",
     )
 
@@ -62,7 +63,7 @@
         self.shares: dict[str, messages.Shares] = {
             entry.service_name: entry for entry in items.all(item_store.SHARES)
         }
-        self.drained = {entry.host for entry in items.all(item_store.DRAIN)}
+        self.excluded = exclusions.Exclusions.from_items(items)
 
     def match(self, host: str, path: str, method: str) -> messages.Route:
         """Return the route of a request.
@@ -181,9 +182,12 @@
         self.first_seen_ms: dict[str, int] = {}
 
     def rebuild(
-        self, records: record_store.Records, drained: set[str], now_ms: int
+        self,
+        records: record_store.Records,
+        table: RouteTable | None,
+        now_ms: int,
     ) -> None:
-        """Take in the hosts' records."""
+        """Take in the hosts' records, and what a configuration leaves out."""
         self.by_version = {}
         self.by_service = {}
         self.by_key = {}
@@ -191,7 +195,7 @@
         for record in records.present():
             for target in record.targets or ():
                 hosts.setdefault(target.service_name, set()).add(record.host)
-                if record.host in drained:
+                if table is not None and table.excluded.cover(record):
                     continue
                 if target.state != messages.TargetState.DRAINING:
                     self._add(record, target, now_ms)
--- a/libs/requests/src/trefoil_requests/target_side.py
+++ b/libs/requests/src/trefoil_requests/target_side.py
@@ -28,6 +28,7 @@
 # A request that is surely a repeat, since its entry proxy sent it before.
 PAID_PERMILLE = 1000
 NOT_RUN_HEADER = b"x-trefoil-not-run"
+EVACUATED = "the failure domain is evacuated"
 # A target at a reused address that is not the one named answers this.
 MISDIRECTED = 421
 
@@ -97,6 +98,7 @@
         "recent",
         "crashes",
         "leaving",
+        "evacuated",
         "origins",
         "parents",
         "out",
@@ -120,6 +122,7 @@
         )
         self.crashes: dict[str, Crash] = {}
         self.leaving = False
+        self.evacuated = False
         self.origins = attribution.Origins()
         self.parents = attribution.Parents()
         self.out: list[typing.Any] = []
@@ -176,6 +179,19 @@
             self.targets.pop(name, None)
         return self._flush()
 
+    def evacuate(self, evacuated: bool, now_ms: int) -> list[typing.Any]:
+        """Send this host's targets nothing more, or something again.
+
+        What runs goes on to its end. What waits is given back, also where
+        its entry proxy does not know of the evacuation yet.
+        """
+        self.now_ms = now_ms
+        self.evacuated = evacuated
+        if evacuated:
+            for name in list(self.targets):
+                self._give_back(name, EVACUATED, now_ms)
+        return self._flush()
+
     def _give_back(self, name: str, reason: str, now_ms: int) -> None:
         """Refuse what waits at a target for a slot or for its body.
 
@@ -249,6 +265,8 @@
         target = self.targets.get(request.target)
         if self.leaving:
             return "the host is leaving"
+        if self.evacuated:
+            return EVACUATED
         if target is None:
             return "the target is not here"
         if target.draining:
--- a/libs/requests/tests/test_pace.py
+++ b/libs/requests/tests/test_pace.py
@@ -64,7 +64,7 @@
     for number in range(TARGETS):
         known.put(record(number, time_us(number) if told else 0), 0)
     endpoints = routing.Endpoints()
-    endpoints.rebuild(known, set(), 0)
+    endpoints.rebuild(known, None, 0)
     holding = endpoints.holding("s", "v1", "")
     slow = 0
     for proxy in range(PROXIES):
--- a/libs/requests/tests/test_target_side.py
+++ b/libs/requests/tests/test_target_side.py
@@ -122,6 +122,24 @@
     assert dispatched(sum(late, [])) == []
 
 
+def test_the_targets_of_an_evacuated_domain_get_nothing_more() -> None:
+    """Their own proxy sent on what had queued before the evacuation."""
+    side = Side()
+    side.take(1)
+    side.take(2)
+    assert not_run(side.core.evacuate(True, 10)) == [2]
+    assert not_run(side.take(3, 20)) == [3]
+    done = messages.Answer(request_id=1, status=200, ran=True)
+    assert dispatched(side.core.on_target_answer(done, 100)) == []
+
+
+def test_a_domain_that_is_taken_back_gets_requests_again() -> None:
+    side = Side()
+    side.core.evacuate(True, 0)
+    side.core.evacuate(False, 10)
+    assert dispatched(side.take(1, 20)) == [1]
+
+
 def test_what_runs_at_a_leaving_target_goes_on() -> None:
     """A drain must not cut what is in flight."""
     side = Side()
--- a/libs/settings/src/trefoil_settings/settings.py
+++ b/libs/settings/src/trefoil_settings/settings.py
@@ -138,6 +138,7 @@
         lost_disks: How many control hosts may lose their disks at once
             without losing what was acknowledged.
         metrics: Address where metrics are read as text; empty for none.
+        domains: All failure domains; none are known without.
     """
 
     host: str
@@ -160,6 +161,7 @@
     lost_disks: int = 1
     metrics: str = ""
     advertise: str = ""
+    domains: list[str] = dataclasses.field(default_factory=list)
 
     @property
     def known_controls(self) -> dict[str, str]:
@@ -262,6 +264,7 @@
             ),
         ),
         ("moves", schema.Field(MOVES, default=None)),
+        ("domains", schema.Field(schema.ListOf(schema.Name()), default=[])),
     ),
     lambda heartbeat, election, moves, **rest: ControlSettings(
         heartbeat_ms=heartbeat,
--- a/libs/wire/src/trefoil_wire/frames.py
+++ b/libs/wire/src/trefoil_wire/frames.py
@@ -72,6 +72,7 @@
     messages.BodyPull,
     messages.BodyPiece,
     messages.RepeatArrived,
+    messages.EvacuateDomain,
 )
 # Configurations and lists of hosts repeat the same names hundreds of times:
 # documents that operators read and write were a third of what crossed between
--- a/libs/wire/src/trefoil_wire/gen/ttypes.py
+++ b/libs/wire/src/trefoil_wire/gen/ttypes.py
@@ -928,6 +928,110 @@
         return not (self == other)
 
 
+class Evacuation(object):
+    """
+    Attributes:
+     - domain
+     - operator_name
+     - since_ms
+     - reason
+
+    """
+
+    __slots__ = (
+        'domain',
+        'operator_name',
+        'since_ms',
+        'reason',
+    )
+
+
+    def __init__(self, domain=None, operator_name=None, since_ms=None, reason="",):
+        self.domain = domain
+        self.operator_name = operator_name
+        self.since_ms = since_ms
+        self.reason = reason
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.operator_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.since_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.reason = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Evacuation')
+        if self.domain is not None:
+            oprot.writeFieldBegin('domain', TType.STRING, 1)
+            oprot.writeString(self.domain.encode('utf-8') if sys.version_info[0] == 2 else self.domain)
+            oprot.writeFieldEnd()
+        if self.operator_name is not None:
+            oprot.writeFieldBegin('operator_name', TType.STRING, 2)
+            oprot.writeString(self.operator_name.encode('utf-8') if sys.version_info[0] == 2 else self.operator_name)
+            oprot.writeFieldEnd()
+        if self.since_ms is not None:
+            oprot.writeFieldBegin('since_ms', TType.I64, 3)
+            oprot.writeI64(self.since_ms)
+            oprot.writeFieldEnd()
+        if self.reason is not None:
+            oprot.writeFieldBegin('reason', TType.STRING, 4)
+            oprot.writeString(self.reason.encode('utf-8') if sys.version_info[0] == 2 else self.reason)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Item(object):
     """
     Attributes:
@@ -3111,6 +3215,110 @@
         return not (self == other)
 
 
+class EvacuateDomain(object):
+    """
+    Attributes:
+     - domain
+     - evacuated
+     - known_revision
+     - reason
+
+    """
+
+    __slots__ = (
+        'domain',
+        'evacuated',
+        'known_revision',
+        'reason',
+    )
+
+
+    def __init__(self, domain=None, evacuated=None, known_revision=0, reason="",):
+        self.domain = domain
+        self.evacuated = evacuated
+        self.known_revision = known_revision
+        self.reason = reason
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.evacuated = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.known_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.reason = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EvacuateDomain')
+        if self.domain is not None:
+            oprot.writeFieldBegin('domain', TType.STRING, 1)
+            oprot.writeString(self.domain.encode('utf-8') if sys.version_info[0] == 2 else self.domain)
+            oprot.writeFieldEnd()
+        if self.evacuated is not None:
+            oprot.writeFieldBegin('evacuated', TType.BOOL, 2)
+            oprot.writeBool(self.evacuated)
+            oprot.writeFieldEnd()
+        if self.known_revision is not None:
+            oprot.writeFieldBegin('known_revision', TType.I64, 3)
+            oprot.writeI64(self.known_revision)
+            oprot.writeFieldEnd()
+        if self.reason is not None:
+            oprot.writeFieldBegin('reason', TType.STRING, 4)
+            oprot.writeString(self.reason.encode('utf-8') if sys.version_info[0] == 2 else self.reason)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class CancelCommand(object):
     """
     Attributes:
@@ -8190,6 +8398,14 @@
     None,  # 0
     (1, TType.STRING, 'host', 'UTF8', None, ),  # 1
 )
+all_structs.append(Evacuation)
+Evacuation.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'domain', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'operator_name', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'since_ms', None, None, ),  # 3
+    (4, TType.STRING, 'reason', 'UTF8', "", ),  # 4
+)
 all_structs.append(Item)
 Item.thrift_spec = (
     None,  # 0
@@ -8352,6 +8568,14 @@
     (1, TType.STRING, 'host', 'UTF8', None, ),  # 1
     (2, TType.BOOL, 'draining', None, None, ),  # 2
 )
+all_structs.append(EvacuateDomain)
+EvacuateDomain.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'domain', 'UTF8', None, ),  # 1
+    (2, TType.BOOL, 'evacuated', None, None, ),  # 2
+    (3, TType.I64, 'known_revision', None, 0, ),  # 3
+    (4, TType.STRING, 'reason', 'UTF8', "", ),  # 4
+)
 all_structs.append(CancelCommand)
 CancelCommand.thrift_spec = (
     None,  # 0
--- a/libs/wire/trefoil.thrift
+++ b/libs/wire/trefoil.thrift
@@ -58,6 +58,11 @@
 }
 
 struct Drain { 1: string host }
+/* Nothing is sent to the targets of a failure domain while it has one. */
+struct Evacuation {
+  1: string domain, 2: string operator_name, 3: i64 since_ms,
+  4: string reason = "",
+}
 
 struct Item {
   1: string key,
@@ -133,6 +138,12 @@
 struct EndMove { 1: string move_id, 2: Outcome outcome, 3: string reason }
 struct ReverseMove { 1: string service_name }
 struct DrainHost { 1: string host, 2: bool draining }
+/* Evacuate a failure domain, or take it back. known_revision: the newest
+   revision that its sender knew; 0 for a command that is run in any case. */
+struct EvacuateDomain {
+  1: string domain, 2: bool evacuated, 3: i64 known_revision = 0,
+  4: string reason = "",
+}
 struct CancelCommand { 1: string cancelled_id }
 struct Noop { 1: i64 term }
 
