Keep what a cold target gets where all its requests pass

Change: the proxy beside a target gives it one request for each token while it is cold; rate and lasting come with the configuration, overage and slack with the settings, the time left with announcements. A turn to cold finds no token. When an evacuation ends targets are presumed cold, and asked at their health path; words that they are warm may be older than the turn and do not count. What waits is queued by rank or refused at once with a true time. Other proxies learn the rate with the record and count the turns before them; the record turns warm by time, without the next announcement. Ruled out: shares of the bound at each entry proxy (78 of them round to nothing). Weighed: a count of each second (used up within its first 100 ms); asking each second (priced, and late by half of it).

--- a/libs/daemon/src/trefoil_daemon/announcements.py
+++ b/libs/daemon/src/trefoil_daemon/announcements.py
@@ -31,12 +31,15 @@
         incarnation: When the target started, Unix time in milliseconds; 0
             if it does not say.
         sequence: Grows with each of its announcements; 0 if not told.
+        warmup_left_ms: How much longer it is cold; 0 if it is warm, or if
+            it only tells that it is cold.
     """
 
     record: messages.TargetRecord
     port: int
     incarnation: int = 0
     sequence: int = 0
+    warmup_left_ms: int = 0
 
     @property
     def order(self) -> tuple[int, int]:
@@ -141,7 +144,7 @@
         name = announcement.record.name
         if name not in self.by_name and len(self.by_name) >= MAX_TARGETS:
             raise errors.ProtocolError(429, "too many targets on this host")
-        if self._is_late(announcement, now_ms):
+        if self.is_late(announcement, now_ms):
             return False
         old = self.by_name.get(name)
         self.by_name[name] = announcement
@@ -153,7 +156,7 @@
             announcement.port,
         )
 
-    def _is_late(self, announcement: Announcement, now_ms: int) -> bool:
+    def is_late(self, announcement: Announcement, now_ms: int) -> bool:
         """Tell whether an announcement was overtaken on its way.
 
         A word that was held up may arrive after its sender has said
--- a/libs/daemon/src/trefoil_daemon/dialect.py
+++ b/libs/daemon/src/trefoil_daemon/dialect.py
@@ -17,6 +17,8 @@
         target: Name of the target that a request is meant for; another one
             at its address must answer 421.
         retry_fractions: Whether Retry-After may have fractions of seconds.
+        warmup_left: A target's word in answers to health checks, how many
+            milliseconds longer it is cold.
     """
 
     deadline: bytes = b"X-Trefoil-Deadline-Ms"
@@ -26,6 +28,7 @@
     caller_service: bytes = b""
     target: bytes = b""
     retry_fractions: bool = False
+    warmup_left: bytes = b"X-Trefoil-Warmup-Left-Ms"
 
 
 DEFAULT = Dialect()
--- a/libs/daemon/src/trefoil_daemon/facade.py
+++ b/libs/daemon/src/trefoil_daemon/facade.py
@@ -52,6 +52,14 @@
         The engine's ``target_checked`` is told.
         """
 
+    def check_warmup(
+        self, effect: request_effects.CheckWarmup, path: str
+    ) -> None:
+        """Ask a local target how much longer it is cold.
+
+        The engine's ``target_warmup`` is told.
+        """
+
     def note(self, note: common.Note) -> None:
         """Write a log line."""
 
--- a/libs/daemon/src/trefoil_daemon/proxy.py
+++ b/libs/daemon/src/trefoil_daemon/proxy.py
@@ -11,6 +11,7 @@
 
 from . import dialect as dialects
 from . import gateway
+from . import health
 from . import http_server
 from . import pools
 from . import proxy_process
@@ -49,6 +50,12 @@
             max_body=max_body,
             dialect=self.dialect,
         )
+        self.health = health.HealthChecks(
+            self.transport,
+            self.engine,
+            ip=settings.admin.rpartition(":")[0],
+            dialect=self.dialect,
+        )
         self.gateway = gateway.Gateway(
             self.engine, self.dialect, settings.service
         )
@@ -150,6 +157,12 @@
         """Find out whether a local target takes connections."""
         self.pools.check(effect.target, effect.port)
 
+    def check_warmup(
+        self, effect: request_effects.CheckWarmup, path: str
+    ) -> None:
+        """Ask a local target how much longer it is cold."""
+        self.health.ask(effect.target, effect.port, path)
+
 
 def run(settings: setting_store.ProxySettings) -> None:
     """Run a proxy until it is told to leave."""
--- a/libs/daemon/src/trefoil_daemon/proxy_process.py
+++ b/libs/daemon/src/trefoil_daemon/proxy_process.py
@@ -1,6 +1,5 @@
 """The engine of ``trefoilroute-proxy``: its cores joined, without sockets."""
 
-import copy
 import functools
 import random
 import typing
@@ -23,6 +22,7 @@
 from trefoil_requests import routing
 from trefoil_requests import spending as spendings
 from trefoil_requests import target_side
+from trefoil_requests import warmup as warmups
 from trefoil_settings import settings as setting_store
 from trefoil_wire import messages
 
@@ -143,6 +143,7 @@
             route.name: route.service_name for route in table.routes
         }
         self.targets.keep_routes(self.route_service)
+        self.targets.limit_cold(self._cold_limits(table))
         self.records_changed()
         self._follow_evacuation(table)
         self._update_collectors(table)
@@ -155,6 +156,18 @@
             self.entry.start_early(self.clock.now_ms(), self.now_us())
         )
 
+    def _cold_limits(
+        self, table: routing.RouteTable
+    ) -> dict[str, warmups.Limit]:
+        settings = self.settings
+        found = {
+            name: warmups.Limit.from_service(
+                service, settings.cold_overage, settings.cold_slack
+            )
+            for name, service in table.services.items()
+        }
+        return {name: limit for name, limit in found.items() if limit}
+
     def _follow_evacuation(self, table: routing.RouteTable) -> None:
         """Close or open the targets of this host with their domain."""
         evacuated = self.settings.domain in table.excluded.domains
@@ -388,13 +401,17 @@
         now_ms = self.clock.now_ms()
         for name in self.announced.replaced_by(announcement):
             self.target_leaves(name, "another started at its port")
-        if self.announced.put(announcement, now_ms):
+        if self.announced.is_late(announcement, now_ms):
+            return
+        news = self.announced.put(announcement, now_ms)
+        given_back = self.targets.put_target(
+            announcement.record,
+            announcement.port,
+            now_ms,
+            announcement.warmup_left_ms,
+        )
+        if news:
             self._publish_targets(now_ms)
-            self.perform(
-                self.targets.put_target(
-                    announcement.record, announcement.port, now_ms
-                )
-            )
             self.carrier.note(
                 common.Note(
                     "target.announced",
@@ -405,6 +422,8 @@
                     },
                 )
             )
+        # Others hear that it drains before they hear what it did not run.
+        self.perform(given_back)
 
     def target_says_farewell(self, name: str, incarnation: int) -> bool:
         """Take a target's word that this life of it ends.
@@ -433,22 +452,22 @@
         return True
 
     def _publish_targets(self, now_ms: int) -> None:
-        records = [] if self.handed_over else self.announced.records()
-        records = [self._with_pace(record) for record in records]
+        names = [] if self.handed_over else sorted(self.announced.by_name)
+        records = [self.targets.told(name, now_ms) for name in names]
         self.perform(self.node.set_targets(records, now_ms))
 
-    def _with_pace(
-        self, record: messages.TargetRecord
-    ) -> messages.TargetRecord:
-        """Return a target's record as other proxies learn it."""
-        told = copy.copy(record)
-        told.usual_us = self.targets.told_us(record.name)
-        return told
-
-    def _tell_paces(self, now_ms: int) -> None:
-        if now_ms >= self.pace_at_ms and self.targets.has_paces_to_tell():
+    def _tell_of_targets(self, now_ms: int) -> None:
+        """Tell other proxies how fast targets are, and which are cold."""
+        paces_due = now_ms >= self.pace_at_ms
+        if paces_due and self.targets.has_paces_to_tell():
             self.pace_at_ms = now_ms + TELL_PACE_MS
             self._publish_targets(now_ms)
+        elif self.targets.has_turned(now_ms):
+            self._publish_targets(now_ms)
+
+    def target_warmup(self, target: str, left_ms: int) -> None:
+        """Take how much longer a local target is cold, as it was asked."""
+        self.targets.on_warmup(target, left_ms, self.clock.now_ms())
 
     def target_answered(self, answer: messages.Answer) -> None:
         """Take a local target's whole answer."""
@@ -500,7 +519,7 @@
             self.tell(host, "", pull)
         self._guard(now_ms)
         self._report(now_ms)
-        self._tell_paces(now_ms)
+        self._tell_of_targets(now_ms)
         self.perform(self.spending.tell(self.entry.accounts.budgets, now_ms))
         self._hand_over_in_time(now_ms)
         self.relay.tick(now_ms)
@@ -649,6 +668,14 @@
     process.carrier.check_target(effect)
 
 
+@carry.register
+def _(effect: request_effects.CheckWarmup, process: ProxyProcess) -> None:
+    table = process.entry.placing.table
+    service = table.services.get(effect.service) if table else None
+    if service is not None and service.health_path:
+        process.carrier.check_warmup(effect, service.health_path)
+
+
 @carry.register
 def _(effect: request_effects.Abort, process: ProxyProcess) -> None:
     process.carrier.abort(effect.dispatch_id)
--- a/libs/daemon/src/trefoil_daemon/runtime.py
+++ b/libs/daemon/src/trefoil_daemon/runtime.py
@@ -238,6 +238,11 @@
     def check_target(self, effect: request_effects.CheckTarget) -> None:
         """Find out whether a local target takes connections (proxies)."""
 
+    def check_warmup(
+        self, effect: request_effects.CheckWarmup, path: str
+    ) -> None:
+        """Ask a local target how much longer it is cold (proxies only)."""
+
     def note(self, note: common.Note) -> None:
         """Write a log line, and count it."""
         self.metrics.count(note.event)
--- a/libs/daemon/tests/test_edges.py
+++ b/libs/daemon/tests/test_edges.py
@@ -8,6 +8,7 @@
 from trefoil_daemon import dialect as dialects
 from trefoil_daemon import exposition
 from trefoil_daemon import gateway
+from trefoil_daemon import health
 from trefoil_daemon import http_server
 from trefoil_daemon import metrics as metric_store
 from trefoil_daemon import pools
@@ -40,6 +41,7 @@
         self.owner: typing.Any = None
         self.on_data: typing.Any = None
         self.on_close: typing.Any = None
+        self.on_open: typing.Any = None
 
     def write(self, data: bytes) -> None:
         """Keep what is sent."""
@@ -77,6 +79,7 @@
     def connect(self, address: str, on_open: typing.Any) -> Stream:
         """Open a stream that is there at once."""
         stream = Stream()
+        stream.on_open = on_open
         self.streams.append(stream)
         return stream
 
@@ -378,3 +381,45 @@
     stream.peer_sends(CHUNKED + b"HTTP/1.1 200 OK\r\n")
     assert stream.closed
     assert [a.body for a in target.owner.answers] == [b"onetwo!"]
+
+
+class Asker:
+    """Keeps what health checks tell."""
+
+    def __init__(self) -> None:
+        self.told: list[tuple[str, int]] = []
+
+    def target_warmup(self, target: str, left_ms: int) -> None:
+        """Keep how long a target stays cold."""
+        self.told.append((target, left_ms))
+
+
+@pytest.mark.parametrize(
+    ("came", "told"),
+    [
+        (b"HTTP/1.1 200 OK\r\nWarm-In: 1800\r\n", [("t1", 1800)]),
+        (b"HTTP/1.1 503 Ill\r\nWarm-In: 0\r\n", [("t1", 0)]),
+        (b"HTTP/1.1 200 OK\r\n", []),
+        (b"HTTP/1.1 200 OK\r\nWarm-In: soon\r\n", []),
+        (b"garbage\r\n", []),
+    ],
+)
+def test_a_target_tells_how_long_it_stays_cold(
+    came: bytes, told: list[tuple[str, int]]
+) -> None:
+    """What it does not tell leaves its proxy with what it presumed."""
+    transport, asker = Transport(), Asker()
+    checks = health.HealthChecks(
+        typing.cast(transports.Transport, transport),
+        asker,
+        ip="10.0.0.1",
+        dialect=dialects.Dialect(warmup_left=b"Warm-In"),
+    )
+    checks.ask("t1", 8080, "/health")
+    (stream,) = transport.streams
+    stream.on_open(stream)
+    assert stream.sent.startswith(b"GET /health HTTP/1.1\r\nHost: 10.0.0.1")
+    stream.on_close = lambda stream: None
+    stream.peer_sends(came + b"Content-Length: 0\r\n\r\n")
+    assert asker.told == told
+    assert stream.closed
--- a/libs/requests/src/trefoil_requests/admission.py
+++ b/libs/requests/src/trefoil_requests/admission.py
@@ -10,6 +10,8 @@
 import dataclasses
 import typing
 
+from . import warmup as warmups
+
 # Some ten requests: a target that slows down is noticed within a second.
 SERVICE_WEIGHT = 0.1
 # Before anything ran nothing waits long enough to be refused for it.
@@ -125,12 +127,16 @@
 
     Args:
         slots: How many requests the target runs at once, as it announced.
+        warmup: What it may get while it is cold.
     """
 
-    __slots__ = ("slots", "running", "queue", "service_ms", "routes")
+    __slots__ = ("slots", "warmup", "running", "queue", "service_ms", "routes")
 
-    def __init__(self, slots: int) -> None:
+    def __init__(
+        self, slots: int, warmup: warmups.Warmup | None = None
+    ) -> None:
         self.slots = slots
+        self.warmup = warmup or warmups.Warmup(None)
         self.running = 0
         self.queue: list[Waiting] = []
         self.service_ms = FIRST_SERVICE_MS
@@ -141,15 +147,19 @@
         """Return how many requests run or wait."""
         return self.running + len(self.queue)
 
-    @property
-    def wait_ms(self) -> float:
+    def wait_ms(self, now_ms: int) -> float:
         """Return the expected wait of a request that comes last."""
-        if self.running < self.slots:
+        if self._has_room(now_ms):
             return 0.0
-        return self._wait_behind(len(self.queue))
+        return self._wait_behind(len(self.queue), now_ms)
+
+    def _has_room(self, now_ms: int) -> bool:
+        """Tell whether a request may start now."""
+        return self.running < self.slots and self.warmup.may_start(now_ms)
 
-    def _wait_behind(self, count: int) -> float:
-        return (count + 1) * self.service_ms / max(self.slots, 1)
+    def _wait_behind(self, count: int, now_ms: int) -> float:
+        slots_ms = (count + 1) * self.service_ms / max(self.slots, 1)
+        return max(slots_ms, self.warmup.wait_ms(count, now_ms))
 
     def _usual(self, route: str) -> Usual:
         """Return how long a route's requests run here."""
@@ -189,8 +199,8 @@
             settled: Whether it may wait here; else it is refused when no
                 slot is free, to be tried at a target that may be freer.
         """
-        if self.running < self.slots:
-            self.running += 1
+        if self._has_room(now_ms) and not self.queue:
+            self._start(now_ms)
             return Admitted()
         if not settled:
             return Refused(MIN_RETRY_MS)
@@ -203,17 +213,22 @@
         )
         rank = self._rank(waiting, now_ms)
         ahead = sum(self._rank(w, now_ms) <= rank for w in self.queue)
-        ready_ms = self._wait_behind(ahead) + self._usual(route).mean_ms
+        ready_ms = self._wait_behind(ahead, now_ms)
+        ready_ms += self._usual(route).mean_ms
         if now_ms + ready_ms > deadline_at_ms:
-            return Refused(max(int(self.wait_ms), MIN_RETRY_MS))
+            return Refused(max(int(self.wait_ms(now_ms)), MIN_RETRY_MS))
         evicted = 0
         if len(self.queue) >= QUEUE_PER_SLOT * self.slots:
             evicted = self._evict_for(waiting, now_ms)
             if not evicted:
-                return Refused(max(int(self.wait_ms), MIN_RETRY_MS))
+                return Refused(max(int(self.wait_ms(now_ms)), MIN_RETRY_MS))
         self.queue.append(waiting)
         return Queued(evicted)
 
+    def _start(self, now_ms: int) -> None:
+        self.running += 1
+        self.warmup.started(now_ms)
+
     def _evict_for(self, waiting: Waiting, now_ms: int) -> int:
         """Make room for a request; 0 if none ranks behind it."""
         last = max(self.queue, key=lambda w: self._rank(w, now_ms))
@@ -244,11 +259,11 @@
 
     def next_admitted(self, now_ms: int = 0) -> int | None:
         """Return the queued request that may run now, if any."""
-        if self.running >= self.slots or not self.queue:
+        if not self.queue or not self._has_room(now_ms):
             return None
         chosen = min(self.queue, key=lambda w: self._rank(w, now_ms))
         self.queue.remove(chosen)
-        self.running += 1
+        self._start(now_ms)
         return chosen.request_id
 
     def expired(self, now_ms: int) -> list[int]:
--- a/libs/requests/src/trefoil_requests/balancer.py
+++ b/libs/requests/src/trefoil_requests/balancer.py
@@ -362,6 +362,17 @@
             return told_us
         return seen.latency_us or told_us
 
+    def _paced_us(self, endpoint: routing.Endpoint, ahead: float) -> float:
+        """Return how long a call waits for a cold target's next turn.
+
+        A cold target gets some requests a second, however many slots it has.
+        """
+        cold = endpoint.target.state == messages.TargetState.COLD
+        per_s = endpoint.target.cold_per_s or 0.0
+        if not cold or not per_s:
+            return 0.0
+        return ahead * 1_000_000 / per_s
+
     def _cost(
         self,
         endpoint: routing.Endpoint,
@@ -383,6 +394,7 @@
         failing = seen.failing * max(1 - faded, 0.0)
         again = 1 / max(1 - failing, LEAST_WORKING) ** 2
         cost_us = service_us * (crowded + wait) * again
+        cost_us += self._paced_us(endpoint, load * slots)
         if endpoint.domain != self.domain:
             cost_us += FAR_US + FAR_SHARE * service_us
         return cost_us
--- a/libs/requests/src/trefoil_requests/effects.py
+++ b/libs/requests/src/trefoil_requests/effects.py
@@ -57,6 +57,15 @@
     port: int
 
 
+@dataclasses.dataclass(slots=True)
+class CheckWarmup:
+    """Ask a target of this host how much longer it is cold."""
+
+    target: str
+    port: int
+    service: str
+
+
 @dataclasses.dataclass(slots=True)
 class Reply:
     """Send an answer back to the proxy that forwarded the request."""
--- a/libs/requests/src/trefoil_requests/target_side.py
+++ b/libs/requests/src/trefoil_requests/target_side.py
@@ -6,6 +6,7 @@
 
 import collections
 import collections.abc
+import copy
 import dataclasses
 import random
 import typing
@@ -19,6 +20,7 @@
 from . import effects
 from . import pace as paces
 from . import quarantine as quarantines
+from . import warmup as warmups
 
 # The origin of what this host's own proxy forwards.
 LOCAL = "local"
@@ -41,8 +43,29 @@
     port: int
     slots: admission.Admission
     draining: bool = False
+    told_cold: bool = False
     pace: paces.Pace = dataclasses.field(default_factory=paces.Pace)
 
+    def is_cold(self, now_ms: int) -> bool:
+        """Tell whether it is slow since it started, or may be."""
+        if self.slots.warmup.is_cold(now_ms):
+            return True
+        return self.record.state == messages.TargetState.COLD
+
+    def told(self, now_ms: int) -> messages.TargetRecord:
+        """Return its record as other proxies learn it."""
+        told = copy.copy(self.record)
+        told.usual_us = self.pace.tell()
+        self.told_cold = self.is_cold(now_ms)
+        if self.draining:
+            return told
+        told.state = messages.TargetState.READY
+        if self.told_cold:
+            told.state = messages.TargetState.COLD
+            limit = self.slots.warmup.limit
+            told.cold_per_s = limit.per_s if limit else 0.0
+        return told
+
 
 @dataclasses.dataclass(slots=True)
 class Running:
@@ -99,6 +122,7 @@
         "crashes",
         "leaving",
         "evacuated",
+        "limits",
         "origins",
         "parents",
         "out",
@@ -123,6 +147,7 @@
         self.crashes: dict[str, Crash] = {}
         self.leaving = False
         self.evacuated = False
+        self.limits: dict[str, warmups.Limit] = {}
         self.origins = attribution.Origins()
         self.parents = attribution.Parents()
         self.out: list[typing.Any] = []
@@ -141,19 +166,44 @@
         runs = [r for r in self.running.values() if r.dispatched_ms >= 0]
         return self.parents.repeat_share(runs, part)
 
+    def limit_cold(self, limits: dict[str, warmups.Limit]) -> None:
+        """Take what cold targets may get, by service."""
+        self.limits = limits
+        for target in self.targets.values():
+            service = target.record.service_name
+            target.slots.warmup.limit = limits.get(service)
+
     def put_target(
-        self, record: messages.TargetRecord, port: int, now_ms: int
+        self,
+        record: messages.TargetRecord,
+        port: int,
+        now_ms: int,
+        warmup_left_ms: int = 0,
     ) -> list[typing.Any]:
-        """Add or update a target from its announcement."""
+        """Add or update a target from its announcement.
+
+        Args:
+            record: What it says of itself.
+            port: Where it takes requests.
+            now_ms: The time on the runtime's clock.
+            warmup_left_ms: How much longer it is cold, if it tells.
+        """
         self.now_ms = now_ms
         known = self.targets.get(record.name)
         draining = record.state == messages.TargetState.DRAINING
+        limit = self.limits.get(record.service_name)
+        if record.state == messages.TargetState.COLD and limit is not None:
+            # It may only say that it is cold, not for how long.
+            warmup_left_ms = warmup_left_ms or limit.lasts_ms
         if known is None:
-            slots = admission.Admission(record.slots)
+            warmup = warmups.Warmup(limit)
+            warmup.announce(warmup_left_ms, now_ms)
+            slots = admission.Admission(record.slots, warmup)
             self.targets[record.name] = LocalTarget(
                 record, port, slots, draining
             )
             return []
+        known.slots.warmup.announce(warmup_left_ms, now_ms)
         known.record = record
         known.port = port
         known.slots.slots = record.slots
@@ -187,11 +237,31 @@
         """
         self.now_ms = now_ms
         self.evacuated = evacuated
-        if evacuated:
-            for name in list(self.targets):
+        for name in list(self.targets):
+            if evacuated:
                 self._give_back(name, EVACUATED, now_ms)
+            else:
+                self._presume_cold(name, now_ms)
         return self._flush()
 
+    def _presume_cold(self, name: str, now_ms: int) -> None:
+        """Take a target for cold until it was asked.
+
+        It may have turned cold without a word, and its next announcement may
+        be on its way since before that.
+        """
+        target = self.targets[name]
+        if target.slots.warmup.limit is not None:
+            target.slots.warmup.presume(now_ms)
+            service = target.record.service_name
+            self.out.append(effects.CheckWarmup(name, target.port, service))
+
+    def on_warmup(self, name: str, left_ms: int, now_ms: int) -> None:
+        """Take how much longer a target is cold, as it was asked."""
+        target = self.targets.get(name)
+        if target is not None:
+            target.slots.warmup.tell(left_ms, now_ms)
+
     def _give_back(self, name: str, reason: str, now_ms: int) -> None:
         """Refuse what waits at a target for a slot or for its body.
 
@@ -221,10 +291,17 @@
         """Tell whether other proxies should hear of a target's pace."""
         return any(target.pace.is_news for target in self.targets.values())
 
-    def told_us(self, name: str) -> int:
-        """Return the pace of a target that other proxies are told."""
+    def has_turned(self, now_ms: int) -> bool:
+        """Tell whether a target is cold, or warm, that was told otherwise."""
+        return any(
+            target.is_cold(now_ms) != target.told_cold
+            for target in self.targets.values()
+        )
+
+    def told(self, name: str, now_ms: int) -> messages.TargetRecord | None:
+        """Return a target's record as other proxies learn it."""
         target = self.targets.get(name)
-        return target.pace.tell() if target is not None else 0
+        return target.told(now_ms) if target is not None else None
 
     # Requests
 
@@ -335,7 +412,7 @@
         self._refuse(
             entry,
             "a more urgent request took its place",
-            wait_ms=max(int(slots.wait_ms), 1),
+            wait_ms=max(int(slots.wait_ms(now_ms)), 1),
         )
 
     def _take(self, entry: Running, now_ms: int) -> None:
@@ -442,8 +519,7 @@
         target = self.targets.get(entry.target)
         if target is None:
             return
-        cold = target.record.state == messages.TargetState.COLD
-        if answer.service_us and not cold:
+        if answer.service_us and not target.is_cold(self.now_ms):
             # A cold target is slow for seconds, which is told apart.
             target.pace.note(answer.service_us)
         answer.usual_us = target.pace.usual_us
@@ -485,8 +561,9 @@
                 self._refuse(
                     self._drop(request_id, now_ms),
                     "no slot in time",
-                    wait_ms=max(int(target.slots.wait_ms), 1),
+                    wait_ms=max(int(target.slots.wait_ms(now_ms)), 1),
                 )
+            self._start_waiting(target, now_ms)
         for entry in list(self.running.values()):
             if entry.has_slot:
                 self._end_in_time(entry, now_ms)
@@ -595,11 +672,16 @@
         if took:
             self.parents.ended(entry)
         target.slots.finished(took_ms, entry.request.route)
+        self._start_waiting(target, now_ms)
+        if target.draining and not target.slots.running:
+            self.targets.pop(entry.target, None)
+
+    def _start_waiting(self, target: LocalTarget, now_ms: int) -> None:
+        """Run the queued requests that a target may get now."""
         following = target.slots.next_admitted(now_ms)
-        if following is not None:
+        while following is not None:
             self._dispatch(self.running[following], now_ms)
-        elif target.draining and not target.slots.running:
-            self.targets.pop(entry.target, None)
+            following = target.slots.next_admitted(now_ms)
 
     def _refuse(
         self,
--- a/libs/requests/tests/test_overload.py
+++ b/libs/requests/tests/test_overload.py
@@ -99,7 +99,9 @@
                 self._refuse(number, now_ms, decision.retry_after_ms)
             case admission.Queued():
                 if decision.evicted:
-                    self._refuse(decision.evicted, now_ms, self.gate.wait_ms)
+                    self._refuse(
+                        decision.evicted, now_ms, self.gate.wait_ms(now_ms)
+                    )
 
     def _begin(self, number: int, now_ms: float) -> None:
         caller = self.waiting[number]
@@ -126,7 +128,7 @@
 
     def _expire(self, _: None, now_ms: float) -> None:
         for number in self.gate.expired(int(now_ms)):
-            self._refuse(number, now_ms, self.gate.wait_ms)
+            self._refuse(number, now_ms, self.gate.wait_ms(now_ms))
 
 
 def test_below_capacity_nearly_all_are_in_time() -> None:
--- a/libs/requests/tests/test_target_side.py
+++ b/libs/requests/tests/test_target_side.py
@@ -8,6 +8,7 @@
 from trefoil_requests import effects
 from trefoil_requests import quarantine as quarantines
 from trefoil_requests import target_side
+from trefoil_requests import warmup as warmups
 from trefoil_wire import messages
 
 TARGET = "t1"
@@ -157,3 +158,77 @@
     side.take(2)
     assert not_run(side.drain(10)) == [2]
     assert not_run(side.drain(1000)) == []
+
+
+LIMIT = warmups.Limit(per_s=10.0, burst=7.0, lasts_ms=3000)
+
+
+def cold_side(left_ms: int = 3000, slots: int = 100) -> Side:
+    """Return a core whose target is cold and has slots to spare."""
+    side = Side()
+    side.core.limit_cold({"tables": LIMIT})
+    side.core.put_target(target_record(slots=slots), PORT, 0, left_ms)
+    return side
+
+
+def test_a_cold_target_gets_no_more_than_it_bears() -> None:
+    """With free slots it got 18 requests in a second, crashed, came back.
+
+    Two hundred callers want it in its first two seconds.
+    """
+    side = cold_side()
+    begun_ms = []
+    for now_ms in range(0, 2000, 10):
+        found = side.take(now_ms + 1, now_ms) + side.core.tick(now_ms)
+        begun_ms += [now_ms] * len(dispatched(found))
+    assert all(
+        sum(since_ms <= at_ms < since_ms + 1000 for at_ms in begun_ms) <= 17
+        for since_ms in begun_ms
+    )
+    assert len(begun_ms) >= 19
+
+
+def test_a_warm_target_gets_what_it_has_slots_for() -> None:
+    side = cold_side(left_ms=0)
+    assert len(sum([dispatched(side.take(n)) for n in range(1, 50)], [])) == 49
+
+
+def test_a_cold_target_is_told_to_all_with_its_rate() -> None:
+    """Sent there as to a warm one, calls were refused one after the other."""
+    side = cold_side()
+    told = side.core.told(TARGET, 0)
+    assert told.state == messages.TargetState.COLD
+    assert told.cold_per_s == LIMIT.per_s
+    assert not side.core.has_turned(1000)
+    assert side.core.has_turned(4000)
+    assert side.core.told(TARGET, 4000).state == messages.TargetState.READY
+
+
+def test_a_domain_that_is_taken_back_is_cold_until_it_tells() -> None:
+    """Its targets turned cold shortly before, and no renewal said so yet."""
+    side = cold_side(left_ms=0)
+    side.core.evacuate(True, 0)
+    found = side.core.evacuate(False, 10)
+    assert found == [effects.CheckWarmup(TARGET, PORT, "tables")]
+    assert dispatched(side.take(1, 20)) == []
+    side.core.on_warmup(TARGET, 0, 30)
+    assert dispatched(side.core.tick(50)) == [1]
+
+
+def test_an_old_word_that_it_is_warm_does_not_count() -> None:
+    """The renewal was sent before the target turned cold."""
+    side = cold_side(left_ms=0)
+    side.core.evacuate(True, 0)
+    side.core.evacuate(False, 10)
+    side.core.put_target(target_record(slots=100), PORT, 20, 0)
+    assert dispatched(side.take(1, 30)) == []
+    side.core.put_target(target_record(slots=100), PORT, 40, 2500)
+    assert side.core.told(TARGET, 2000).state == messages.TargetState.COLD
+
+
+def test_without_an_answer_a_target_is_cold_for_as_long_as_it_can_be() -> None:
+    side = cold_side(left_ms=0)
+    side.core.evacuate(True, 0)
+    side.core.evacuate(False, 0)
+    assert side.core.told(TARGET, 3000).state == messages.TargetState.COLD
+    assert side.core.told(TARGET, 3100).state == messages.TargetState.READY
--- /dev/null
+++ b/libs/requests/tests/test_warmup.py
@@ -0,0 +1,129 @@
+"""The bound on what a cold target gets, over every second."""
+
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from trefoil_requests import admission
+from trefoil_requests import warmup as warmups
+from trefoil_wire import messages
+
+PER_S = 6.5
+OVERAGE = 1.5
+SLACK = 8.0
+LASTS_MS = 3000
+MOST = int(PER_S * OVERAGE + SLACK)
+SLOTS = 30
+FAR_MS = 10_000
+
+
+def limit() -> warmups.Limit:
+    """Return the limit of a service."""
+    service = messages.Service(
+        "s", [], "v1", warmup_ms=LASTS_MS, warmup_per_s=PER_S
+    )
+    made = warmups.Limit.from_service(service, OVERAGE, SLACK)
+    assert made is not None
+    return made
+
+
+def test_a_service_without_a_rate_has_no_limit() -> None:
+    service = messages.Service("s", [], "v1")
+    assert warmups.Limit.from_service(service, OVERAGE, SLACK) is None
+
+
+def test_a_wait_for_a_cold_target_is_known_before() -> None:
+    """A request that can't start in time is refused at once."""
+    warmup = warmups.Warmup(limit())
+    warmup.announce(LASTS_MS, 0)
+    gate = admission.Admission(SLOTS, warmup)
+    gate.offer(1, FAR_MS, 0)
+    gate.offer(2, FAR_MS, 0)
+    decision = gate.offer(3, 200, 0, priority=1)
+    assert isinstance(decision, admission.Refused)
+    assert 250 <= decision.retry_after_ms <= 350
+
+
+class OneTarget(stateful.RuleBasedStateMachine):
+    """One target that turns cold at any time, and many who want it.
+
+    It turns cold by a start, which its announcement tells, or without one
+    after an evacuation, which its proxy presumes. Whatever its proxy hears
+    late, no second in which it is cold has more starts than allowed.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_ms = 0
+        self.gate = admission.Admission(SLOTS, warmups.Warmup(limit()))
+        self.number = 0
+        self.cold: list[tuple[int, int]] = []
+        self.starts: list[int] = []
+
+    def _take(self, started: bool) -> None:
+        if started:
+            self.starts.append(self.now_ms)
+
+    @stateful.rule(count=st.integers(1, 40))
+    def arrive(self, count: int) -> None:
+        """Let requests come that may wait."""
+        for _ in range(count):
+            self.number += 1
+            decision = self.gate.offer(
+                self.number, self.now_ms + FAR_MS, self.now_ms
+            )
+            self._take(isinstance(decision, admission.Admitted))
+
+    @stateful.rule(by_ms=st.sampled_from([1, 10, 50, 120, 700]))
+    def wait(self, by_ms: int) -> None:
+        """Let time pass, and start what may start."""
+        self.now_ms += by_ms
+        while self.gate.next_admitted(self.now_ms) is not None:
+            self._take(True)
+
+    @stateful.rule(count=st.integers(1, SLOTS))
+    def finish(self, count: int) -> None:
+        """Let some requests end."""
+        for _ in range(min(count, self.gate.running)):
+            self.gate.finished(5.0)
+
+    @stateful.rule()
+    def start(self) -> None:
+        """Let the target start again; its first announcement tells."""
+        self.starts = []
+        self.cold.append((self.now_ms, self.now_ms + LASTS_MS))
+        self.gate.warmup.announce(LASTS_MS, self.now_ms)
+
+    @stateful.rule(age_ms=st.integers(0, 1000))
+    def evacuated(self, age_ms: int) -> None:
+        """Let its domain be taken back; it turned cold just before."""
+        until_ms = self.now_ms - age_ms + LASTS_MS
+        self.cold.append((self.now_ms - age_ms, until_ms))
+        self.starts = []
+        self.gate.warmup.presume(self.now_ms)
+
+    @stateful.rule()
+    def late_word(self) -> None:
+        """Let an announcement come that is older than the presumption."""
+        if self.gate.warmup.presumed:
+            self.gate.warmup.announce(0, self.now_ms)
+
+    @stateful.rule()
+    def asked(self) -> None:
+        """Let it tell the truth."""
+        if self.cold:
+            left_ms = max(until for _, until in self.cold) - self.now_ms
+            self.gate.warmup.tell(max(left_ms, 0), self.now_ms)
+
+    @stateful.invariant()
+    def no_second_has_too_many(self) -> None:
+        """Check the seconds that end now, of the time in which it is cold."""
+        cold = [c for c in self.cold if c[0] <= self.now_ms < c[1]]
+        if cold:
+            since_ms = max(min(c[0] for c in cold), self.now_ms - 999)
+            count = sum(at_ms >= since_ms for at_ms in self.starts)
+            assert count <= MOST
+
+
+TestOneTarget = OneTarget.TestCase
+TestOneTarget.settings = settings(max_examples=150, stateful_step_count=40)
--- a/libs/settings/src/trefoil_settings/configuration.py
+++ b/libs/settings/src/trefoil_settings/configuration.py
@@ -18,6 +18,7 @@
 MAX_ATTEMPTS = 100
 MAX_WEIGHT = 1_000_000
 MAX_CONNECTIONS = 100_000
+MAX_RATE = 1_000_000
 MAX_NUMBER = (1 << 63) - 1
 MAX_HEAD_BYTES = 1 << 20
 MAX_BODY_BYTES = 1 << 30
@@ -39,8 +40,13 @@
             "max_connections",
             schema.Field(schema.Number(0, MAX_CONNECTIONS), default=0),
         ),
+        ("warmup", schema.Field(schema.Duration(), default=0)),
+        (
+            "warmup_per_s",
+            schema.Field(schema.Number(0, MAX_RATE, whole=False), default=0),
+        ),
     ),
-    messages.Service,
+    lambda warmup, **rest: messages.Service(warmup_ms=warmup, **rest),
 )
 
 BACKEND = schema.Record(
--- a/libs/settings/src/trefoil_settings/settings.py
+++ b/libs/settings/src/trefoil_settings/settings.py
@@ -51,6 +51,9 @@
         retry_slack: Repeats a window that a service may have besides, all
             proxies together; 0 for ten a proxy.
         metrics: Address where metrics are read as text; empty for none.
+        cold_overage: How many times the rate that its service's
+            configuration tells a cold target may get.
+        cold_slack: How many requests a second it may get besides.
     """
 
     host: str
@@ -72,6 +75,8 @@
     service: str = ""
     retry_ratio: float = 1.0
     retry_slack: float = 0.0
+    cold_overage: float = 1.0
+    cold_slack: float = 0.0
     metrics: str = ""
     advertise: str = ""
 
@@ -210,6 +215,14 @@
             "retry_slack",
             schema.Field(schema.Number(0, 100_000, whole=False), default=0.0),
         ),
+        (
+            "cold_overage",
+            schema.Field(schema.Number(0.1, 100, whole=False), default=1.0),
+        ),
+        (
+            "cold_slack",
+            schema.Field(schema.Number(0, 100_000, whole=False), default=0.0),
+        ),
         (
             "linger",
             schema.Field(schema.Duration(), default=0),
--- a/libs/wire/src/trefoil_wire/gen/ttypes.py
+++ b/libs/wire/src/trefoil_wire/gen/ttypes.py
@@ -139,6 +139,8 @@
      - retry_budget
      - health_path
      - max_connections
+     - warmup_ms
+     - warmup_per_s
 
     """
 
@@ -149,16 +151,20 @@
         'retry_budget',
         'health_path',
         'max_connections',
+        'warmup_ms',
+        'warmup_per_s',
     )
 
 
-    def __init__(self, name=None, resources=None, version=None, retry_budget=0.2000000000000000, health_path="", max_connections=0,):
+    def __init__(self, name=None, resources=None, version=None, retry_budget=0.2000000000000000, health_path="", max_connections=0, warmup_ms=0, warmup_per_s=0,):
         self.name = name
         self.resources = resources
         self.version = version
         self.retry_budget = retry_budget
         self.health_path = health_path
         self.max_connections = max_connections
+        self.warmup_ms = warmup_ms
+        self.warmup_per_s = warmup_per_s
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -204,6 +210,16 @@
                     self.max_connections = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.warmup_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.DOUBLE:
+                    self.warmup_per_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -241,6 +257,14 @@
             oprot.writeFieldBegin('max_connections', TType.I32, 6)
             oprot.writeI32(self.max_connections)
             oprot.writeFieldEnd()
+        if self.warmup_ms is not None:
+            oprot.writeFieldBegin('warmup_ms', TType.I32, 7)
+            oprot.writeI32(self.warmup_ms)
+            oprot.writeFieldEnd()
+        if self.warmup_per_s is not None:
+            oprot.writeFieldBegin('warmup_per_s', TType.DOUBLE, 8)
+            oprot.writeDouble(self.warmup_per_s)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4563,6 +4587,7 @@
      - state
      - tells_warmup
      - usual_us
+     - cold_per_s
 
     """
 
@@ -4575,10 +4600,11 @@
         'state',
         'tells_warmup',
         'usual_us',
+        'cold_per_s',
     )
 
 
-    def __init__(self, name=None, service_name=None, version=None, resources=None, slots=None, state=None, tells_warmup=False, usual_us=0,):
+    def __init__(self, name=None, service_name=None, version=None, resources=None, slots=None, state=None, tells_warmup=False, usual_us=0, cold_per_s=0,):
         self.name = name
         self.service_name = service_name
         self.version = version
@@ -4587,6 +4613,7 @@
         self.state = state
         self.tells_warmup = tells_warmup
         self.usual_us = usual_us
+        self.cold_per_s = cold_per_s
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4642,6 +4669,11 @@
                     self.usual_us = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.DOUBLE:
+                    self.cold_per_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4687,6 +4719,10 @@
             oprot.writeFieldBegin('usual_us', TType.I32, 8)
             oprot.writeI32(self.usual_us)
             oprot.writeFieldEnd()
+        if self.cold_per_s is not None:
+            oprot.writeFieldBegin('cold_per_s', TType.DOUBLE, 9)
+            oprot.writeDouble(self.cold_per_s)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -8348,6 +8384,8 @@
     (4, TType.DOUBLE, 'retry_budget', None, 0.2000000000000000, ),  # 4
     (5, TType.STRING, 'health_path', 'UTF8', "", ),  # 5
     (6, TType.I32, 'max_connections', None, 0, ),  # 6
+    (7, TType.I32, 'warmup_ms', None, 0, ),  # 7
+    (8, TType.DOUBLE, 'warmup_per_s', None, 0, ),  # 8
 )
 all_structs.append(Backend)
 Backend.thrift_spec = (
@@ -8680,6 +8718,7 @@
     (6, TType.I32, 'state', None, None, ),  # 6
     (7, TType.BOOL, 'tells_warmup', None, False, ),  # 7
     (8, TType.I32, 'usual_us', None, 0, ),  # 8
+    (9, TType.DOUBLE, 'cold_per_s', None, 0, ),  # 9
 )
 all_structs.append(HostRecord)
 HostRecord.thrift_spec = (
--- a/libs/wire/trefoil.thrift
+++ b/libs/wire/trefoil.thrift
@@ -19,6 +19,10 @@
   4: double retry_budget = 0.2,
   5: string health_path = "",
   6: i32 max_connections = 0,
+  // How long a target is cold after its start, and how many requests a second
+  // it bears meanwhile; 0 for any number.
+  7: i32 warmup_ms = 0,
+  8: double warmup_per_s = 0,
 }
 
 /* A part of a route's requests, by weight. */
@@ -202,6 +206,8 @@
   7: bool tells_warmup = false,
   // Usual time of a request there, as its own proxy measured; 0 if unknown.
   8: i32 usual_us = 0,
+  // Requests a second that it gets while it is cold; 0 for any number.
+  9: double cold_per_s = 0,
 }
 struct HostRecord {
   1: string host, 2: string domain, 3: string region, 4: string address,
