Tell what the slots of a target are taken by

Cause: target.refused says running=5 whether a target works on five requests or on none, since a slot that is held for a body counts as running; no line tells how many bodies wait or how long they took, nor how long a request took to enter. Change: target.load, a line a second for each target that refused or waited for bodies; slots by state, bodies and their wait on the metrics page; entered_ms in request.refused and request.lost. No decision changes. Cost: one pass over the requests here each tick.

--- a/libs/daemon/src/trefoil_daemon/gateway.py
+++ b/libs/daemon/src/trefoil_daemon/gateway.py
@@ -76,6 +76,7 @@
             deadline_ms=_number(message.field(self.dialect.deadline.lower())),
             retried=message.field(self.dialect.retried.lower()) == "1",
             caller_id=message.field(self.dialect.request_id.lower()),
+            entered_ms=connection.waited_ms,
         )
         self.waiting[connection.number] = connection
         self.process.call(call)
--- a/libs/daemon/src/trefoil_daemon/proxy_process.py
+++ b/libs/daemon/src/trefoil_daemon/proxy_process.py
@@ -33,6 +33,7 @@
 from . import facade
 from . import operators
 from . import relay as relays
+from . import slot_metrics
 
 GUARD_MS = 1000
 # A pace that is told goes to every proxy of the fleet.
@@ -548,13 +549,16 @@
             "calls_waiting": len(self.entry.live),
             "targets_known": len(self.entry.placing.endpoints.by_key),
             "running_here": len(self.targets.running),
+            "bodies_waiting": len(self.targets.arrivals.waiting),
+            "body_wait_ms": self.targets.arrivals.expected_ms(),
             "ready": float(self.ready),
             "evacuated": float(self.targets.evacuated),
         }
 
     def families(self) -> list[exposition.Family]:
-        """Return what repeats each service got from here, and its budget."""
-        return budget_metrics.families(self.entry.accounts.budgets)
+        """Return repeats and budgets by service, and slots by target."""
+        repeats = budget_metrics.families(self.entry.accounts.budgets)
+        return repeats + slot_metrics.families(self.targets.targets.values())
 
     # Leaving
 
--- /dev/null
+++ b/libs/daemon/src/trefoil_daemon/slot_metrics.py
@@ -0,0 +1,29 @@
+"""What the slots of this host's targets are taken by, on the metrics page."""
+
+import collections.abc
+
+from trefoil_requests import target_side
+
+from . import exposition
+
+
+def families(
+    targets: collections.abc.Iterable[target_side.LocalTarget],
+) -> list[exposition.Family]:
+    """Return each target's slots by what they are taken by."""
+    slots = exposition.Family(
+        "slots",
+        "Slots of the targets here: running, held for a body, and queued for",
+        ["target", "state"],
+        counts=False,
+    )
+    for target in targets:
+        moment = target.occupancy.latest
+        if moment is None:
+            continue
+        name = target.record.name
+        slots.add(moment.slots, target=name, state="all")
+        slots.add(moment.running, target=name, state="running")
+        slots.add(moment.held, target=name, state="held")
+        slots.add(moment.queued, target=name, state="queued")
+    return [slots]
--- a/libs/model/src/trefoil_model/events.py
+++ b/libs/model/src/trefoil_model/events.py
@@ -45,6 +45,7 @@
     "target.broke_off": "a target closed the connection, and lives",
     "target.crashed": "a target closed the connection, and is gone",
     "target.left": "a target went, and why",
+    "target.load": "what the slots and the link of a target were taken by",
     "target.refused": "not sent to the target: did not run",
     "target.timed_out": "a target did not answer in time",
     "version.adopted": "a version that no document names is the one in force",
--- a/libs/requests/src/trefoil_requests/call.py
+++ b/libs/requests/src/trefoil_requests/call.py
@@ -40,6 +40,7 @@
             that this call belongs to.
         caller_id: The caller's own id of the request, for logs; empty
             without one.
+        entered_ms: How long it took from its first byte until it was whole.
     """
 
     call_id: int
@@ -52,6 +53,7 @@
     deadline_ms: int = 0
     retried: bool = False
     caller_id: str = ""
+    entered_ms: int = 0
 
     def fingerprint(self) -> int:
         """Return a hash by which a resend of the request is known."""
--- a/libs/requests/src/trefoil_requests/entry.py
+++ b/libs/requests/src/trefoil_requests/entry.py
@@ -815,6 +815,7 @@
             why=final.reason,
             target=endpoint.key if endpoint else "",
             come_back_ms=final.retry_after_ms,
+            entered_ms=live.call.entered_ms,
         )
 
     def _note(
--- a/libs/requests/src/trefoil_requests/target_side.py
+++ b/libs/requests/src/trefoil_requests/target_side.py
@@ -18,6 +18,7 @@
 from . import attribution
 from . import bodies
 from . import effects
+from . import occupancy as occupancies
 from . import pace as paces
 from . import quarantine as quarantines
 from . import warmup as warmups
@@ -45,6 +46,10 @@
     draining: bool = False
     told_cold: bool = False
     pace: paces.Pace = dataclasses.field(default_factory=paces.Pace)
+    occupancy: occupancies.Occupancy = dataclasses.field(init=False)
+
+    def __post_init__(self) -> None:
+        self.occupancy = occupancies.Occupancy(self.record.name)
 
     def is_cold(self, now_ms: int) -> bool:
         """Tell whether it is slow since it started, or may be."""
@@ -444,6 +449,8 @@
         entry = self.running.get(piece.request_id)
         if whole is not None and entry is not None:
             entry.request.body = whole
+            occupancy = self.targets[entry.target].occupancy
+            occupancy.body_came(now_ms - entry.came_ms)
             if entry.has_slot:
                 self._dispatch(entry, now_ms)
         return self._flush()
@@ -571,8 +578,25 @@
         for name, crash in list(self.crashes.items()):
             if now_ms - crash.since_ms >= CRASH_GATHER_MS:
                 self._settle(name, crash)
+        for target in self.targets.values():
+            moment = self._moment(target)
+            self.out += target.occupancy.tell(moment, now_ms)
         return self._flush()
 
+    def _moment(self, target: LocalTarget) -> occupancies.Moment:
+        """Return what a target and this host's link are taken by."""
+        name = target.record.name
+        here = [e for e in self.running.values() if e.target == name]
+        held = sum(e.has_slot and e.dispatched_ms < 0 for e in here)
+        return occupancies.Moment(
+            slots=target.slots.slots,
+            running=target.slots.running - held,
+            held=held,
+            queued=len(target.slots.queue),
+            bodies=len(self.arrivals.waiting),
+            body_wait_ms=self.arrivals.expected_ms(),
+        )
+
     def _end_in_time(self, entry: Running, now_ms: int) -> None:
         """End a request whose time is over, or whose body comes too late."""
         if entry.dispatched_ms >= 0:
@@ -701,6 +725,9 @@
             full=full,
         )
         self._reply(entry, answer)
+        target = self.targets.get(entry.target)
+        if target is not None:
+            target.occupancy.refuse(reason)
         if not full or entry.request.settled:
             self._note("target.refused", entry, why=reason, wait_ms=wait_ms)
 
