--- a/libs/emulator/src/trefoil_emulator/core_fleet.py
+++ b/libs/emulator/src/trefoil_emulator/core_fleet.py
@@ -15,6 +15,7 @@
 
 from trefoil_fleet import items as item_store
 from trefoil_fleet import records as record_store
+from trefoil_requests import bodies
 from trefoil_requests import call as calls
 from trefoil_requests import effects
 from trefoil_requests import entry as entries
@@ -48,6 +49,7 @@
         priority: The route's rank.
         spread: Standard deviation of the time, as a part of its mean.
         answer_bytes: Length of its answers.
+        body_bytes: Length of its requests' bodies.
     """
 
     name: str
@@ -59,6 +61,7 @@
     priority: int = 0
     spread: float = 0.8
     answer_bytes: int = 0
+    body_bytes: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -73,6 +76,27 @@
     status: int = 0
 
 
+@dataclasses.dataclass(slots=True)
+class Way:
+    """One direction of a host's link; messages pass it in order.
+
+    Args:
+        bytes_a_ms: What it carries; 0 for a wide one.
+        free_ms: When what was sent before is through.
+    """
+
+    bytes_a_ms: float = 0.0
+    free_ms: float = 0.0
+
+    def pass_through(self, size: int, now_ms: float) -> tuple[float, float]:
+        """Return when a message begins to pass and when it is through."""
+        if not self.bytes_a_ms:
+            return now_ms, now_ms
+        begins_ms = max(self.free_ms, now_ms)
+        self.free_ms = begins_ms + size / self.bytes_a_ms
+        return begins_ms, self.free_ms
+
+
 @dataclasses.dataclass(slots=True)
 class Host:
     """A proxy's cores and the target beside them.
@@ -85,7 +109,8 @@
         entry: The core of its callers' requests.
         targets: The core before its target.
         version: Its target's version.
-        link_free_ms: When what it has sent will have left.
+        way_out: Its link, for what it sends.
+        way_in: Its link, for what it gets.
     """
 
     name: str
@@ -96,7 +121,8 @@
     version: str = VERSION
     runs: dict[int, bool] = dataclasses.field(default_factory=dict)
     calls: dict[int, Caller] = dataclasses.field(default_factory=dict)
-    link_free_ms: float = 0.0
+    way_out: Way = dataclasses.field(default_factory=Way)
+    way_in: Way = dataclasses.field(default_factory=Way)
 
 
 class CoreFleet:
@@ -113,6 +139,7 @@
             list.
         trial_permille: The new version's share, in a move that runs.
         link_bytes_a_ms: What each host's way out carries; 0 for a wide one.
+        in_bytes_a_ms: What each host's way in carries; 0 for a wide one.
         callers_only: How many more hosts there are, without a target.
     """
 
@@ -128,10 +155,12 @@
         trial: int = 0,
         trial_permille: int = 0,
         link_bytes_a_ms: float = 0.0,
+        in_bytes_a_ms: float = 0.0,
         callers_only: int = 0,
     ) -> None:
         self.rng = random.Random(seed)
         self.link_bytes_a_ms = link_bytes_a_ms
+        self.in_bytes_a_ms = in_bytes_a_ms
         self.kinds = kinds
         self.returns = returns
         self.numbers = itertools.count(1)
@@ -176,6 +205,8 @@
                 rng=self.rng,
             ),
             targets,
+            way_out=Way(self.link_bytes_a_ms),
+            way_in=Way(self.in_bytes_a_ms),
         )
 
     def _configure(self, slots: int) -> None:
@@ -256,6 +287,7 @@
             "any",
             f"/{caller.kind.name}/{number}",
             deadline_ms=max(left_ms, 1),
+            body=bytes(caller.kind.body_bytes),
         )
         self._carry(host, host.entry.start(call, int(self.now_ms), self._us()))
 
@@ -277,8 +309,12 @@
                     self._run(host, effect.request)
                 case effects.Reply():
                     self._reply(host, effect)
+                case bodies.Ask():
+                    self._pull(host, effect)
+                case effects.Tell(message=messages.BodyPiece() as piece):
+                    self._give_piece(host, effect.host, piece)
                 case effects.Tell(message=messages.Cancel() as cancel):
-                    self._cancel(effect.host, cancel.request_id)
+                    self._cancel(host, effect.host, cancel)
                 case effects.Abort():
                     host.runs.pop(effect.dispatch_id, None)
                 case effects.Finish():
@@ -296,12 +332,51 @@
             )
             self._carry(there, found)
 
+        if host is there:
+            self._at(self.now_ms, come)
+        else:
+            self._send(host, there, effect.request, come)
+
+    def _send(
+        self,
+        host: Host,
+        there: Host,
+        message: typing.Any,
+        come: typing.Callable[[], None],
+    ) -> None:
+        """Let a message come to a host, through both links."""
+        if host is there:
+            self._at(self.now_ms + HOP_MS, come)
+            return
+        size = len(frames.encode(message))
         if host.domain != there.domain:
-            self.far_bytes += len(frames.encode(effect.request))
-        self._at(self.now_ms + self._hop_ms(host, there), come)
+            self.far_bytes += size
+        begins_ms, left_ms = host.way_out.pass_through(size, self.now_ms)
+
+        def enter() -> None:
+            _, came_ms = there.way_in.pass_through(size, self.now_ms)
+            self._at(max(left_ms, came_ms) + HOP_MS, come)
+
+        self._at(begins_ms, enter)
 
-    def _hop_ms(self, host: Host, there: Host) -> float:
-        return 0.0 if host is there else HOP_MS
+    def _pull(self, host: Host, ask: bodies.Ask) -> None:
+        origin = self.hosts[ask.origin]
+
+        def come() -> None:
+            self._carry(origin, origin.entry.on_body_pull(ask.pull))
+
+        self._send(host, origin, ask.pull, come)
+
+    def _give_piece(
+        self, host: Host, name: str, piece: messages.BodyPiece
+    ) -> None:
+        there = self.hosts[name]
+
+        def come() -> None:
+            found = there.targets.on_body_piece(piece, int(self.now_ms))
+            self._carry(there, found)
+
+        self._send(host, there, piece, come)
 
     def _run(self, host: Host, request: messages.Request) -> None:
         caller = self._caller_of(request)
@@ -332,23 +407,8 @@
         # Its caller has its answer: another attempt was sooner.
         return Caller(self.kinds[0], self.now_ms, self.kinds[0].work_ms)
 
-    def _leaves_ms(self, host: Host, message: typing.Any) -> float:
-        """Return when a message is through its host's way out."""
-        if not self.link_bytes_a_ms:
-            return self.now_ms
-        size = len(frames.encode(message))
-        begins_ms = max(host.link_free_ms, self.now_ms)
-        host.link_free_ms = begins_ms + size / self.link_bytes_a_ms
-        return host.link_free_ms
-
     def _reply(self, there: Host, effect: effects.Reply) -> None:
         host = self.hosts[effect.origin]
-        if host is there:
-            leaves_ms = self.now_ms
-        else:
-            leaves_ms = self._leaves_ms(there, effect.answer)
-        if host.domain != there.domain:
-            self.far_bytes += len(frames.encode(effect.answer))
 
         def come() -> None:
             found = host.entry.on_answer(
@@ -356,16 +416,18 @@
             )
             self._carry(host, found)
 
-        self._at(leaves_ms + HOP_MS, come)
+        self._send(there, host, effect.answer, come)
 
-    def _cancel(self, name: str, request_id: int) -> None:
+    def _cancel(self, host: Host, name: str, cancel: messages.Cancel) -> None:
         there = self.hosts[name]
 
         def come() -> None:
-            found = there.targets.on_cancel(request_id, int(self.now_ms))
+            found = there.targets.on_cancel(
+                cancel.request_id, int(self.now_ms)
+            )
             self._carry(there, found)
 
-        self._at(self.now_ms + HOP_MS, come)
+        self._send(host, there, cancel, come)
 
     def _finish(self, host: Host, final: calls.Final) -> None:
         caller = host.calls.pop(final.call_id)
--- /dev/null
+++ b/libs/emulator/tests/test_uploads.py
@@ -0,0 +1,79 @@
+"""Uploads and small calls at the same targets, over thin links.
+
+Five targets of five slots; the links of their hosts carry 57 uploads a second
+together, of which a tenth is taken by small calls.
+"""
+
+import pytest
+
+from trefoil_emulator import core_fleet
+
+UPLOAD = core_fleet.Kind(
+    "upload",
+    57,
+    140,
+    800,
+    3000,
+    3000,
+    1,
+    answer_bytes=1500,
+    body_bytes=60_000,
+)
+VERIFY = core_fleet.Kind("verify", 315, 30, 120, 400, 400, 1, 0.5, 400)
+# A link of 5.5 Mbit/s.
+LINK_BYTES_A_MS = 687.5
+LASTS_MS = 8000
+LATE_WORTH = 0.1
+
+
+def played(load: float, seed: int = 1) -> core_fleet.CoreFleet:
+    """Return a fleet of 65 hosts after eight seconds of a load."""
+    fleet = core_fleet.CoreFleet(
+        [0.7, 0.7, 1.6, 0.7, 0.7],
+        domains=3,
+        slots=5,
+        kinds=[UPLOAD, VERIFY],
+        returns=1,
+        seed=seed,
+        link_bytes_a_ms=LINK_BYTES_A_MS,
+        in_bytes_a_ms=LINK_BYTES_A_MS,
+        callers_only=60,
+    )
+    return fleet.play(LASTS_MS, load)
+
+
+@pytest.fixture(scope="module")
+def usual() -> core_fleet.CoreFleet:
+    """Return the fleet at a rate that its links just bear."""
+    return played(1.0)
+
+
+@pytest.fixture(scope="module")
+def beyond() -> core_fleet.CoreFleet:
+    """Return the fleet at a rate of which its links bear 0.7."""
+    return played(1.3)
+
+
+def test_uploads_on_their_way_keep_no_slots_from_small_calls(
+    usual: core_fleet.CoreFleet,
+) -> None:
+    """Slots were held for bodies, and small calls refused at idle targets."""
+    assert usual.credit(LATE_WORTH, "verify") >= 0.95
+
+
+def test_uploads_that_the_links_bear_are_in_time(
+    usual: core_fleet.CoreFleet,
+) -> None:
+    """A queue of bodies as long as the time limit made nearly all late."""
+    assert usual.credit(LATE_WORTH, "upload") >= 0.75
+
+
+def test_an_overload_of_uploads_leaves_as_many_in_time(
+    beyond: core_fleet.CoreFleet,
+) -> None:
+    """The more uploads came, the fewer were served in time.
+
+    The links bear 0.7 of them; four fifths of these are to be in time.
+    """
+    assert beyond.credit(LATE_WORTH, "upload") >= 0.8 * 0.7
+    assert beyond.credit(LATE_WORTH, "verify") >= 0.95
--- a/libs/requests/tests/test_target_side.py
+++ b/libs/requests/tests/test_target_side.py
@@ -232,3 +232,24 @@
     side.core.evacuate(False, 0)
     assert side.core.told(TARGET, 3000).state == messages.TargetState.COLD
     assert side.core.told(TARGET, 3100).state == messages.TargetState.READY
+
+
+def test_a_body_on_its_way_holds_no_slot() -> None:
+    """A target stood idle while its slots were kept for bodies."""
+    side = Side()
+    side.take(1, body_bytes=BODY_BYTES)
+    assert dispatched(side.take(2)) == [2]
+
+
+def test_bodies_are_let_in_that_can_be_in_time() -> None:
+    """A call that may wait had its body queued until its time limit."""
+    side = Side()
+    side.core.put_target(target_record(slots=20), PORT, 0)
+    side.core.arrivals.bytes_a_ms = 687.5
+    found = [
+        side.take(number, body_bytes=BODY_BYTES, aim_ms=800, deadline_ms=3000)
+        for number in range(1, 21)
+    ]
+    refused = not_run(sum(found, []))
+    # Ten bodies of 87 ms fit into the aim.
+    assert set(refused) >= set(range(11, 21))
