Give an upload its slot once its body is here

Cause: a request got its slot first and its body was asked for then, one body after the other over a link of 5.5 Mbit/s. Two to five of five slots were held by uploads still on their way; small calls were refused and sent on, some 300 a second a host, over the same link. A resource held while another is waited for. Change: the body comes first, then its request asks for a slot, as one that may wait: what it took to bring it here is lost if it goes elsewhere. So has_slot goes from Running. Admission.offer takes what waits in one value.

Test changed: test_a_body_that_never_comes_costs_no_run held the slot of a request whose body never came to be taken and given back; it now holds that no slot is taken at any time, and that its place among the bodies is given back.

--- a/libs/daemon/src/trefoil_daemon/slot_metrics.py
+++ b/libs/daemon/src/trefoil_daemon/slot_metrics.py
@@ -13,7 +13,7 @@
     """Return each target's slots by what they are taken by."""
     slots = exposition.Family(
         "slots",
-        "Slots of the targets here: running, held for a body, and queued for",
+        "Slots of the targets here, those that run and what waits for one",
         ["target", "state"],
         counts=False,
     )
@@ -24,6 +24,5 @@
         name = target.record.name
         slots.add(moment.slots, target=name, state="all")
         slots.add(moment.running, target=name, state="running")
-        slots.add(moment.held, target=name, state="held")
         slots.add(moment.queued, target=name, state="queued")
     return [slots]
--- a/libs/daemon/tests/test_proxy_process.py
+++ b/libs/daemon/tests/test_proxy_process.py
@@ -728,21 +728,22 @@
 ) -> None:
     """The link breaks between the request and its body.
 
-    The request has a slot and did not run: the slot is given back, and the
-    caller is told so in time.
+    The request did not run: it never takes a slot, its place among the
+    bodies is given back, and the caller is told so in time.
     """
     monkeypatch.setattr(entries.Entry, "on_body_pull", no_piece)
     net = Net(hosts=["h1", "h2"])
     number = uploads(net)
     net.settle()
     assert net.running() == []
-    assert net.processes["h2"].targets.busy("t-h2") == 1
+    targets = net.processes["h2"].targets
+    assert (targets.busy("t-h2"), len(targets.arrivals.waiting)) == (0, 1)
     net.clock.advance(1950)
     net.processes["h2"].tick()
     net.settle()
     final = net.final("h1", number)
     assert (final.status, final.ran) == (503, False)
-    assert net.processes["h2"].targets.busy("t-h2") == 0
+    assert (targets.busy("t-h2"), len(targets.arrivals.waiting)) == (0, 0)
 
 
 def test_a_caller_that_leaves_stops_its_body(
--- a/libs/emulator/src/trefoil_emulator/core_fleet.py
+++ b/libs/emulator/src/trefoil_emulator/core_fleet.py
@@ -335,9 +335,9 @@
         if host is there:
             self._at(self.now_ms, come)
         else:
-            self._send(host, there, effect.request, come)
+            self._travel(host, there, effect.request, come)
 
-    def _send(
+    def _travel(
         self,
         host: Host,
         there: Host,
@@ -365,7 +365,7 @@
         def come() -> None:
             self._carry(origin, origin.entry.on_body_pull(ask.pull))
 
-        self._send(host, origin, ask.pull, come)
+        self._travel(host, origin, ask.pull, come)
 
     def _give_piece(
         self, host: Host, name: str, piece: messages.BodyPiece
@@ -376,7 +376,7 @@
             found = there.targets.on_body_piece(piece, int(self.now_ms))
             self._carry(there, found)
 
-        self._send(host, there, piece, come)
+        self._travel(host, there, piece, come)
 
     def _run(self, host: Host, request: messages.Request) -> None:
         caller = self._caller_of(request)
@@ -416,7 +416,7 @@
             )
             self._carry(host, found)
 
-        self._send(there, host, effect.answer, come)
+        self._travel(there, host, effect.answer, come)
 
     def _cancel(self, host: Host, name: str, cancel: messages.Cancel) -> None:
         there = self.hosts[name]
@@ -427,7 +427,7 @@
             )
             self._carry(there, found)
 
-        self._send(host, there, cancel, come)
+        self._travel(host, there, cancel, come)
 
     def _finish(self, host: Host, final: calls.Final) -> None:
         caller = host.calls.pop(final.call_id)
--- a/libs/emulator/src/trefoil_emulator/troubled_fleet.py
+++ b/libs/emulator/src/trefoil_emulator/troubled_fleet.py
@@ -403,10 +403,14 @@
 
         self._hop(there.name, name, come)
 
-    def _cancel(self, name: str, request_id: int) -> None:
+    def _cancel(
+        self, host: core_fleet.Host, name: str, cancel: messages.Cancel
+    ) -> None:
         def come() -> None:
             there = self.hosts[name]
-            found = there.targets.on_cancel(request_id, int(self.now_ms))
+            found = there.targets.on_cancel(
+                cancel.request_id, int(self.now_ms)
+            )
             self._carry(there, found)
 
         self._after(core_fleet.HOP_MS, lambda: self._send(name, come))
--- a/libs/requests/src/trefoil_requests/admission.py
+++ b/libs/requests/src/trefoil_requests/admission.py
@@ -38,7 +38,8 @@
     Args:
         request_id: Its id.
         deadline_at_ms: When nobody waits for it any more.
-        aim_at_ms: When its answer is late for its route's aim.
+        aim_at_ms: When its answer is late for its route's aim; 0 for the
+            deadline.
         priority: Its route's rank; 0 is the most urgent.
         route: Its route.
     """
@@ -49,6 +50,9 @@
     priority: int = 0
     route: str = ""
 
+    def __post_init__(self) -> None:
+        self.aim_at_ms = self.aim_at_ms or self.deadline_at_ms
+
     def rank(self, ready_at_ms: float) -> tuple[bool, int, int]:
         """Return its place in the queue, the least first.
 
@@ -161,27 +165,15 @@
         slots_ms = (count + 1) * self.service_ms / max(self.slots, 1)
         return max(slots_ms, self.warmup.wait_ms(count, now_ms))
 
-    def _usual(self, route: str) -> Usual:
+    def usual(self, route: str) -> Usual:
         """Return how long a route's requests run here."""
         return self.routes.get(route) or Usual(self.service_ms)
 
-    def usual_ms(self, route: str) -> float:
-        """Return how long a route's requests run here as a rule."""
-        return self._usual(route).mean_ms
-
     def _rank(self, waiting: Waiting, now_ms: int) -> tuple[bool, int, int]:
-        return waiting.rank(now_ms + self._usual(waiting.route).safe_ms)
+        return waiting.rank(now_ms + self.usual(waiting.route).safe_ms)
 
     def offer(
-        self,
-        request_id: int,
-        deadline_at_ms: int,
-        now_ms: int,
-        *,
-        aim_at_ms: int = 0,
-        priority: int = 0,
-        route: str = "",
-        settled: bool = True,
+        self, waiting: Waiting, now_ms: int, *, settled: bool = True
     ) -> Admitted | Queued | Refused:
         """Decide on a request.
 
@@ -190,12 +182,8 @@
         is spent on an answer that nobody waits for.
 
         Args:
-            request_id: Its id.
-            deadline_at_ms: When nobody waits for it any more.
+            waiting: The request.
             now_ms: The time on the runtime's clock.
-            aim_at_ms: When its answer is late; 0 for the deadline.
-            priority: Its route's rank.
-            route: Its route.
             settled: Whether it may wait here; else it is refused when no
                 slot is free, to be tried at a target that may be freer.
         """
@@ -204,18 +192,9 @@
             return Admitted()
         if not settled:
             return Refused(MIN_RETRY_MS)
-        waiting = Waiting(
-            request_id,
-            deadline_at_ms,
-            aim_at_ms or deadline_at_ms,
-            priority,
-            route,
-        )
-        rank = self._rank(waiting, now_ms)
-        ahead = sum(self._rank(w, now_ms) <= rank for w in self.queue)
-        ready_ms = self._wait_behind(ahead, now_ms)
-        ready_ms += self._usual(route).mean_ms
-        if now_ms + ready_ms > deadline_at_ms:
+        ready_ms = self._wait_of(waiting, now_ms)
+        ready_ms += self.usual(waiting.route).mean_ms
+        if now_ms + ready_ms > waiting.deadline_at_ms:
             return Refused(max(int(self.wait_ms(now_ms)), MIN_RETRY_MS))
         evicted = 0
         if len(self.queue) >= QUEUE_PER_SLOT * self.slots:
@@ -225,6 +204,18 @@
         self.queue.append(waiting)
         return Queued(evicted)
 
+    def forecast_ms(self, waiting: Waiting, now_ms: int) -> float:
+        """Return how long a request would wait for a slot from now on."""
+        if self._has_room(now_ms) and not self.queue:
+            return 0.0
+        return self._wait_of(waiting, now_ms)
+
+    def _wait_of(self, waiting: Waiting, now_ms: int) -> float:
+        """Return how long a request waits behind those that go first."""
+        rank = self._rank(waiting, now_ms)
+        ahead = sum(self._rank(w, now_ms) <= rank for w in self.queue)
+        return self._wait_behind(ahead, now_ms)
+
     def _start(self, now_ms: int) -> None:
         self.running += 1
         self.warmup.started(now_ms)
@@ -271,7 +262,7 @@
         late = [
             waiting.request_id
             for waiting in self.queue
-            if now_ms + max(self._usual(waiting.route).mean_ms, TELL_MS)
+            if now_ms + max(self.usual(waiting.route).mean_ms, TELL_MS)
             > waiting.deadline_at_ms
         ]
         for request_id in late:
--- a/libs/requests/src/trefoil_requests/occupancy.py
+++ b/libs/requests/src/trefoil_requests/occupancy.py
@@ -20,7 +20,6 @@
     Args:
         slots: The target's slots.
         running: Requests that it works on.
-        held: Slots that are kept for requests whose bodies are on their way.
         queued: Requests that wait for a slot.
         bodies: Large bodies that wait for the link or are on it.
         body_wait_ms: How long a further one would wait for its turn.
@@ -28,7 +27,6 @@
 
     slots: int
     running: int
-    held: int
     queued: int
     bodies: int
     body_wait_ms: int
@@ -87,7 +85,6 @@
                 "target": self.target,
                 "slots": self.moments[-1].slots,
                 "running": self._mean("running"),
-                "held": self._mean("held"),
                 "queued": self._mean("queued"),
                 "bodies": self._mean("bodies"),
                 "body_wait_ms": max(m.body_wait_ms for m in self.moments),
--- a/libs/requests/src/trefoil_requests/target_side.py
+++ b/libs/requests/src/trefoil_requests/target_side.py
@@ -82,9 +82,13 @@
     came_ms: int
     deadline_at_ms: int
     dispatched_ms: int = -1
-    has_slot: bool = False
     calls: float = 0.0
 
+    @property
+    def runs(self) -> bool:
+        """Tell whether its target has it."""
+        return self.dispatched_ms >= 0
+
     @property
     def route(self) -> str:
         """Return the request's route."""
@@ -168,7 +172,7 @@
 
     def repeat_share(self, part: float) -> float:
         """Return how likely a request that comes now is a repeat's call."""
-        runs = [r for r in self.running.values() if r.dispatched_ms >= 0]
+        runs = [entry for entry in self.running.values() if entry.runs]
         return self.parents.repeat_share(runs, part)
 
     def limit_cold(self, limits: dict[str, warmups.Limit]) -> None:
@@ -276,14 +280,11 @@
         waiting = [
             entry
             for entry in self.running.values()
-            if entry.target == name and entry.dispatched_ms < 0
+            if entry.target == name and not entry.runs
         ]
         slots = self.targets[name].slots
         for entry in waiting:
-            if entry.has_slot:
-                slots.finished()
-            else:
-                slots.withdraw(entry.request.request_id)
+            slots.withdraw(entry.request.request_id)
             self._drop(entry.request.request_id, now_ms)
             self._refuse(entry, reason)
 
@@ -359,24 +360,24 @@
             return "the target has another version"
         return ""
 
-    def _body_is_late(self, entry: Running) -> bool:
-        """Tell whether a request's body can't come in time.
+    def _admit(self, entry: Running, now_ms: int) -> None:
+        """Let a request in, its body first if that is to come.
 
-        The link to this host is taken by those before it. Told before a byte
-        of it is sent, the request can go to another host, or its caller can
-        come back.
+        A slot is taken once the body is here. Held while it is on its way,
+        the target would stand idle with all of its slots taken.
         """
-        request = entry.request
-        if not request.body_bytes:
-            return False
-        within_ms = request.deadline_ms
-        if not request.settled and request.aim_ms:
-            within_ms = request.aim_ms
-        usual_ms = self.targets[entry.target].slots.usual_ms(request.route)
-        expected_ms = self.arrivals.expected_ms(request.body_bytes)
-        return expected_ms + usual_ms > within_ms
+        if entry.request.body_bytes:
+            self._admit_body(entry, now_ms)
+        else:
+            self._admit_run(entry, now_ms)
 
-    def _admit(self, entry: Running, now_ms: int) -> None:
+    def _admit_body(self, entry: Running, now_ms: int) -> None:
+        """Ask for a body if it can come in time, else refuse it at once.
+
+        Told before a byte of it is sent, the request can go to another host,
+        or its caller can come back.
+        """
+        request = entry.request
         if self._body_is_late(entry):
             self._refuse(
                 entry,
@@ -385,25 +386,43 @@
                 full=True,
             )
             return
-        request = entry.request
-        decision = self.targets[entry.target].slots.offer(
+        self.running[request.request_id] = entry
+        self.out += self.arrivals.want(
             request.request_id,
-            entry.deadline_at_ms,
+            entry.origin,
+            request.body_bytes,
+            now_ms + (request.aim_ms or request.deadline_ms),
             now_ms,
-            aim_at_ms=now_ms + request.aim_ms if request.aim_ms else 0,
-            priority=request.priority or 0,
-            route=request.route,
-            settled=bool(request.settled),
+        )
+
+    def _body_is_late(self, entry: Running) -> bool:
+        """Tell whether a request's body can't come in time.
+
+        The link to this host is taken by those before it.
+        """
+        request = entry.request
+        within_ms = request.deadline_ms
+        if not request.settled and request.aim_ms:
+            within_ms = request.aim_ms
+        usual = self.targets[entry.target].slots.usual(request.route)
+        expected_ms = self.arrivals.expected_ms(request.body_bytes)
+        return expected_ms + usual.mean_ms > within_ms
+
+    def _admit_run(self, entry: Running, now_ms: int) -> None:
+        request = entry.request
+        decision = self.targets[entry.target].slots.offer(
+            _waiting(entry), now_ms, settled=bool(request.settled)
         )
         match decision:
             case admission.Admitted():
-                self._take(entry, now_ms)
+                self.running[request.request_id] = entry
                 self._dispatch(entry, now_ms)
             case admission.Queued():
-                self._take(entry, now_ms)
+                self.running[request.request_id] = entry
                 if decision.evicted:
                     self._refuse_evicted(decision.evicted, now_ms)
             case admission.Refused():
+                self.running.pop(request.request_id, None)
                 self._refuse(
                     entry,
                     "no slot in time",
@@ -420,19 +439,6 @@
             wait_ms=max(int(slots.wait_ms(now_ms)), 1),
         )
 
-    def _take(self, entry: Running, now_ms: int) -> None:
-        """Keep a request that may run, and have its body sent."""
-        request = entry.request
-        self.running[request.request_id] = entry
-        if request.body_bytes:
-            self.out += self.arrivals.want(
-                request.request_id,
-                entry.origin,
-                request.body_bytes,
-                now_ms + (request.aim_ms or request.deadline_ms),
-                now_ms,
-            )
-
     def _drop(self, request_id: int, now_ms: int) -> Running:
         """Forget a request and the body that is on its way."""
         if self.arrivals.waits_for(request_id):
@@ -449,17 +455,15 @@
         entry = self.running.get(piece.request_id)
         if whole is not None and entry is not None:
             entry.request.body = whole
+            # What it took to bring it here is lost if it goes elsewhere.
+            entry.request.settled = True
             occupancy = self.targets[entry.target].occupancy
             occupancy.body_came(now_ms - entry.came_ms)
-            if entry.has_slot:
-                self._dispatch(entry, now_ms)
+            self._admit_run(entry, now_ms)
         return self._flush()
 
     def _dispatch(self, entry: Running, now_ms: int) -> None:
-        """Run a request that has a slot, once its body is here."""
-        entry.has_slot = True
-        if self.arrivals.waits_for(entry.request.request_id):
-            return
+        """Run a request that has a slot."""
         entry.dispatched_ms = now_ms
         if entry.request.repeat_permille == PAID_PERMILLE:
             request_id = entry.request.request_id
@@ -477,13 +481,12 @@
         entry = self.running.get(request_id)
         if entry is None:
             return []
-        if not entry.has_slot:
+        if entry.runs:
+            self.out.append(effects.Abort(request_id))
+            self._release(entry, now_ms)
+        else:
             self.targets[entry.target].slots.withdraw(request_id)
             self._drop(request_id, now_ms)
-            return self._flush()
-        if entry.dispatched_ms >= 0:
-            self.out.append(effects.Abort(request_id))
-        self._release(entry, now_ms)
         return self._flush()
 
     # What targets do
@@ -572,8 +575,7 @@
                 )
             self._start_waiting(target, now_ms)
         for entry in list(self.running.values()):
-            if entry.has_slot:
-                self._end_in_time(entry, now_ms)
+            self._end_in_time(entry, now_ms)
         self.out += self.arrivals.tick(now_ms)
         for name, crash in list(self.crashes.items()):
             if now_ms - crash.since_ms >= CRASH_GATHER_MS:
@@ -585,13 +587,9 @@
 
     def _moment(self, target: LocalTarget) -> occupancies.Moment:
         """Return what a target and this host's link are taken by."""
-        name = target.record.name
-        here = [e for e in self.running.values() if e.target == name]
-        held = sum(e.has_slot and e.dispatched_ms < 0 for e in here)
         return occupancies.Moment(
             slots=target.slots.slots,
-            running=target.slots.running - held,
-            held=held,
+            running=target.slots.running,
             queued=len(target.slots.queue),
             bodies=len(self.arrivals.waiting),
             body_wait_ms=self.arrivals.expected_ms(),
@@ -599,12 +597,14 @@
 
     def _end_in_time(self, entry: Running, now_ms: int) -> None:
         """End a request whose time is over, or whose body comes too late."""
-        if entry.dispatched_ms >= 0:
+        request_id = entry.request.request_id
+        if entry.runs:
             if now_ms >= entry.deadline_at_ms:
                 self._time_out(entry, now_ms)
-        elif now_ms + admission.TELL_MS > entry.deadline_at_ms:
-            self._release(entry, now_ms)
-            self._refuse(entry, "its body did not come in time")
+        elif self.arrivals.waits_for(request_id):
+            if now_ms + admission.TELL_MS > entry.deadline_at_ms:
+                self._drop(request_id, now_ms)
+                self._refuse(entry, "its body did not come in time")
 
     def _settle(self, name: str, crash: Crash) -> None:
         """Find out whether a target crashed or only broke answers off.
@@ -762,3 +762,18 @@
         out = self.out
         self.out = []
         return out
+
+
+def _waiting(entry: Running) -> admission.Waiting:
+    """Return a request as it would wait for a slot."""
+    request = entry.request
+    aim_at_ms = entry.deadline_at_ms
+    if request.aim_ms:
+        aim_at_ms = entry.came_ms + request.aim_ms
+    return admission.Waiting(
+        request.request_id,
+        entry.deadline_at_ms,
+        aim_at_ms,
+        request.priority or 0,
+        request.route,
+    )
--- a/libs/requests/tests/test_admission.py
+++ b/libs/requests/tests/test_admission.py
@@ -12,9 +12,9 @@
 
 def test_free_slots_admit() -> None:
     gate = admission.Admission(2)
-    assert gate.offer(1, FAR_MS, 0) == admission.Admitted()
-    assert gate.offer(2, FAR_MS, 0) == admission.Admitted()
-    assert gate.offer(3, FAR_MS, 0) == admission.Queued()
+    assert gate.offer(admission.Waiting(1, FAR_MS), 0) == admission.Admitted()
+    assert gate.offer(admission.Waiting(2, FAR_MS), 0) == admission.Admitted()
+    assert gate.offer(admission.Waiting(3, FAR_MS), 0) == admission.Queued()
     gate.finished(10)
     assert gate.next_admitted() == 3
 
@@ -23,16 +23,18 @@
     """The queue would take longer than the request has."""
     gate = admission.Admission(1)
     gate.service_ms = 100
-    gate.offer(1, FAR_MS, 0)
-    gate.offer(2, FAR_MS, 0)
-    decision = gate.offer(3, 150, 0)
+    gate.offer(admission.Waiting(1, FAR_MS), 0)
+    gate.offer(admission.Waiting(2, FAR_MS), 0)
+    decision = gate.offer(admission.Waiting(3, 150), 0)
     assert isinstance(decision, admission.Refused)
     assert decision.retry_after_ms >= 100
 
 
 def test_the_queue_is_bounded() -> None:
     gate = admission.Admission(2)
-    decisions = [gate.offer(n, FAR_MS, 0) for n in range(20)]
+    decisions = [
+        gate.offer(admission.Waiting(n, FAR_MS), 0) for n in range(20)
+    ]
     refused = [d for d in decisions if isinstance(d, admission.Refused)]
     assert len(refused) == 20 - 2 - 2 * admission.QUEUE_PER_SLOT
 
@@ -51,8 +53,8 @@
     """
     gate = admission.Admission(1)
     gate.service_ms = usual_ms
-    gate.offer(1, FAR_MS, 0)
-    gate.offer(2, 200, 0)
+    gate.offer(admission.Waiting(1, FAR_MS), 0)
+    gate.offer(admission.Waiting(2, 200), 0)
     assert gate.expired(kept_ms) == []
     assert gate.expired(given_up_ms) == [2]
     gate.finished()
@@ -73,9 +75,8 @@
     @stateful.rule(within_ms=st.integers(1, 200))
     def offer(self, within_ms: int) -> None:
         self.number += 1
-        decision = self.gate.offer(
-            self.number, self.now_ms + within_ms, self.now_ms
-        )
+        waiting = admission.Waiting(self.number, self.now_ms + within_ms)
+        decision = self.gate.offer(waiting, self.now_ms)
         if isinstance(decision, admission.Admitted):
             self.running.add(self.number)
         elif isinstance(decision, admission.Queued):
@@ -139,13 +140,13 @@
             pass
         if now_ms < 2000 and now_ms % 50 == 0:
             number = now_ms // 50 + 1
-            decision = gate.offer(
+            waiting = admission.Waiting(
                 number,
                 now_ms + 2000,
-                now_ms,
                 aim_at_ms=now_ms + 300,
                 priority=number % 4 != 0,
             )
+            decision = gate.offer(waiting, now_ms)
             if isinstance(decision, admission.Admitted):
                 running, ends_ms = number, now_ms + 100
     in_time = [n for n, at in finished.items() if at - (n - 1) * 50 <= 300]
@@ -156,10 +157,10 @@
 
 def test_an_urgent_request_takes_the_place_of_a_less_urgent_one() -> None:
     gate = admission.Admission(1)
-    gate.offer(1, FAR_MS, 0)
+    gate.offer(admission.Waiting(1, FAR_MS), 0)
     for number in range(2, 2 + admission.QUEUE_PER_SLOT):
-        gate.offer(number, FAR_MS, 0, priority=2)
-    decision = gate.offer(99, FAR_MS, 0, priority=0)
+        gate.offer(admission.Waiting(number, FAR_MS, priority=2), 0)
+    decision = gate.offer(admission.Waiting(99, FAR_MS, priority=0), 0)
     assert isinstance(decision, admission.Queued)
     assert decision.evicted
     gate.finished(5)
@@ -168,7 +169,10 @@
 
 def test_an_unsettled_request_does_not_wait() -> None:
     gate = admission.Admission(1)
-    assert gate.offer(1, FAR_MS, 0, settled=False) == admission.Admitted()
-    decision = gate.offer(2, FAR_MS, 0, settled=False)
+    assert (
+        gate.offer(admission.Waiting(1, FAR_MS), 0, settled=False)
+        == admission.Admitted()
+    )
+    decision = gate.offer(admission.Waiting(2, FAR_MS), 0, settled=False)
     assert isinstance(decision, admission.Refused)
     assert gate.load == 1
--- a/libs/requests/tests/test_occupancy.py
+++ b/libs/requests/tests/test_occupancy.py
@@ -8,7 +8,6 @@
     given = {
         "slots": 5,
         "running": 0,
-        "held": 0,
         "queued": 0,
         "bodies": 0,
         "body_wait_ms": 0,
@@ -17,17 +16,17 @@
 
 
 def test_a_target_that_works_is_told_from_one_that_waits() -> None:
-    """Both have five slots taken and refuse."""
+    """Both refuse; one is full, the other waits for its link."""
     made = occupancies.Occupancy("t1")
     made.tell(moment(), 0)
     for _ in range(9):
-        made.tell(moment(running=1, held=4, bodies=4, body_wait_ms=350), 500)
+        made.tell(moment(running=1, bodies=4, body_wait_ms=350), 500)
     made.refuse("no slot in time")
     made.body_came(420)
-    (line,) = made.tell(moment(running=1, held=4, bodies=4), 1000)
+    (line,) = made.tell(moment(running=1, bodies=4), 1000)
     assert line.event == "target.load"
     told = line.fields
-    assert (told["slots"], told["running"], told["held"]) == (5, 0.9, 3.6)
+    assert (told["slots"], told["running"], told["bodies"]) == (5, 0.9, 3.6)
     assert (told["bodies_came"], told["body_took_ms"]) == (1, 420)
     assert (told["refused"], told["why"]) == (1, "no slot in time: 1")
     assert told["body_wait_ms"] == 350
--- a/libs/requests/tests/test_overload.py
+++ b/libs/requests/tests/test_overload.py
@@ -85,13 +85,13 @@
         waited_ms = self.patience.waited_ms("r", int(left_ms))
         number = next(self.numbers)
         self.waiting[number] = caller
-        decision = self.gate.offer(
+        waiting = admission.Waiting(
             number,
             int(now_ms + min(left_ms, TIMEOUT_MS)),
-            int(now_ms),
             aim_at_ms=int(now_ms) + AIM_MS - waited_ms,
             route="r",
         )
+        decision = self.gate.offer(waiting, int(now_ms))
         match decision:
             case admission.Admitted():
                 self._begin(number, now_ms)
--- a/libs/requests/tests/test_warmup.py
+++ b/libs/requests/tests/test_warmup.py
@@ -37,9 +37,9 @@
     warmup = warmups.Warmup(limit())
     warmup.announce(LASTS_MS, 0)
     gate = admission.Admission(SLOTS, warmup)
-    gate.offer(1, FAR_MS, 0)
-    gate.offer(2, FAR_MS, 0)
-    decision = gate.offer(3, 200, 0, priority=1)
+    gate.offer(admission.Waiting(1, FAR_MS), 0)
+    gate.offer(admission.Waiting(2, FAR_MS), 0)
+    decision = gate.offer(admission.Waiting(3, 200, priority=1), 0)
     assert isinstance(decision, admission.Refused)
     assert 250 <= decision.retry_after_ms <= 350
 
@@ -69,9 +69,8 @@
         """Let requests come that may wait."""
         for _ in range(count):
             self.number += 1
-            decision = self.gate.offer(
-                self.number, self.now_ms + FAR_MS, self.now_ms
-            )
+            waiting = admission.Waiting(self.number, self.now_ms + FAR_MS)
+            decision = self.gate.offer(waiting, self.now_ms)
             self._take(isinstance(decision, admission.Admitted))
 
     @stateful.rule(by_ms=st.sampled_from([1, 10, 50, 120, 700]))
