Send uploads on from a busy link to a free one

Hypothesis: entry proxies hear of a host's bodies by its answers, a second old with 65 proxies, so bodies queue at one host while the link of another is free. A call that may still go elsewhere is not let in where a body is on its way, as it is not where all slots are taken; the refusal tells how long the link is busy, and the third host is chosen by that.

--- a/libs/requests/src/trefoil_requests/target_side.py
+++ b/libs/requests/src/trefoil_requests/target_side.py
@@ -380,8 +380,7 @@
         """
         request = entry.request
         prospect = self._prospect(entry, now_ms)
-        welcome = request.settled and prospect.is_late_but_welcome
-        if not prospect.is_in_time and not welcome:
+        if not self._may_come(entry, prospect):
             self._refuse(
                 entry,
                 "its body can't come in time",
@@ -398,6 +397,16 @@
             now_ms,
         )
 
+    def _may_come(self, entry: Running, prospect: bodies.Prospect) -> bool:
+        """Tell whether a body may be asked for.
+
+        As with slots, what may still go elsewhere does not wait here: its
+        entry proxy learns how long the link is taken, and finds a free one.
+        """
+        if not entry.request.settled:
+            return not self.arrivals.waiting and prospect.is_in_time
+        return prospect.is_in_time or prospect.is_late_but_welcome
+
     def _link_free_in_ms(self, now_ms: int) -> int:
         """Return when all bodies that were let in are expected here."""
         all_ms = self.arrivals.expected_ms(now_ms, late=True)
