Give late bodies up while their callers can come back

Cause: how long a late body waits was guessed by how long the link had been busy, which is nothing after each pause; and it was given up at its deadline. Change: it waits for what others leave of the link, which is learned (Cobham's mean wait of the lower of two priorities); it is given up as soon as that is more than its caller has, and told when a pause is expected. Late bodies that wait are left out where others ask for a free link.

--- a/libs/requests/src/trefoil_requests/bodies.py
+++ b/libs/requests/src/trefoil_requests/bodies.py
@@ -23,6 +23,9 @@
 FIRST_BYTES_A_MS = 10_000.0
 # Some four bodies: a link that other traffic fills is noticed in a second.
 RATE_WEIGHT = 0.3
+# Some ten bodies on a link of 5.5 Mbit/s.
+PRESSURE_MS = 1000
+LEAST_LEFT_OVER = 0.001
 # A sender that is cut off or stands still must not hold up the others.
 STALLED_MS = 300
 
@@ -82,8 +85,7 @@
 
     Args:
         body_ms: Until its body is here, after those that can be in time.
-        last_ms: The same, after all others.
-        busy_ms: How long the link has been busy without a pause.
+        last_ms: The same, after all others that come meanwhile.
         slot_ms: Until a slot is free for it.
         run_ms: How long its run takes as a rule.
         safe_run_ms: A time within which most such runs are done.
@@ -93,7 +95,6 @@
 
     body_ms: float
     last_ms: float
-    busy_ms: float
     slot_ms: float
     run_ms: float
     safe_run_ms: float
@@ -108,13 +109,8 @@
 
     @property
     def is_late_but_welcome(self) -> bool:
-        """Tell whether its caller gets an answer, if a late one.
-
-        Its body comes after all that can be in time. A link that was busy
-        for a while is expected to stay so for as long again; where more
-        comes than it carries, that is longer than any caller waits.
-        """
-        starts_ms = max(self.last_ms, self.slot_ms, self.busy_ms)
+        """Tell whether its caller gets an answer, if a late one."""
+        starts_ms = max(self.last_ms, self.slot_ms)
         return starts_ms + self.run_ms <= self.deadline_ms
 
 
@@ -133,13 +129,15 @@
         "waiting",
         "current",
         "bytes_a_ms",
-        "busy_since_ms",
+        "pressed",
+        "pressed_at_ms",
         "out",
     )
 
     def __init__(self) -> None:
         self.bytes_a_ms = FIRST_BYTES_A_MS
-        self.busy_since_ms = 0
+        self.pressed = 0.0
+        self.pressed_at_ms = 0
         self.waiting: dict[int, Arrival] = {}
         self.current: Arrival | None = None
         self.out: list[Ask] = []
@@ -153,40 +151,52 @@
         now_ms: int,
     ) -> list[Ask]:
         """Have a body sent, after those that are due sooner."""
-        if not self.waiting:
-            self.busy_since_ms = now_ms
         arrival = Arrival(request_id, origin, size, due_ms)
         self.waiting[request_id] = arrival
         self._proceed(now_ms)
         return self._flush()
 
-    def expected_ms(
-        self, now_ms: int, size: int = 0, *, late: bool = False
-    ) -> int:
+    def expected_ms(self, now_ms: int, size: int = 0) -> int:
         """Return when a body is expected to be here that is asked for now.
 
         Args:
             now_ms: The time on the runtime's clock.
             size: Its length; 0 for the wait before its turn.
-            late: Whether it comes after all others, since it is late.
         """
         ahead = sum(
             arrival.left
             for arrival in self.waiting.values()
-            if late
-            or arrival is self.current
-            or not arrival.is_late(now_ms, self.bytes_a_ms)
+            if arrival is self.current or not self._is_late(arrival, now_ms)
         )
         return int((ahead + size) / self.bytes_a_ms)
 
-    def busy_ms(self, now_ms: int) -> int:
-        """Return for how long the link has been busy without a pause."""
-        return now_ms - self.busy_since_ms if self.waiting else 0
+    def expected_last_ms(self, size: int = 0) -> int:
+        """Return when a body is expected to be here that comes after all.
+
+        Bodies that come meanwhile and can be in time go before it; it gets
+        what they leave of the link (Cobham, "Priority Assignment in Waiting
+        Line Problems", 1954).
+        """
+        ahead = sum(arrival.left for arrival in self.waiting.values())
+        left_over = max(1 - self.pressed, LEAST_LEFT_OVER)
+        return int((ahead + size) / self.bytes_a_ms / left_over)
 
     def waits_for(self, request_id: int) -> bool:
         """Tell whether a request's body is still on its way."""
         return request_id in self.waiting
 
+    def is_taken(self, now_ms: int) -> bool:
+        """Tell whether the link is taken by bodies that can be in time."""
+        return any(
+            not self._is_late(arrival, now_ms)
+            for arrival in self.waiting.values()
+        )
+
+    def is_put_off(self, request_id: int, now_ms: int) -> bool:
+        """Tell whether a body is late, and others go before it."""
+        arrival = self.waiting[request_id]
+        return arrival is not self.current and self._is_late(arrival, now_ms)
+
     def take(
         self, piece: messages.BodyPiece, now_ms: int
     ) -> tuple[bytes | None, list[Ask]]:
@@ -218,6 +228,7 @@
 
     def tick(self, now_ms: int) -> list[Ask]:
         """Let the next body come if the present one stalls."""
+        self._note_pressure(now_ms)
         arrival = self.current
         if arrival and now_ms - arrival.moved_ms >= STALLED_MS:
             arrival.stalled = True
@@ -226,6 +237,12 @@
             self._proceed(now_ms)
         return self._flush()
 
+    def _note_pressure(self, now_ms: int) -> None:
+        """Learn which part of the time bodies in time take the link."""
+        weight = min((now_ms - self.pressed_at_ms) / PRESSURE_MS, 1.0)
+        self.pressed_at_ms = now_ms
+        self.pressed += weight * (self.is_taken(now_ms) - self.pressed)
+
     def _note_rate(self, arrival: Arrival, now_ms: int) -> None:
         took_ms = max(now_ms - arrival.began_ms, 1)
         rate = arrival.size / took_ms
@@ -255,6 +272,9 @@
             arrival.asked += length
             self.out.append(Ask(arrival.origin, pull))
 
+    def _is_late(self, arrival: Arrival, now_ms: int) -> bool:
+        return arrival.is_late(now_ms, self.bytes_a_ms)
+
     def _flush(self) -> list[Ask]:
         out = self.out
         self.out = []
--- a/libs/requests/src/trefoil_requests/target_side.py
+++ b/libs/requests/src/trefoil_requests/target_side.py
@@ -384,7 +384,7 @@
             self._refuse(
                 entry,
                 "its body can't come in time",
-                wait_ms=self._link_free_in_ms(now_ms),
+                wait_ms=self._link_free_in_ms(),
                 full=True,
             )
             return
@@ -404,13 +404,13 @@
         entry proxy learns how long the link is taken, and finds a free one.
         """
         if not entry.request.settled:
-            return not self.arrivals.waiting and prospect.is_in_time
+            taken = self.arrivals.is_taken(self.now_ms)
+            return not taken and prospect.is_in_time
         return prospect.is_in_time or prospect.is_late_but_welcome
 
-    def _link_free_in_ms(self, now_ms: int) -> int:
-        """Return when all bodies that were let in are expected here."""
-        all_ms = self.arrivals.expected_ms(now_ms, late=True)
-        return max(all_ms, MIN_WAIT_MS)
+    def _link_free_in_ms(self) -> int:
+        """Return when the link is expected to have a pause."""
+        return max(self.arrivals.expected_last_ms(), MIN_WAIT_MS)
 
     def _prospect(self, entry: Running, now_ms: int) -> bodies.Prospect:
         request = entry.request
@@ -419,8 +419,7 @@
         usual = slots.usual(request.route)
         return bodies.Prospect(
             body_ms=self.arrivals.expected_ms(now_ms, size),
-            last_ms=self.arrivals.expected_ms(now_ms, size, late=True),
-            busy_ms=self.arrivals.busy_ms(now_ms),
+            last_ms=self.arrivals.expected_last_ms(size),
             slot_ms=slots.forecast_ms(_waiting(entry), now_ms),
             run_ms=usual.mean_ms,
             safe_run_ms=usual.safe_ms,
@@ -622,9 +621,26 @@
             if now_ms >= entry.deadline_at_ms:
                 self._time_out(entry, now_ms)
         elif self.arrivals.waits_for(request_id):
-            if now_ms + admission.TELL_MS > entry.deadline_at_ms:
+            if self._body_comes_too_late(entry, now_ms):
                 self._drop(request_id, now_ms)
-                self._refuse(entry, "its body did not come in time")
+                self._refuse(
+                    entry,
+                    "its body did not come in time",
+                    wait_ms=self._link_free_in_ms(),
+                )
+
+    def _body_comes_too_late(self, entry: Running, now_ms: int) -> bool:
+        """Tell whether a body that was let in can't be here in time.
+
+        One that others go before waits for a pause of the link. Kept until
+        its deadline, its caller could not even come back.
+        """
+        usual = self.targets[entry.target].slots.usual(entry.request.route)
+        starts_ms = now_ms
+        if self.arrivals.is_put_off(entry.request.request_id, now_ms):
+            starts_ms += self.arrivals.expected_last_ms()
+        ends_ms = starts_ms + max(usual.mean_ms, admission.TELL_MS)
+        return ends_ms > entry.deadline_at_ms
 
     def _settle(self, name: str, crash: Crash) -> None:
         """Find out whether a target crashed or only broke answers off.
