Let the table of safeguards stand for the bodies' new rules

A test of its own looks at when a refusal is told; a second one at uploads that may go elsewhere, which only a fleet's mean had shown. Conclusion: a rule without a row is not proved; the rows come with the rule.

--- a/libs/requests/tests/test_target_side.py
+++ b/libs/requests/tests/test_target_side.py
@@ -1,6 +1,7 @@
 """The core before the targets of one host."""
 
 import random
+import statistics
 import typing
 
 import pytest
@@ -242,6 +243,16 @@
     assert dispatched(side.take(2)) == [2]
 
 
+def test_an_upload_that_may_go_elsewhere_waits_for_no_busy_link() -> None:
+    """Uploads queued at one link and came late, while others were free."""
+    side = Side()
+    side.core.put_target(target_record(slots=20), PORT, 0)
+    side.take(1, body_bytes=BODY_BYTES)
+    movable = side.take(2, body_bytes=BODY_BYTES, settled=False)
+    assert not_run(movable) == [2]
+    assert not_run(side.take(3, body_bytes=BODY_BYTES)) == []
+
+
 LINK_BYTES_A_MS = 687.5
 STEP_MS = 20
 LONG_MS = 3000
@@ -323,6 +334,17 @@
     assert len(served) + len(uploads.refused) >= 0.9 * len(after)
 
 
+def test_bodies_that_cannot_come_are_refused_at_once() -> None:
+    """Their callers waited for a second to hear that they can't be served."""
+    uploads = Uploads(each_ms=40).play(12_000)
+    waits_ms = [
+        uploads.told_ms[number] - uploads.came_ms[number]
+        for number in uploads.refused
+        if uploads.came_ms[number] >= LONG_MS
+    ]
+    assert statistics.median(waits_ms) == 0
+
+
 def test_late_bodies_of_a_short_burst_come_after_all() -> None:
     """Twenty at once; their callers wait for longer than that takes."""
     uploads = Uploads(each_ms=20).play(400, then_ms=2500)
