Let others come beside a body whose sender is slow

What callers saw: uploads refused or late at hosts whose links stood idle. Bodies came strictly one after the other, and two pieces of one at a time; while it came from a host whose own link was full or lossy, this host's link carried a tenth, and the rate learned from that body then refused the next ones. Change: a body whose pieces take twice the time that the link needs, 30 ms at least, is slow; others come beside it, three at once at most. The rate is what came since the last whole body, of all of them together, the two slowest and two fastest of the last seven left out. The test of a sender that stands still asked that nobody comes beside it for 0.3 s; it now asks that they do after 30 ms, and that the silent one is asked again only when they are done.

--- a/libs/emulator/tests/test_uploads.py
+++ b/libs/emulator/tests/test_uploads.py
@@ -23,23 +23,42 @@
 # A link of 5.5 Mbit/s.
 LINK_BYTES_A_MS = 687.5
 LASTS_MS = 8000
+SLOWS = [0.7, 0.7, 1.6, 0.7, 0.7]
+TARGETS = len(SLOWS)
 LATE_WORTH = 0.1
 
 
-def played(load: float, seed: int = 1) -> core_fleet.CoreFleet:
-    """Return a fleet of 65 hosts after eight seconds of a load."""
-    fleet = core_fleet.CoreFleet(
-        [0.7, 0.7, 1.6, 0.7, 0.7],
+def made() -> core_fleet.CoreFleet:
+    """Return a fleet of 65 hosts."""
+    return core_fleet.CoreFleet(
+        SLOWS,
         domains=3,
         slots=5,
         kinds=[UPLOAD, VERIFY],
         returns=1,
-        seed=seed,
+        seed=1,
         link_bytes_a_ms=LINK_BYTES_A_MS,
         in_bytes_a_ms=LINK_BYTES_A_MS,
         callers_only=60,
     )
-    return fleet.play(LASTS_MS, load)
+
+
+def played(load: float) -> core_fleet.CoreFleet:
+    """Return a fleet after eight seconds of a load."""
+    return made().play(LASTS_MS, load)
+
+
+def played_with_slow_senders(every: int, part: float) -> core_fleet.CoreFleet:
+    """Return a fleet some of whose senders have thinner links than others.
+
+    Args:
+        every: Each such host without a target is one of them.
+        part: What their links carry, as a part of the others'.
+    """
+    fleet = made()
+    for host in list(fleet.hosts.values())[TARGETS::every]:
+        host.way_out.bytes_a_ms *= part
+    return fleet.play(LASTS_MS, 0.7)
 
 
 @pytest.fixture(scope="module")
@@ -77,3 +96,15 @@
     """
     assert beyond.credit(LATE_WORTH, "upload") >= 0.8 * 0.7
     assert beyond.credit(LATE_WORTH, "verify") >= 0.95
+
+
+@pytest.mark.parametrize(("every", "part"), [(10, 0.1), (3, 0.3)])
+def test_slow_senders_do_not_hold_up_the_uploads_of_others(
+    every: int, part: float
+) -> None:
+    """The link of a target's host stood idle while a slow body had its turn.
+
+    The links bear all uploads of the others; four fifths are to be in time.
+    """
+    fleet = played_with_slow_senders(every, part)
+    assert fleet.credit(LATE_WORTH, "upload") >= 0.8
--- a/libs/requests/src/trefoil_requests/bodies.py
+++ b/libs/requests/src/trefoil_requests/bodies.py
@@ -8,7 +8,9 @@
 one is on its way at a time: that is what a small call waits behind.
 """
 
+import collections
 import dataclasses
+import statistics
 
 from trefoil_wire import messages
 
@@ -21,13 +23,20 @@
 PIECES_AHEAD = 2
 # Before a body came a link is taken for a fast one, 80 Mbit/s.
 FIRST_BYTES_A_MS = 10_000.0
-# Some four bodies: a link that other traffic fills is noticed in a second.
-RATE_WEIGHT = 0.3
+# A link that other traffic fills is noticed after four bodies; a slow sender
+# among faster ones is not taken for one.
+RATES_KEPT = 7
+OUTLIERS = 2
 # Some ten bodies on a link of 5.5 Mbit/s.
 PRESSURE_MS = 1000
 LEAST_LEFT_OVER = 0.001
 # A sender that is cut off or stands still must not hold up the others.
 STALLED_MS = 300
+# A sender whose pieces take twice their time leaves half of the link unused.
+SLOW_TIMES = 2.0
+MIN_SLOW_MS = 30
+# A small call waits behind two pieces of each.
+MOST_AT_ONCE = 3
 
 
 def is_large(body: bytes) -> bool:
@@ -46,8 +55,8 @@
         due_ms: When it must be here for its answer to be in time.
         data: What is here.
         asked: How much was asked for.
-        began_ms: When its turn came.
         moved_ms: When something was asked for or came last.
+        slow: Whether its pieces come too slowly to fill the link.
         stalled: Whether its sender went silent.
     """
 
@@ -57,8 +66,8 @@
     due_ms: float
     data: bytearray = dataclasses.field(default_factory=bytearray)
     asked: int = 0
-    began_ms: int = 0
     moved_ms: int = 0
+    slow: bool = False
     stalled: bool = False
 
     @property
@@ -122,13 +131,50 @@
     pull: messages.BodyPull
 
 
+class Rates:
+    """How fast the last bodies came over a link.
+
+    Counted from when the link was last without a body, or a body was whole:
+    bodies that come beside each other count together.
+    """
+
+    __slots__ = ("found", "came", "since_ms")
+
+    def __init__(self) -> None:
+        self.found: collections.deque[float] = collections.deque(
+            maxlen=RATES_KEPT
+        )
+        self.came = 0
+        self.since_ms = 0
+
+    def begin(self, now_ms: int) -> None:
+        """Count anew from now on."""
+        self.came = 0
+        self.since_ms = now_ms
+
+    def settle(self, now_ms: int) -> float:
+        """Learn from what came; return the bytes that come in a millisecond.
+
+        The slowest and the fastest of them are left out.
+        """
+        self.found.append(self.came / max(now_ms - self.since_ms, 1))
+        self.begin(now_ms)
+        usual = sorted(self.found)[OUTLIERS:-OUTLIERS]
+        return statistics.fmean(usual or self.found)
+
+
 class Arrivals:
-    """The bodies that one host waits for."""
+    """The bodies that one host waits for.
+
+    The one that is due first has the link to itself. While its sender is too
+    slow to fill it, others come beside it.
+    """
 
     __slots__ = (
         "waiting",
-        "current",
+        "coming",
         "bytes_a_ms",
+        "rates",
         "pressed",
         "pressed_at_ms",
         "out",
@@ -136,10 +182,11 @@
 
     def __init__(self) -> None:
         self.bytes_a_ms = FIRST_BYTES_A_MS
+        self.rates = Rates()
         self.pressed = 0.0
         self.pressed_at_ms = 0
         self.waiting: dict[int, Arrival] = {}
-        self.current: Arrival | None = None
+        self.coming: list[Arrival] = []
         self.out: list[Ask] = []
 
     def want(
@@ -166,7 +213,7 @@
         ahead = sum(
             arrival.left
             for arrival in self.waiting.values()
-            if arrival is self.current or not self._is_late(arrival, now_ms)
+            if arrival in self.coming or not self._is_late(arrival, now_ms)
         )
         return int((ahead + size) / self.bytes_a_ms)
 
@@ -195,7 +242,7 @@
     def is_put_off(self, request_id: int, now_ms: int) -> bool:
         """Tell whether a body is late, and others go before it."""
         arrival = self.waiting[request_id]
-        return arrival is not self.current and self._is_late(arrival, now_ms)
+        return arrival not in self.coming and self._is_late(arrival, now_ms)
 
     def take(
         self, piece: messages.BodyPiece, now_ms: int
@@ -210,12 +257,14 @@
         if arrival is None or piece.offset != len(arrival.data):
             return None, []
         arrival.data += piece.data or b""
+        arrival.slow = self._is_slow(arrival, now_ms)
         arrival.moved_ms = now_ms
+        self.rates.came += len(piece.data or b"")
         arrival.stalled = False
         whole = None
         if not arrival.left:
             whole = bytes(arrival.data)
-            self._note_rate(arrival, now_ms)
+            self.bytes_a_ms = self.rates.settle(now_ms)
             self._forget(arrival.request_id)
         self._proceed(now_ms)
         return whole, self._flush()
@@ -227,14 +276,15 @@
         return self._flush()
 
     def tick(self, now_ms: int) -> list[Ask]:
-        """Let the next body come if the present one stalls."""
+        """Let the next body come if the present ones are slow or stall."""
         self._note_pressure(now_ms)
-        arrival = self.current
-        if arrival and now_ms - arrival.moved_ms >= STALLED_MS:
-            arrival.stalled = True
-            arrival.asked = len(arrival.data)
-            self.current = None
-            self._proceed(now_ms)
+        for arrival in list(self.coming):
+            arrival.slow = arrival.slow or self._is_slow(arrival, now_ms)
+            if now_ms - arrival.moved_ms >= STALLED_MS:
+                arrival.stalled = True
+                arrival.asked = len(arrival.data)
+                self.coming.remove(arrival)
+        self._proceed(now_ms)
         return self._flush()
 
     def _note_pressure(self, now_ms: int) -> None:
@@ -243,28 +293,46 @@
         self.pressed_at_ms = now_ms
         self.pressed += weight * (self.is_taken(now_ms) - self.pressed)
 
-    def _note_rate(self, arrival: Arrival, now_ms: int) -> None:
-        took_ms = max(now_ms - arrival.began_ms, 1)
-        rate = arrival.size / took_ms
-        self.bytes_a_ms += RATE_WEIGHT * (rate - self.bytes_a_ms)
+    def _is_slow(self, arrival: Arrival, now_ms: int) -> bool:
+        """Tell whether its next piece takes longer than the link needs."""
+        usual_ms = PIECE_BYTES / self.bytes_a_ms
+        slow_ms = max(SLOW_TIMES * usual_ms, MIN_SLOW_MS)
+        return now_ms - arrival.moved_ms >= slow_ms
 
     def _forget(self, request_id: int) -> None:
         arrival = self.waiting.pop(request_id, None)
-        if arrival is not None and arrival is self.current:
-            self.current = None
+        if arrival in self.coming:
+            self.coming.remove(arrival)
 
     def _proceed(self, now_ms: int) -> None:
         """Ask for as much as may be on its way."""
-        if self.current is None and self.waiting:
-            self.current = min(
-                self.waiting.values(),
-                key=lambda arrival: arrival.rank(now_ms, self.bytes_a_ms),
-            )
-            self.current.moved_ms = now_ms
-            self.current.began_ms = now_ms
-        arrival = self.current
-        if arrival is None:
-            return
+        if not self.coming:
+            self.rates.begin(now_ms)
+        while arrival := self._next(now_ms):
+            arrival.moved_ms = now_ms
+            arrival.slow = False
+            self.coming.append(arrival)
+        for arrival in self.coming:
+            self._ask(arrival)
+
+    def _next(self, now_ms: int) -> Arrival | None:
+        """Return a body that may begin to come, beside those that do."""
+        is_filled = any(not arrival.slow for arrival in self.coming)
+        if is_filled or len(self.coming) >= MOST_AT_ONCE:
+            return None
+        others = [
+            arrival
+            for arrival in self.waiting.values()
+            if arrival not in self.coming
+            and not (arrival.stalled and self.coming)
+        ]
+        return min(
+            others,
+            key=lambda arrival: arrival.rank(now_ms, self.bytes_a_ms),
+            default=None,
+        )
+
+    def _ask(self, arrival: Arrival) -> None:
         bound = len(arrival.data) + PIECES_AHEAD * PIECE_BYTES
         while arrival.asked < min(arrival.size, bound):
             length = min(PIECE_BYTES, arrival.size - arrival.asked)
--- a/libs/requests/src/trefoil_requests/occupancy.py
+++ b/libs/requests/src/trefoil_requests/occupancy.py
@@ -1,8 +1,7 @@
-"""Lines that tell what the slots of this host's targets were taken by.
+"""Lines that tell what a target's slots and its host's link were taken by.
 
-A target whose slots are all taken may work on every one of them, or on none:
-a slot can be held for a request that is still on its way. Without these lines
-both look the same from outside, a full target that refuses.
+A target refuses when its slots, its queue or the link of its host is short.
+Without these lines all three look the same from outside.
 """
 
 import collections
--- a/libs/requests/tests/test_bodies.py
+++ b/libs/requests/tests/test_bodies.py
@@ -157,8 +157,9 @@
     made = bodies.Arrivals()
     made.want(1, "a", 30_000, 500, 0)
     made.want(2, "b", 30_000, 900, 0)
-    assert made.tick(bodies.STALLED_MS - 1) == []
-    assert {ask.origin for ask in made.tick(bodies.STALLED_MS)} == {"b"}
+    assert made.tick(bodies.MIN_SLOW_MS - 1) == []
+    assert {ask.origin for ask in made.tick(bodies.MIN_SLOW_MS)} == {"b"}
+    assert made.tick(bodies.STALLED_MS) == []
     asked = made.drop(2, 400)
     assert [(ask.origin, ask.pull.offset) for ask in asked] == [
         ("a", 0),
@@ -166,6 +167,40 @@
     ]
 
 
+def give(made: bodies.Arrivals, number: int, now_ms: int) -> list[bodies.Ask]:
+    """Bring the next piece of a body; return what is asked for then."""
+    arrival = made.waiting[number]
+    length = min(bodies.PIECE_BYTES, arrival.left)
+    piece = messages.BodyPiece(number, len(arrival.data), bytes(length))
+    return made.take(piece, now_ms)[1]
+
+
+def test_others_come_beside_a_body_whose_sender_is_slow() -> None:
+    """A sender at a tenth of the link's rate held it for 0.9 s."""
+    made = bodies.Arrivals()
+    made.bytes_a_ms = LINK_BYTES_A_MS
+    for number, origin in enumerate("abcde"):
+        made.want(number, origin, BODY_BYTES, 800 + number, 0)
+    assert {ask.origin for ask in give(made, 0, 12)} == {"a"}
+    assert {ask.origin for ask in give(made, 0, 132)} == {"a", "b"}
+    assert {ask.origin for ask in give(made, 1, 144)} == {"b"}
+    assert {ask.origin for ask in give(made, 1, 264)} == {"b", "c"}
+    assert {ask.origin for ask in give(made, 2, 384)} == {"c"}
+
+
+def test_a_slow_sender_is_not_taken_for_a_slow_link() -> None:
+    """The bodies of all others were refused after one that took 0.9 s."""
+    made = bodies.Arrivals()
+    now_ms = 0
+    for number in range(1, 13):
+        each_ms = 120 if number % 6 == 0 else 12
+        made.want(number, "a", BODY_BYTES, now_ms + 5000, now_ms)
+        while made.waits_for(number):
+            now_ms += each_ms
+            give(made, number, now_ms)
+    assert made.bytes_a_ms == pytest.approx(LINK_BYTES_A_MS, rel=0.2)
+
+
 @pytest.mark.parametrize("offset", [8192, -1, 99])
 def test_a_piece_that_is_not_the_next_one_is_dropped(offset: int) -> None:
     """Pieces that were asked for twice come twice."""
