Do not ask again for what a stalled sender has sent

What callers saw: nothing by itself; a proxy that woke from a freeze sent up to 16 KiB of a body twice over a link that others waited for. Cause: a body that stalls gives up its turn and is asked for from what is here; pieces that come meanwhile were kept, and asked for again at its next turn. Change: what is here is never asked for. The part of the time that bodies in time take the link is called utilization, the field's word. Test that failed before: test_what_a_stalled_sender_sent_is_not_asked_for_again ([0, 8192, 16384] asked for, [8192, 16384] after).

--- a/libs/requests/src/trefoil_requests/bodies.py
+++ b/libs/requests/src/trefoil_requests/bodies.py
@@ -28,7 +28,7 @@
 RATES_KEPT = 7
 OUTLIERS = 2
 # Some ten bodies on a link of 5.5 Mbit/s.
-PRESSURE_MS = 1000
+UTILIZATION_MS = 1000
 LEAST_LEFT_OVER = 0.001
 # A sender that is cut off or stands still must not hold up the others.
 STALLED_MS = 300
@@ -175,16 +175,16 @@
         "coming",
         "bytes_a_ms",
         "rates",
-        "pressed",
-        "pressed_at_ms",
+        "utilization",
+        "utilized_at_ms",
         "out",
     )
 
     def __init__(self) -> None:
         self.bytes_a_ms = FIRST_BYTES_A_MS
         self.rates = Rates()
-        self.pressed = 0.0
-        self.pressed_at_ms = 0
+        self.utilization = 0.0
+        self.utilized_at_ms = 0
         self.waiting: dict[int, Arrival] = {}
         self.coming: list[Arrival] = []
         self.out: list[Ask] = []
@@ -225,7 +225,7 @@
         Line Problems", 1954).
         """
         ahead = sum(arrival.left for arrival in self.waiting.values())
-        left_over = max(1 - self.pressed, LEAST_LEFT_OVER)
+        left_over = max(1 - self.utilization, LEAST_LEFT_OVER)
         return int((ahead + size) / self.bytes_a_ms / left_over)
 
     def waits_for(self, request_id: int) -> bool:
@@ -277,7 +277,7 @@
 
     def tick(self, now_ms: int) -> list[Ask]:
         """Let the next body come if the present ones are slow or stall."""
-        self._note_pressure(now_ms)
+        self._note_utilization(now_ms)
         for arrival in list(self.coming):
             arrival.slow = arrival.slow or self._is_slow(arrival, now_ms)
             if now_ms - arrival.moved_ms >= STALLED_MS:
@@ -287,11 +287,11 @@
         self._proceed(now_ms)
         return self._flush()
 
-    def _note_pressure(self, now_ms: int) -> None:
+    def _note_utilization(self, now_ms: int) -> None:
         """Learn which part of the time bodies in time take the link."""
-        weight = min((now_ms - self.pressed_at_ms) / PRESSURE_MS, 1.0)
-        self.pressed_at_ms = now_ms
-        self.pressed += weight * (self.is_taken(now_ms) - self.pressed)
+        weight = min((now_ms - self.utilized_at_ms) / UTILIZATION_MS, 1.0)
+        self.utilized_at_ms = now_ms
+        self.utilization += weight * (self.is_taken(now_ms) - self.utilization)
 
     def _is_slow(self, arrival: Arrival, now_ms: int) -> bool:
         """Tell whether its next piece takes longer than the link needs."""
@@ -333,6 +333,8 @@
         )
 
     def _ask(self, arrival: Arrival) -> None:
+        # What a stalled sender was asked for may have come after all.
+        arrival.asked = max(arrival.asked, len(arrival.data))
         bound = len(arrival.data) + PIECES_AHEAD * PIECE_BYTES
         while arrival.asked < min(arrival.size, bound):
             length = min(PIECE_BYTES, arrival.size - arrival.asked)
--- a/libs/requests/tests/test_bodies.py
+++ b/libs/requests/tests/test_bodies.py
@@ -167,6 +167,17 @@
     ]
 
 
+def test_what_a_stalled_sender_sent_is_not_asked_for_again() -> None:
+    """A proxy that woke sent a part of the body twice over a thin link."""
+    made = bodies.Arrivals()
+    made.want(1, "a", 30_000, 500, 0)
+    made.want(2, "b", 30_000, 900, 0)
+    made.tick(bodies.STALLED_MS)
+    made.take(messages.BodyPiece(1, 0, bytes(8192)), 350)
+    asked = made.drop(2, 400)
+    assert [ask.pull.offset for ask in asked] == [8192, 16_384]
+
+
 def give(made: bodies.Arrivals, number: int, now_ms: int) -> list[bodies.Ask]:
     """Bring the next piece of a body; return what is asked for then."""
     arrival = made.waiting[number]
