Tell a slow sender by all that came, and ask it for one piece at a time

Cause: one late piece was the sign. A process of 0.43 cores is late by that now and then, so three bodies came at once from senders that are not slow, two pieces of each on the way, and a small call waited behind up to six. Change: a body is slow when all that came of it took twice the time that the link needs; a slow one is asked for one piece at a time.

--- a/libs/requests/src/trefoil_requests/bodies.py
+++ b/libs/requests/src/trefoil_requests/bodies.py
@@ -32,10 +32,10 @@
 LEAST_LEFT_OVER = 0.001
 # A sender that is cut off or stands still must not hold up the others.
 STALLED_MS = 300
-# A sender whose pieces take twice their time leaves half of the link unused.
+# A sender that takes twice the time leaves half of the link unused.
 SLOW_TIMES = 2.0
 MIN_SLOW_MS = 30
-# A small call waits behind two pieces of each.
+# A small call waits behind a piece of each, and one more.
 MOST_AT_ONCE = 3
 
 
@@ -55,8 +55,10 @@
         due_ms: When it must be here for its answer to be in time.
         data: What is here.
         asked: How much was asked for.
+        had: How much was here when its turn came.
+        began_ms: When its turn came.
         moved_ms: When something was asked for or came last.
-        slow: Whether its pieces come too slowly to fill the link.
+        slow: Whether it comes too slowly to fill the link.
         stalled: Whether its sender went silent.
     """
 
@@ -66,6 +68,8 @@
     due_ms: float
     data: bytearray = dataclasses.field(default_factory=bytearray)
     asked: int = 0
+    had: int = 0
+    began_ms: int = 0
     moved_ms: int = 0
     slow: bool = False
     stalled: bool = False
@@ -75,6 +79,13 @@
         """Return how many bytes are still to come."""
         return self.size - len(self.data)
 
+    def begin(self, now_ms: int) -> None:
+        """Begin its turn."""
+        self.had = len(self.data)
+        self.began_ms = now_ms
+        self.moved_ms = now_ms
+        self.slow = False
+
     def rank(self, now_ms: int, bytes_a_ms: float) -> tuple[bool, bool, float]:
         """Return its turn, the least first.
 
@@ -294,10 +305,11 @@
         self.utilization += weight * (self.is_taken(now_ms) - self.utilization)
 
     def _is_slow(self, arrival: Arrival, now_ms: int) -> bool:
-        """Tell whether its next piece takes longer than the link needs."""
-        usual_ms = PIECE_BYTES / self.bytes_a_ms
+        """Tell whether it comes more slowly than the link carries."""
+        came = len(arrival.data) - arrival.had
+        usual_ms = (came + PIECE_BYTES) / self.bytes_a_ms
         slow_ms = max(SLOW_TIMES * usual_ms, MIN_SLOW_MS)
-        return now_ms - arrival.moved_ms >= slow_ms
+        return now_ms - arrival.began_ms >= slow_ms
 
     def _forget(self, request_id: int) -> None:
         arrival = self.waiting.pop(request_id, None)
@@ -309,8 +321,7 @@
         if not self.coming:
             self.rates.begin(now_ms)
         while arrival := self._next(now_ms):
-            arrival.moved_ms = now_ms
-            arrival.slow = False
+            arrival.begin(now_ms)
             self.coming.append(arrival)
         for arrival in self.coming:
             self._ask(arrival)
@@ -335,7 +346,8 @@
     def _ask(self, arrival: Arrival) -> None:
         # What a stalled sender was asked for may have come after all.
         arrival.asked = max(arrival.asked, len(arrival.data))
-        bound = len(arrival.data) + PIECES_AHEAD * PIECE_BYTES
+        ahead = 1 if arrival.slow else PIECES_AHEAD
+        bound = len(arrival.data) + ahead * PIECE_BYTES
         while arrival.asked < min(arrival.size, bound):
             length = min(PIECE_BYTES, arrival.size - arrival.asked)
             pull = messages.BodyPull(arrival.request_id, arrival.asked, length)
