Let an upload that may go elsewhere take a free slot, and wait for none

An upload that could still go elsewhere was let in where it had to wait for a slot, for the forecast was in time; and where a slot was free it was sent on when a slow target made it less than sure, from one to the next. Change: such an upload is let in if neither link nor slot is taken and its answer is in time as a rule; one that may wait is asked for by what is sure, as before. Tests that failed before: test_an_upload_that_may_go_elsewhere_waits_for_no_slot and test_an_upload_may_run_at_once_where_it_is_likely_in_time.

--- a/libs/requests/src/trefoil_requests/bodies.py
+++ b/libs/requests/src/trefoil_requests/bodies.py
@@ -121,6 +121,12 @@
     aim_ms: float
     deadline_ms: float
 
+    @property
+    def is_served_at_once(self) -> bool:
+        """Tell whether a slot is free, and its answer in time as a rule."""
+        ends_ms = self.body_ms + self.run_ms
+        return not self.slot_ms and ends_ms <= self.aim_ms
+
     @property
     def is_in_time(self) -> bool:
         """Tell whether its answer is surely in time."""
--- a/libs/requests/src/trefoil_requests/target_side.py
+++ b/libs/requests/src/trefoil_requests/target_side.py
@@ -401,11 +401,11 @@
         """Tell whether a body may be asked for.
 
         As with slots, what may still go elsewhere does not wait here: its
-        entry proxy learns how long the link is taken, and finds a free one.
+        entry proxy learns how long they are taken, and finds free ones.
         """
         if not entry.request.settled:
             taken = self.arrivals.is_taken(self.now_ms)
-            return not taken and prospect.is_in_time
+            return not taken and prospect.is_served_at_once
         return prospect.is_in_time or prospect.is_late_but_welcome
 
     def _link_free_in_ms(self) -> int:
--- a/libs/requests/tests/test_target_side.py
+++ b/libs/requests/tests/test_target_side.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from trefoil_requests import admission
 from trefoil_requests import bodies
 from trefoil_requests import effects
 from trefoil_requests import quarantine as quarantines
@@ -253,6 +254,24 @@
     assert not_run(side.take(3, body_bytes=BODY_BYTES)) == []
 
 
+def test_an_upload_that_may_go_elsewhere_waits_for_no_slot() -> None:
+    """Uploads queued at full targets while others had free slots."""
+    side = Side()
+    side.take(1)
+    movable = side.take(2, body_bytes=BODY_BYTES, settled=False)
+    assert not_run(movable) == [2]
+    assert not_run(side.take(3, body_bytes=BODY_BYTES)) == []
+
+
+def test_an_upload_may_run_at_once_where_it_is_likely_in_time() -> None:
+    """No target was sure enough, and uploads went from one to the next."""
+    side = Side()
+    slots = side.core.targets[TARGET].slots
+    slots.routes["pay"] = admission.Usual(mean_ms=100.0, deviation_ms=100.0)
+    movable = side.take(1, body_bytes=BODY_BYTES, settled=False, aim_ms=200)
+    assert not_run(movable) == []
+
+
 LINK_BYTES_A_MS = 687.5
 STEP_MS = 20
 LONG_MS = 3000
