--- a/libs/daemon/src/trefoil_daemon/http_server.py
+++ b/libs/daemon/src/trefoil_daemon/http_server.py
@@ -57,10 +57,9 @@
     request: _http.Message | None = None
     since_ms: int = 0
 
-    @property
-    def waited_ms(self) -> int:
+    def waited_ms(self, now_ms: int) -> int:
         """Return how long ago its present request began to come."""
-        return self.server.clock.now_ms() - self.since_ms
+        return now_ms - self.since_ms
 
     def answer(
         self,
@@ -211,11 +210,12 @@
 
         Senders that trickle a head would else hold connections for ever.
         """
+        now_ms = self.clock.now_ms()
         idle_ms = self.limits.idle_ms
         for connection in list(self.connections):
             if connection.request is not None:
                 continue
-            waited_ms = connection.waited_ms
+            waited_ms = connection.waited_ms(now_ms)
             if connection.reader.started:
                 if waited_ms > self.limits.head_ms:
                     self._malformed(
--- a/libs/daemon/src/trefoil_daemon/slot_metrics.py
+++ b/libs/daemon/src/trefoil_daemon/slot_metrics.py
@@ -18,11 +18,8 @@
         counts=False,
     )
     for target in targets:
-        moment = target.occupancy.latest
-        if moment is None:
-            continue
-        name = target.record.name
-        slots.add(moment.slots, target=name, state="all")
-        slots.add(moment.running, target=name, state="running")
-        slots.add(moment.queued, target=name, state="queued")
+        name, gate = target.record.name, target.slots
+        slots.add(gate.slots, target=name, state="all")
+        slots.add(gate.running, target=name, state="running")
+        slots.add(len(gate.queue), target=name, state="queued")
     return [slots]
--- a/libs/requests/src/trefoil_requests/admission.py
+++ b/libs/requests/src/trefoil_requests/admission.py
@@ -161,6 +161,10 @@
         """Tell whether a request may start now."""
         return self.running < self.slots and self.warmup.may_start(now_ms)
 
+    def _is_free(self, now_ms: int) -> bool:
+        """Tell whether a request that comes now starts at once."""
+        return self._has_room(now_ms) and not self.queue
+
     def _wait_behind(self, count: int, now_ms: int) -> float:
         slots_ms = (count + 1) * self.service_ms / max(self.slots, 1)
         return max(slots_ms, self.warmup.wait_ms(count, now_ms))
@@ -187,7 +191,7 @@
             settled: Whether it may wait here; else it is refused when no
                 slot is free, to be tried at a target that may be freer.
         """
-        if self._has_room(now_ms) and not self.queue:
+        if self._is_free(now_ms):
             self._start(now_ms)
             return Admitted()
         if not settled:
@@ -206,7 +210,7 @@
 
     def forecast_ms(self, waiting: Waiting, now_ms: int) -> float:
         """Return how long a request would wait for a slot from now on."""
-        if self._has_room(now_ms) and not self.queue:
+        if self._is_free(now_ms):
             return 0.0
         return self._wait_of(waiting, now_ms)
 
--- a/libs/requests/src/trefoil_requests/bodies.py
+++ b/libs/requests/src/trefoil_requests/bodies.py
@@ -44,7 +44,7 @@
     return len(body) >= LARGE_BYTES
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(slots=True, eq=False)
 class Arrival:
     """A body on its way.
 
--- a/libs/requests/src/trefoil_requests/occupancy.py
+++ b/libs/requests/src/trefoil_requests/occupancy.py
@@ -47,11 +47,6 @@
         self.bodies_ms: list[int] = []
         self.tell_at_ms = 0
 
-    @property
-    def latest(self) -> Moment | None:
-        """Return the last moment that was seen."""
-        return self.moments[-1] if self.moments else None
-
     def refuse(self, why: str) -> None:
         """Note a refusal."""
         self.refused[why] += 1
--- a/libs/requests/src/trefoil_requests/target_side.py
+++ b/libs/requests/src/trefoil_requests/target_side.py
@@ -616,18 +616,16 @@
 
     def _end_in_time(self, entry: Running, now_ms: int) -> None:
         """End a request whose time is over, or whose body comes too late."""
-        request_id = entry.request.request_id
         if entry.runs:
             if now_ms >= entry.deadline_at_ms:
                 self._time_out(entry, now_ms)
-        elif self.arrivals.waits_for(request_id):
-            if self._body_comes_too_late(entry, now_ms):
-                self._drop(request_id, now_ms)
-                self._refuse(
-                    entry,
-                    "its body did not come in time",
-                    wait_ms=self._link_free_in_ms(),
-                )
+        elif self._body_comes_too_late(entry, now_ms):
+            self._drop(entry.request.request_id, now_ms)
+            self._refuse(
+                entry,
+                "its body did not come in time",
+                wait_ms=self._link_free_in_ms(),
+            )
 
     def _body_comes_too_late(self, entry: Running, now_ms: int) -> bool:
         """Tell whether a body that was let in can't be here in time.
@@ -635,9 +633,12 @@
         One that others go before waits for a pause of the link. Kept until
         its deadline, its caller could not even come back.
         """
-        usual = self.targets[entry.target].slots.usual(entry.request.route)
+        request_id = entry.request.request_id
+        if not self.arrivals.waits_for(request_id):
+            return False
+        usual = self.targets[entry.target].slots.usual(entry.route)
         starts_ms = now_ms
-        if self.arrivals.is_put_off(entry.request.request_id, now_ms):
+        if self.arrivals.is_put_off(request_id, now_ms):
             starts_ms += self.arrivals.expected_last_ms()
         ends_ms = starts_ms + max(usual.mean_ms, admission.TELL_MS)
         return ends_ms > entry.deadline_at_ms
@@ -803,13 +804,10 @@
 def _waiting(entry: Running) -> admission.Waiting:
     """Return a request as it would wait for a slot."""
     request = entry.request
-    aim_at_ms = entry.deadline_at_ms
-    if request.aim_ms:
-        aim_at_ms = entry.came_ms + request.aim_ms
     return admission.Waiting(
         request.request_id,
         entry.deadline_at_ms,
-        aim_at_ms,
+        entry.came_ms + request.aim_ms if request.aim_ms else 0,
         request.priority or 0,
         request.route,
     )
--- a/libs/requests/tests/test_target_side.py
+++ b/libs/requests/tests/test_target_side.py
@@ -292,10 +292,14 @@
         self.asked: list[messages.BodyPull] = []
         self.credit = 0.0
         self.came_ms: dict[int, int] = {}
-        self.refused: set[int] = set()
         self.told_ms: dict[int, int] = {}
         self.took_ms: dict[int, int] = {}
 
+    @property
+    def refused(self) -> set[int]:
+        """Return those that were told to be not run."""
+        return set(self.told_ms)
+
     def play(self, lasts_ms: int, then_ms: int = 0) -> typing.Self:
         """Let uploads come for a while, and time pass after it."""
         for now_ms in range(0, lasts_ms + then_ms, STEP_MS):
@@ -334,7 +338,6 @@
         """Take what became of them."""
         self.asked += [e.pull for e in found if isinstance(e, bodies.Ask)]
         for number in not_run(found):
-            self.refused.add(number)
             self.told_ms[number] = now_ms
         for number in dispatched(found):
             self.took_ms[number] = now_ms - self.came_ms[number]
