Tell a silent connection by requests of its own route

Callers saw: a 502, "the connection to the target went silent", for an upload that its target was at work on. The target ran it to its end; nobody got the answer.

Cause: the watch for connections that went silent judged all requests of a target together: six times the longest of the last 64, at least 0.5 s. Where checks of 30 ms and uploads of 140 ms share a target, half a second is enough for an upload that is merely slow.

Ruled out: an answer cut in a buffer at a shutdown.

Change: one watch for each route of a target.

Before: the new test fails (the upload is broken off beside ten checks).

--- a/libs/daemon/src/trefoil_daemon/pools.py
+++ b/libs/daemon/src/trefoil_daemon/pools.py
@@ -48,6 +48,18 @@
     started_ms: int = 0
 
 
+class WatchKey(typing.NamedTuple):
+    """What a silence watch is kept for.
+
+    Beside requests that take a tenth of its time, one that its target is at
+    work on looks like one whose connection went silent; those of its own
+    route tell how long it may take.
+    """
+
+    port: int
+    route: str
+
+
 class TargetPools:
     """The connections to all targets of this host.
 
@@ -90,7 +102,7 @@
         self.max_body = max_body
         self.idle: dict[int, list[TargetConnection]] = {}
         self.busy: dict[int, TargetConnection] = {}
-        self.watches: dict[int, silence.SilenceWatch] = {}
+        self.watches: dict[WatchKey, silence.SilenceWatch] = {}
 
     def dispatch(self, effect: effects.Dispatch) -> None:
         """Send a request to a target."""
@@ -115,7 +127,7 @@
         connection.started_ms = now_ms
         connection.reader.bodiless = request.method == "HEAD"
         self.busy[request.request_id] = connection
-        self._watch(effect.port).sent_at(request.request_id, now_ms)
+        self._watch(effect.port, request).sent_at(request.request_id, now_ms)
         if connection.stream.connecting:
             connection.waiting = data
         else:
@@ -125,7 +137,8 @@
         """Close the connection under a request; the target sees it."""
         connection = self.busy.pop(request_id, None)
         if connection is not None:
-            self._watch(connection.port).dropped(request_id)
+            request = connection.request
+            self._watch(connection.port, request).dropped(request_id)
             connection.request = None
             connection.stream.close()
 
@@ -170,10 +183,13 @@
 
         stream.on_close = told
 
-    def _watch(self, port: int) -> silence.SilenceWatch:
-        watch = self.watches.get(port)
+    def _watch(
+        self, port: int, request: messages.Request
+    ) -> silence.SilenceWatch:
+        key = WatchKey(port, request.route or "")
+        watch = self.watches.get(key)
         if watch is None:
-            watch = self.watches[port] = silence.SilenceWatch()
+            watch = self.watches[key] = silence.SilenceWatch()
         return watch
 
     def _take(self, port: int, now_ms: int) -> TargetConnection:
@@ -241,7 +257,7 @@
         request = connection.request
         connection.request = None
         self.busy.pop(request.request_id, None)
-        self._watch(connection.port).dropped(request.request_id)
+        self._watch(connection.port, request).dropped(request.request_id)
         connection.stream.close()
         self.owner.target_answered(
             messages.Answer(
@@ -260,7 +276,8 @@
         now_ms = self.clock.now_ms()
         connection.request = None
         self.busy.pop(request.request_id, None)
-        self._watch(connection.port).answered(request.request_id, now_ms)
+        watch = self._watch(connection.port, request)
+        watch.answered(request.request_id, now_ms)
         clean = not connection.reader.started
         if message.keep_alive and clean and not connection.stream.closed:
             connection.idle_until_ms = now_ms + _idle_ms(message)
@@ -294,7 +311,7 @@
             return
         connection.request = None
         self.busy.pop(request.request_id, None)
-        self._watch(connection.port).dropped(request.request_id)
+        self._watch(connection.port, request).dropped(request.request_id)
         if connection.waiting or stream.connecting:
             self.owner.target_unsent(request.request_id)
         else:
--- a/libs/daemon/tests/test_edges.py
+++ b/libs/daemon/tests/test_edges.py
@@ -36,7 +36,9 @@
     def __init__(self) -> None:
         self.connecting = False
         self.closed = False
+        self.closing = False
         self.ended = False
+        self.unsent = 0
         self.sent = b""
         self.owner: typing.Any = None
         self.on_data: typing.Any = None
@@ -122,10 +124,13 @@
             dialect=DIALECT,
         )
 
-    def send(self, request_id: int, caller_id: str) -> Stream:
+    def send(
+        self, request_id: int, caller_id: str, route: str = "r"
+    ) -> Stream:
         """Send a request; return the stream that carries it."""
         request = messages.Request(
             request_id=request_id,
+            route=route,
             method="GET",
             path="/a",
             headers=b"",
@@ -210,6 +215,37 @@
     assert stream.closed is not kept
 
 
+def answer_short_ones(target: Target, route: str) -> None:
+    """Let ten requests of 30 ms run, one after the other."""
+    for number in range(100, 110):
+        stream = target.send(number, str(number), route)
+        target.clock.advance(30)
+        stream.peer_sends(answer(str(number), "short"))
+
+
+def test_a_long_request_beside_short_ones_is_not_broken_off() -> None:
+    """An upload's caller got a 502 while its target was at work on it."""
+    target = Target()
+    stream = target.send(1, "upload", "uploads")
+    answer_short_ones(target, "checks")
+    target.clock.advance(400)
+    target.pools.tick()
+    assert not stream.closed
+    stream.peer_sends(answer("upload", "kept"))
+    assert target.owner.answers[-1].body == b"kept"
+
+
+def test_a_silent_connection_is_given_up_beside_others_of_its_route() -> None:
+    """A caller waited to its deadline for a connection that was forgotten."""
+    target = Target()
+    stream = target.send(1, "lost", "checks")
+    answer_short_ones(target, "checks")
+    target.clock.advance(400)
+    target.pools.tick()
+    assert stream.closed
+    assert target.owner.answers[-1].unusable
+
+
 class Process:
     """Keeps calls."""
 
