Send answers to their end when a proxy leaves

Callers saw: an answer that ends in its midst when its proxy leaves, is idle for long or has much to send; a request that ran and got no answer; one that was cut while it came.

Cause, five places where a connection ended with something owed on it: - close_idle closed connections whose answer was written but not sent, and those on which a request was still coming; - the process ended when no call lived, though answers to callers or to other proxies waited in a buffer; - the idle time counted while an answer was being read; - a stream whose last answer waited in its buffer still took requests: they ran, and their answers were thrown away; a request that had come behind the last one was read and never answered; - an answer above 8 MB was cut at its start (bodies of 64 MB are allowed).

Change: answers are sent before a connection closes, a request that began before the proxy refuses is answered, connections that were just opened are left for their first request; the process waits for bytes as it waits for runs, up to its grace.

--- a/libs/daemon/src/trefoil_daemon/gateway.py
+++ b/libs/daemon/src/trefoil_daemon/gateway.py
@@ -66,6 +66,7 @@
             connection.answer_own(400, "the idempotency key is too long")
             return
         now_ms = connection.server.clock.now_ms()
+        connection.request_id = message.field(self.dialect.request_id.lower())
         call = calls.Call(
             call_id=connection.number,
             method=message.method,
@@ -76,7 +77,7 @@
             key=key,
             deadline_ms=_number(message.field(self.dialect.deadline.lower())),
             retried=message.field(self.dialect.retried.lower()) == "1",
-            caller_id=message.field(self.dialect.request_id.lower()),
+            caller_id=connection.request_id,
             entered_ms=connection.waited_ms(now_ms),
         )
         self.waiting[connection.number] = connection
--- a/libs/daemon/src/trefoil_daemon/http_server.py
+++ b/libs/daemon/src/trefoil_daemon/http_server.py
@@ -55,7 +55,9 @@
     stream: transports.Stream
     reader: _http.MessageReader
     request: _http.Message | None = None
+    request_id: str = ""
     since_ms: int = 0
+    unsent_before: int = 0
 
     def waited_ms(self, now_ms: int) -> int:
         """Return how long ago its present request began to come."""
@@ -73,7 +75,7 @@
         if request is None or self.stream.closed:
             return
         self.request = None
-        keep_alive = request.keep_alive and not self.server.closing
+        keep_alive = request.keep_alive and not self._is_last()
         self.stream.write(
             _http.response_bytes(
                 status,
@@ -90,6 +92,23 @@
         self.stream.pause(False)
         self.server.proceed(self)
 
+    def _is_last(self) -> bool:
+        """Tell whether this answer ends the connection (shutdown).
+
+        A request that came behind this one gets its answer first.
+        """
+        return self.server.closing and not self.reader.started
+
+    def note_sent(self, now_ms: int) -> None:
+        """Note how far its answer has been sent.
+
+        An answer that is still being read is not idleness.
+        """
+        unsent = self.stream.unsent
+        if unsent != self.unsent_before:
+            self.unsent_before = unsent
+            self.since_ms = now_ms
+
     def answer_own(
         self, status: int, reason: str, headers: bytes = b""
     ) -> None:
@@ -109,6 +128,7 @@
         clock: The runtime's clock.
         limits: What senders may do.
         bad: Called with the reason when a sender is malformed.
+        cut: Called with a connection that ends before its answer was sent.
     """
 
     __slots__ = (
@@ -117,6 +137,7 @@
         "clock",
         "limits",
         "bad",
+        "cut",
         "connections",
         "numbers",
         "closing",
@@ -130,12 +151,14 @@
         *,
         limits: SenderLimits,
         bad: typing.Callable[[str], None],
+        cut: typing.Callable[[ServerConnection], None] | None = None,
     ) -> None:
         self.transport = transport
         self.handler = handler
         self.clock = clock
         self.limits = limits
         self.bad = bad
+        self.cut = cut
         self.connections: set[ServerConnection] = set()
         self.numbers = itertools.count(1)
         self.closing = False
@@ -202,6 +225,8 @@
     def _closed(self, stream: transports.Stream) -> None:
         connection = stream.owner
         self.connections.discard(connection)
+        if stream.unsent and self.cut is not None:
+            self.cut(connection)
         if connection.request is not None:
             self.handler.gone(connection)
 
@@ -211,27 +236,61 @@
         Senders that trickle a head would else hold connections for ever.
         """
         now_ms = self.clock.now_ms()
-        idle_ms = self.limits.idle_ms
         for connection in list(self.connections):
             if connection.request is not None:
                 continue
-            waited_ms = connection.waited_ms(now_ms)
-            if connection.reader.started:
-                if waited_ms > self.limits.head_ms:
-                    self._malformed(
-                        connection,
-                        errors.ProtocolError(408, "the request is not whole"),
-                    )
-            elif idle_ms and waited_ms > idle_ms:
-                connection.stream.close()
+            if connection.reader.started and not connection.stream.closing:
+                self._end_trickling(connection, now_ms)
+            else:
+                self._end_idle(connection, now_ms)
+
+    def _end_trickling(
+        self, connection: ServerConnection, now_ms: int
+    ) -> None:
+        if connection.waited_ms(now_ms) > self.limits.head_ms:
+            self._malformed(
+                connection,
+                errors.ProtocolError(408, "the request is not whole"),
+            )
+
+    def _end_idle(self, connection: ServerConnection, now_ms: int) -> None:
+        connection.note_sent(now_ms)
+        idle_ms = self.limits.idle_ms
+        if idle_ms and connection.waited_ms(now_ms) > idle_ms:
+            connection.stream.close()
 
     def close_politely(self) -> None:
         """Let each connection end with its next answer (shutdown)."""
         self.closing = True
 
-    def close_idle(self) -> None:
-        """Close the connections that wait for no answer (shutdown)."""
+    def close_idle(self, idle_since_ms: int) -> None:
+        """Close the connections that wait for no answer (shutdown).
+
+        One whose answer is still being sent ends behind it, and one on which
+        a request is still coming ends with that request's answer.
+
+        Args:
+            idle_since_ms: Connections that were opened later are left: their
+                first request is on its way and would be cut.
+        """
         self.closing = True
         for connection in list(self.connections):
-            if connection.request is None:
-                connection.stream.close()
+            idle = connection.request is None and not connection.reader.started
+            if idle and connection.since_ms <= idle_since_ms:
+                connection.stream.close_after_write()
+
+    def owes(self, began_by_ms: int) -> bool:
+        """Tell whether a caller has still something to get (shutdown).
+
+        Args:
+            began_by_ms: Requests of which no byte came by then are not
+                waited for; others come without end.
+        """
+        return any(
+            connection.stream.unsent
+            or (
+                connection.reader.started
+                and connection.since_ms <= began_by_ms
+            )
+            for connection in self.connections
+        )
--- a/libs/daemon/src/trefoil_daemon/hub.py
+++ b/libs/daemon/src/trefoil_daemon/hub.py
@@ -185,6 +185,14 @@
             self.far_bytes_out[name] = far + len(data)
         connection.stream.write(data)
 
+    def owes(self) -> bool:
+        """Tell whether answers to other proxies still wait to be sent."""
+        return any(
+            connection.stream.unsent
+            for connection in self.connections
+            if not connection.subscribe
+        )
+
     # Opening and closing
 
     def dial(self, host: str, address: str) -> None:
--- a/libs/daemon/src/trefoil_daemon/proxy.py
+++ b/libs/daemon/src/trefoil_daemon/proxy.py
@@ -65,6 +65,7 @@
             clock,
             limits=http_server.SenderLimits(max_body=max_body),
             bad=self.bad_http,
+            cut=self.answer_cut,
         )
         self.http_servers = [self.callers]
         self.serve_metrics(settings.metrics)
@@ -118,18 +119,37 @@
         if not since_ms:
             return
         waited_ms = self.system_clock.now_ms() - since_ms
+        refusing_since_ms = since_ms + self.settings.linger_ms
         if waited_ms >= self.settings.linger_ms:
             self.engine.refuse_calls()
-            self.callers.close_idle()
-        if self.engine.may_end():
+            self.callers.close_idle(refusing_since_ms)
+        sending = self.callers.owes(refusing_since_ms) or self.hub.owes()
+        if self.engine.may_end(sending):
             self.note(
                 common.Note(
                     "proxy.left",
-                    {"waited_ms": waited_ms, "clean": self.engine.idle},
+                    {
+                        "waited_ms": waited_ms,
+                        "clean": self.engine.idle and not sending,
+                    },
                 )
             )
             raise SystemExit(0)
 
+    def answer_cut(self, connection: http_server.ServerConnection) -> None:
+        """Log an answer that its caller did not get whole."""
+        self.note(
+            common.Note(
+                "answer.cut",
+                {
+                    "id": connection.request_id,
+                    "unsent": connection.stream.unsent,
+                    "caller_left": connection.stream.ended,
+                },
+                "warning",
+            )
+        )
+
     def leave(self) -> None:
         """Begin a graceful shutdown.
 
--- a/libs/daemon/src/trefoil_daemon/proxy_process.py
+++ b/libs/daemon/src/trefoil_daemon/proxy_process.py
@@ -612,17 +612,20 @@
         waiting = self.entry.live or self.entry.early.by_id
         return not waiting and not self.targets.running
 
-    def may_end(self) -> bool:
+    def may_end(self, sending: bool = False) -> bool:
         """Tell whether a shutdown is through, or its time is.
 
         A request that its target still runs is waited for until shortly
         before the process is killed.
+
+        Args:
+            sending: Whether answers still wait to be sent.
         """
         waited_ms = self.clock.now_ms() - self.leaving_since_ms
         if waited_ms >= self.settings.grace_ms - END_MARGIN_MS:
             return True
         least_ms = max(self.settings.linger_ms, LEAST_LEAVE_MS)
-        return waited_ms >= least_ms and self.idle
+        return waited_ms >= least_ms and self.idle and not sending
 
     def admit(self, hello: messages.Hello) -> int:
         """Return 0 to serve a peer, else how long it should wait in ms."""
--- a/libs/daemon/src/trefoil_daemon/transport.py
+++ b/libs/daemon/src/trefoil_daemon/transport.py
@@ -69,6 +69,11 @@
         self.owner: typing.Any = None
         self.reading = True
 
+    @property
+    def unsent(self) -> int:
+        """Return how many bytes the kernel has not taken yet."""
+        return len(self.pending)
+
     def write(self, data: bytes) -> None:
         """Send bytes, now if the kernel takes them."""
         if self.closed or self.closing:
@@ -88,11 +93,13 @@
             self.transport.want_write(self)
 
     def _buffer(self, data: bytes) -> None:
-        self.pending += data
         if len(self.pending) > MAX_BUFFERED_BYTES:
             # A peer that reads too slowly would else make this process
-            # hold everything that is meant for it.
+            # hold everything that is meant for it. One message of any size
+            # is let through: only what comes behind it is too much.
             self.close()
+            return
+        self.pending += data
 
     def pause(self, paused: bool) -> None:
         """Stop or resume reading, to hold a fast sender back."""
@@ -225,7 +232,9 @@
         if not data:
             stream.ended = True
             stream.close()
-        elif stream.on_data is not None:
+        elif stream.on_data is not None and not stream.closing:
+            # What comes after the last answer can't be answered any more, so
+            # it must not be run.
             stream.on_data(stream, data)
 
     def _accept(self, listener: socket.socket, on_open: OnOpen) -> None:
--- a/libs/model/src/trefoil_model/events.py
+++ b/libs/model/src/trefoil_model/events.py
@@ -5,6 +5,7 @@
 """
 
 CATALOGUE = {
+    "answer.cut": "a connection ended before its caller had the whole answer",
     "budget.spent": "what a service's retry budget was spent on, by cause",
     "command.agreed": "an operator's command, its outcome and reason",
     "config.in_force": "the revision that is served by from here on",
