Tell what kept nine processes from their first line

Cause: not known. What stood is not told: a process that waits for its imports, one that waits for a port, and a machine that stood still look the same.

Change: the processes of a LocalFleet write a line before their imports and one after; what was waited for in vain tells how often it was asked for and the longest pause between, which shows a machine that stood still.

It stays listed.

--- a/libs/emulator/src/trefoil_emulator/fleet.py
+++ b/libs/emulator/src/trefoil_emulator/fleet.py
@@ -4,6 +4,7 @@
 """
 
 import dataclasses
+import itertools
 import json
 import os
 import pathlib
@@ -64,15 +65,23 @@
     """Return what a condition gives once it holds.
 
     Raises:
-        NeverCame: It did not hold in time.
+        NeverCame: It did not hold in time; says how often it was asked for,
+            and the longest pause between two times: a machine that stood
+            still shows there.
     """
-    until = time.monotonic() + within_s
+    asked_s = [time.monotonic()]
+    until = asked_s[0] + within_s
     while True:
         found = condition()
         if found:
             return found
-        if time.monotonic() >= until:
-            raise NeverCame(f"{what}: not within {within_s} s")
+        asked_s.append(time.monotonic())
+        if asked_s[-1] >= until:
+            pauses = [b - a for a, b in itertools.pairwise(asked_s)]
+            raise NeverCame(
+                f"{what}: not within {within_s} s, asked {len(pauses)} times "
+                f"with pauses of {max(pauses):.2f} s at most"
+            )
         time.sleep(pause_s)
 
 
@@ -491,5 +500,11 @@
 
 
 def _python(module: str, function: str, *arguments: str) -> list[str]:
-    code = f"import {module} as main; main.{function}()"
+    # A process that writes nothing more was stopped by its imports, or later.
+    code = (
+        "print('loading', flush=True); "
+        f"import {module} as main; "
+        "print('loaded', flush=True); "
+        f"main.{function}()"
+    )
     return [sys.executable, "-c", code, *arguments]
