Take a version for good by its requests, not by a clock

Cause: a move of 15 s had all its traffic after 6 to 8 s, on evidence of a small share, and was "whole and watched" one second later, whatever that second had shown. A leader that took over in the watch threw the first reports' failures away: its judge set the new version's counts back before it looked at them. After the end nobody watches. The second's length was a constant of the platform's codec.

Ruled out: proxies that send more than the share (given as reported follows it); the account itself (it said what was left, nobody asked).

Change: where cost is bounded, a move waits at the share that can be paid for until the later steps just fit (moves/pacing.py); a version is good by a sequential test's second bound, watched nearly to the deadline; what speaks against it decides once the account is spent; reports come each 100 ms then.

Before: 13 of the new cases of test_short_moves fail on the old code (a version that turns bad after 5 to 11 s is done); those on a change of leader in the watch failed until the first reports counted.

--- a/libs/daemon/src/trefoil_daemon/leading_moves.py
+++ b/libs/daemon/src/trefoil_daemon/leading_moves.py
@@ -1,5 +1,6 @@
 """The moves that a leading control process decides on."""
 
+import dataclasses
 import typing
 
 from trefoil_fleet import exclusions
@@ -100,13 +101,11 @@
         if conductor is None:
             conductor = conductors.Conductor(move, self.knobs, now_ms)
             self.conductors[move.move_id] = conductor
+        wall_ms = max(
+            self.process.clock.wall_ms(), self.process.state.clock_ms
+        )
         decision = conductor.decide(
-            move,
-            self._capacity(move),
-            now_ms=now_ms,
-            wall_ms=max(
-                self.process.clock.wall_ms(), self.process.state.clock_ms
-            ),
+            move, self._capacity(move), now_ms=now_ms, wall_ms=wall_ms
         )
         body = _body_of(move, decision)
         if body is None:
@@ -119,6 +118,9 @@
                     "move": move.move_id,
                     "decision": type(decision).__name__.lower(),
                     "reason": decision.reason,
+                    **dataclasses.asdict(
+                        conductor.grounds(move, now_ms, wall_ms)
+                    ),
                 },
             )
         )
--- a/libs/daemon/src/trefoil_daemon/proxy_process.py
+++ b/libs/daemon/src/trefoil_daemon/proxy_process.py
@@ -218,15 +218,22 @@
                 self.entry.placing.halted.pop(service, None)
             elif collector is None or collector.move_id != shares.move_id:
                 self._begin_collecting(service, shares)
+            else:
+                collector.whole = all(
+                    share.version == collector.on_trial
+                    for share in shares.shares
+                    if share.permille
+                )
 
     def _begin_collecting(self, service: str, shares: messages.Shares) -> None:
         self.entry.placing.halted.pop(service, None)
+        ordered = sorted(shares.shares, key=lambda share: -share.permille)
         self.collectors[service] = evidences.Collector(
             shares.move_id,
             self.settings.host,
             self.node.members.record.incarnation,
+            ordered[-1].version,
         )
-        ordered = sorted(shares.shares, key=lambda share: -share.permille)
         knobs = knob_store.Knobs()
         self.guards[service] = judges.Judge(
             ordered[0].version,
--- a/libs/moves/src/trefoil_moves/conductor.py
+++ b/libs/moves/src/trefoil_moves/conductor.py
@@ -13,18 +13,17 @@
 from . import exposure as exposures
 from . import judge as judges
 from . import knobs as knob_store
+from . import pacing as pacings
 from . import phases
 
 EXPECTED_WINDOWS = 600
 COMPARE_WINDOWS = 40
 COMPARE_SHARES = (250, 800)
-LEANING_PATIENCE = 2
 LEANING_FACTOR = 3
 FAINT_SHARE = 0.02
 WHOLE = exposures.WHOLE
-RAMP_RESERVE = 0.25
 # How often a leader looks for the next step.
-DECIDE_MS = 200
+DECIDE_MS = 100
 SLOTS_MARGIN = 0.9
 
 
@@ -58,6 +57,32 @@
 Decision = Step | End | None
 
 
+@dataclasses.dataclass(slots=True)
+class Grounds:
+    """What a decision rests on, for people.
+
+    Args:
+        permille: The version's share until then.
+        at_step_ms: How long it had that share.
+        left_ms: Time to the deadline.
+        given: Requests that the version got, as far as reported.
+        requests: Requests of both versions, as far as reported.
+        payable_ms: What the version may still get, as time at the whole
+            traffic.
+        leans_against: Whether half of what condemns was there.
+        is_clear: Whether requests at the whole share spoke for it.
+    """
+
+    permille: int
+    at_step_ms: int
+    left_ms: int
+    given: int
+    requests: int
+    payable_ms: int
+    leans_against: bool
+    is_clear: bool
+
+
 class Conductor:
     """Leads one move while this process leads the agreement.
 
@@ -73,6 +98,7 @@
         "merger",
         "judge",
         "exposure",
+        "pacing",
         "counted_since_ms",
         "window_at_ms",
         "step_started_ms",
@@ -108,6 +134,11 @@
             requests=knobs.exposed_requests,
             span_ms=move.deadline_ms - move.started_ms,
         )
+        self.pacing: pacings.Pacing = (
+            pacings.BoundedPacing(knobs, self.exposure)
+            if self.exposure.is_bounded
+            else pacings.EvenPacing(knobs)
+        )
         self.counted_since_ms = -1
         self.window_at_ms = now_ms
         self.step_started_ms = now_ms
@@ -159,9 +190,9 @@
             return End(messages.Outcome.TAKEN_BACK, bad)
         match move.phase:
             case phases.WAITING:
-                return self._decide_waiting(move, capacity, wall_ms)
+                return self._decide_waiting(move, capacity, now_ms, wall_ms)
             case phases.WATCH:
-                return self._decide_watch(move, capacity, now_ms)
+                return self._decide_watch(move, capacity, now_ms, wall_ms)
             case phases.COMPARE:
                 return self._decide_compare(now_ms)
         return self._decide_ramp(move, capacity, now_ms, wall_ms)
@@ -180,14 +211,35 @@
             self.step_started_ms = now_ms - (wall_ms - move.step_ms)
 
     def _close_window(self, now_ms: int) -> None:
-        if now_ms < self.window_at_ms + self.knobs.window_ms:
+        elapsed_ms = now_ms - self.window_at_ms
+        if elapsed_ms < self._window_ms():
             return
         self.window_at_ms = now_ms
         window = self.merger.take_window()
         self.exposure.add(window)
-        verdict = self.judge.add(window)
+        if self._is_settled(now_ms):
+            self.judge.begin_clearing()
+        verdict = self.judge.add(window, elapsed_ms / self.knobs.window_ms)
         self.verdict = self.verdict or verdict
 
+    def _window_ms(self) -> int:
+        """Return how long evidence is gathered before it is looked at.
+
+        With all the traffic each tenth of a second counts, and no strata of
+        two versions are compared that would be thinner for it.
+        """
+        if self.exposure.is_bounded and self.phase == phases.WATCH:
+            return DECIDE_MS
+        return self.knobs.window_ms
+
+    def _is_settled(self, now_ms: int) -> bool:
+        """Tell whether what is reported from now on ran at the whole share."""
+        if self.phase != phases.WATCH or self.judge.clearance is not None:
+            return False
+        pause_ms = evidences.report_pause_ms(len(self.merger.by_host))
+        settled_ms = pause_ms + exposures.SPREAD_MS
+        return now_ms - self.step_started_ms >= settled_ms
+
     def _fault(self) -> str:
         if self.verdict is not None:
             return str(self.verdict)
@@ -201,10 +253,12 @@
         self,
         move: messages.MoveRecord,
         capacity: Capacity,
+        now_ms: int,
         wall_ms: int,
     ) -> Decision:
         if capacity.new_targets and not capacity.missing:
-            share = min(self.knobs.first_permille, move.risk_permille)
+            standing = self.standing(move, now_ms, wall_ms)
+            share = self.pacing.first_share(move, standing)
             return Step(share, phases.TRIAL, "targets are ready")
         if wall_ms >= move.deadline_ms:
             return End(messages.Outcome.NOT_RUN, _why_waiting(capacity))
@@ -219,27 +273,51 @@
     ) -> Decision:
         if not capacity.new_targets:
             return End(messages.Outcome.TAKEN_BACK, "its targets went away")
-        at_step_ms = now_ms - self.step_started_ms
-        left_ms = move.deadline_ms - wall_ms
-        if left_ms <= 0:
+        standing = self.standing(move, now_ms, wall_ms)
+        doubt = self.pacing.doubt(move, standing)
+        if doubt:
+            return End(messages.Outcome.TAKEN_BACK, doubt)
+        if standing.left_ms <= 0:
             return self._at_deadline(move, capacity)
-        if at_step_ms < self._least_ms(move, left_ms):
-            return None
-        shown = self._has_shown()
-        patience_ms = self._patience_ms(move, now_ms, left_ms)
-        if self.judge.leans_against():
-            # More traffic now would meet what the next seconds may prove.
-            shown = False
-            patience_ms *= LEANING_PATIENCE
-        if not shown and at_step_ms < patience_ms:
-            return None
-        share = self._next_share(move)
+        share = self.pacing.next_share(move, standing)
         share = min(share, _share_for(capacity))
         if share <= move.permille:
             return None
+        shown = standing.has_shown and not standing.leans_against
         why = "evidence is in" if shown else "thin evidence, time is due"
         return self._step_to(share, why)
 
+    def standing(
+        self, move: messages.MoveRecord, now_ms: int, wall_ms: int
+    ) -> pacings.Standing:
+        """Return how the move stands now."""
+        return pacings.Standing(
+            at_step_ms=now_ms - self.step_started_ms,
+            left_ms=move.deadline_ms - wall_ms,
+            counted_ms=now_ms - self.counted_since_ms,
+            seen_late_ms=self._seen_late_ms(),
+            has_shown=self._has_shown(),
+            leans_against=self.judge.leans_against(),
+            is_clear=self.judge.is_clear,
+            is_doubtful=self.judge.is_doubtful,
+        )
+
+    def grounds(
+        self, move: messages.MoveRecord, now_ms: int, wall_ms: int
+    ) -> Grounds:
+        """Return what a decision made now rests on."""
+        standing = self.standing(move, now_ms, wall_ms)
+        return Grounds(
+            permille=move.permille,
+            at_step_ms=round(standing.at_step_ms),
+            left_ms=round(standing.left_ms),
+            given=round(self.exposure.given),
+            requests=round(self.exposure.total),
+            payable_ms=round(self.exposure.left_ms(standing.counted_ms)),
+            leans_against=standing.leans_against,
+            is_clear=standing.is_clear,
+        )
+
     def _at_deadline(
         self, move: messages.MoveRecord, capacity: Capacity
     ) -> Decision:
@@ -260,78 +338,11 @@
         phase = phases.WATCH if share >= WHOLE else phases.RAMP
         return Step(share, phase, why)
 
-    def _next_share(self, move: messages.MoveRecord) -> int:
-        grown = int(move.permille * self.knobs.step_growth)
-        grown = max(grown, move.permille + 1)
-        if move.permille < move.risk_permille:
-            return min(grown, move.risk_permille)
-        return min(grown, WHOLE)
-
-    def _patience_ms(
-        self, move: messages.MoveRecord, now_ms: int, left_ms: int
-    ) -> float:
-        """Return how long a step may wait for evidence.
-
-        What is left is shared evenly among the steps still to go, with a
-        reserve for a change of leader. Where exposure is bounded a step
-        waits for as long as what it spends is not missing later: small
-        shares wait long, great ones hardly.
-        """
-        evenly_ms = left_ms * (1 - RAMP_RESERVE) / self._steps_left(move)
-        if not self.exposure.is_bounded:
-            return max(evenly_ms, 0)
-        until_due_ms = self._until_due_ms(move, left_ms)
-        at_step_ms = now_ms - self.step_started_ms
-        later_ms = self._later_shares(move) * self.knobs.least_step_ms
-        spare_ms = self.exposure.spare_ms(
-            now_ms - self.counted_since_ms, move.permille, self._seen_late_ms()
-        )
-        spare_ms -= later_ms
-        small = move.permille <= move.risk_permille
-        if small and spare_ms + at_step_ms * move.permille / WHOLE <= 0:
-            # The bound can't be kept where faults take long to be seen. Then
-            # each request at a small share tells more than it costs.
-            return max(until_due_ms, 0)
-        by_exposure_ms = at_step_ms + spare_ms * WHOLE / max(move.permille, 1)
-        return max(min(by_exposure_ms, until_due_ms), 0)
-
     def _seen_late_ms(self) -> float:
-        """Return how long a fault takes at most to be taken back."""
-        pauses_ms = evidences.report_pause_ms(len(self.merger.by_host))
-        pauses_ms += self.knobs.window_ms + DECIDE_MS
-        return pauses_ms + exposures.SPREAD_MS + self.judge.usual_ms()
-
-    def _later_shares(self, move: messages.MoveRecord) -> float:
-        """Return the sum of the shares between this one and the whole."""
-        total = 0.0
-        share = self._next_share(move)
-        while share < WHOLE:
-            total += share / WHOLE
-            share = min(int(share * self.knobs.step_growth), WHOLE)
-        return total
-
-    def _until_due_ms(self, move: messages.MoveRecord, left_ms: int) -> float:
-        """Return how long a step can last if later ones are short."""
-        later = self._steps_left(move) - 1
-        ahead_ms = move.watch_ms + later * self.knobs.least_step_ms
-        return left_ms * (1 - RAMP_RESERVE) - ahead_ms
-
-    def _least_ms(self, move: messages.MoveRecord, left_ms: int) -> float:
-        """Return how long a step lasts even when its evidence is in."""
-        paced_ms = left_ms * self.knobs.pace / self._steps_left(move)
-        paced_ms = min(paced_ms, self.knobs.longest_pace_ms)
-        least_ms = self.knobs.least_step_ms
-        if move.phase == phases.TRIAL:
-            least_ms = max(least_ms, self.knobs.least_trial_ms)
-        return max(paced_ms, least_ms)
-
-    def _steps_left(self, move: messages.MoveRecord) -> int:
-        steps = 1
-        share = float(move.permille or 1)
-        while share < WHOLE:
-            share *= self.knobs.step_growth
-            steps += 1
-        return steps
+        """Return how long the whole share's faults take to be taken back."""
+        pauses_ms = evidences.urgent_pause_ms(len(self.merger.by_host))
+        pauses_ms += 2 * DECIDE_MS
+        return pauses_ms + exposures.SPREAD_MS + self.judge.answered_ms()
 
     def _has_shown(self) -> bool:
         """Tell whether each route that matters had enough requests.
@@ -357,6 +368,7 @@
         move: messages.MoveRecord,
         capacity: Capacity,
         now_ms: int,
+        wall_ms: int,
     ) -> Decision:
         suspicion = self.judge.suspects()
         if suspicion and capacity.old_slots and self._compares(suspicion):
@@ -364,7 +376,11 @@
             return Step(_compare_share(move), phases.COMPARE, why)
         if suspicion and not self._compares(suspicion):
             return End(messages.Outcome.TAKEN_BACK, str(suspicion))
-        if now_ms - self.step_started_ms >= move.watch_ms:
+        standing = self.standing(move, now_ms, wall_ms)
+        doubt = self.pacing.doubt(move, standing)
+        if doubt:
+            return End(messages.Outcome.TAKEN_BACK, doubt)
+        if self.pacing.is_good(move, standing):
             return End(messages.Outcome.DONE, "whole and watched")
         return None
 
--- a/libs/moves/src/trefoil_moves/evidence.py
+++ b/libs/moves/src/trefoil_moves/evidence.py
@@ -15,6 +15,8 @@
 # requests at risk.
 REPORT_MS = 250
 REPORT_MS_PER_HOST = 3
+# What presses is told in this part of the usual pause.
+URGENT_PART = 0.4
 
 
 class TallyKey(typing.NamedTuple):
@@ -81,29 +83,41 @@
         move_id: The move.
         host: Name of this host.
         incarnation: This process's life.
+        on_trial: The version that is being brought in.
+
+    ``whole`` tells that it has all the traffic: each tenth of a second that
+    its answers are heard of sooner is a tenth that a bad one gets less.
     """
 
     __slots__ = (
         "move_id",
         "host",
         "incarnation",
+        "on_trial",
         "sequence",
         "counts",
         "changed",
         "window",
-        "report_at_ms",
+        "reported_ms",
+        "urgent",
+        "whole",
         "halted",
     )
 
-    def __init__(self, move_id: str, host: str, incarnation: int) -> None:
+    def __init__(
+        self, move_id: str, host: str, incarnation: int, on_trial: str = ""
+    ) -> None:
         self.move_id = move_id
         self.host = host
         self.incarnation = incarnation
+        self.on_trial = on_trial
         self.sequence = 0
         self.counts: Window = {}
         self.changed: set[TallyKey] = set()
         self.window: Window = {}
-        self.report_at_ms = 0
+        self.reported_ms = -REPORT_MS
+        self.urgent = False
+        self.whole = False
         self.halted = False
 
     def observe(
@@ -113,6 +127,8 @@
         for counts in (self.counts, self.window):
             counts.setdefault(key, Counts()).add(latency_us, failed, cold)
         self.changed.add(key)
+        if failed and key.version == self.on_trial:
+            self.urgent = True
 
     def take_window(self) -> Window:
         """Return what was counted since the last call."""
@@ -131,10 +147,14 @@
                 that it serves, so a large fleet reports less often; a proxy
                 that halted tells at once.
         """
-        due = now_ms >= self.report_at_ms or self.halted
+        pause_ms = report_pause_ms(hosts)
+        if self.urgent or self.whole:
+            pause_ms = urgent_pause_ms(hosts)
+        due = now_ms >= self.reported_ms + pause_ms or self.halted
         if not self.changed or not due:
             return None
-        self.report_at_ms = now_ms + report_pause_ms(hosts)
+        self.reported_ms = now_ms
+        self.urgent = False
         self.sequence += 1
         tallies = [
             messages.Tally(
@@ -213,6 +233,11 @@
     return max(REPORT_MS, hosts * REPORT_MS_PER_HOST)
 
 
+def urgent_pause_ms(hosts: int) -> int:
+    """Return the pause while the version on trial fails, or is whole."""
+    return int(report_pause_ms(hosts) * URGENT_PART)
+
+
 def routes_in(window: collections.abc.Iterable[TallyKey]) -> list[str]:
     """Return the routes that a window tells of."""
     return sorted({key.route for key in window})
--- a/libs/moves/src/trefoil_moves/exposure.py
+++ b/libs/moves/src/trefoil_moves/exposure.py
@@ -2,8 +2,7 @@
 
 The load that this answers: a version that is well on a small share and fails
 once it has the traffic. Each step then costs its share for as long as it
-lasts, and the last one costs everything for the time that a fault takes to
-be seen. A step that waits too long for evidence leaves nothing for that.
+lasts, and the last one costs everything until a fault is seen and taken back.
 """
 
 from . import evidence as evidences
@@ -51,19 +50,13 @@
             if key.version == self.version:
                 self.given += counts.requests
 
-    def spare_ms(
-        self, counted_ms: float, permille: int, seen_late_ms: float
-    ) -> float:
-        """Return what may be spent beyond what the whole share will cost.
+    def left_ms(self, counted_ms: float) -> float:
+        """Return what the version may still get.
 
         Args:
             counted_ms: How long requests have been counted.
-            permille: The version's share now; some of what it got is not
-                reported yet.
-            seen_late_ms: How long a fault takes to be seen and taken back,
-                which is what the whole share costs.
         """
         left_ms = self.part * self.span_ms
         if self.total:
             left_ms += (self.requests - self.given) * counted_ms / self.total
-        return left_ms - seen_late_ms * (1 + permille / WHOLE)
+        return left_ms
--- a/libs/moves/src/trefoil_moves/judge.py
+++ b/libs/moves/src/trefoil_moves/judge.py
@@ -23,6 +23,10 @@
 BASE_TOLERANCE = 0.003
 BASE_ALARM = 0.016
 BASE_EVIDENCE = 5.0
+# A fault that matters adds this much to the share of requests that fail.
+CLEAR_ALARM = 0.1
+# One bad version in a hundred may look like a good one by chance.
+CLEAR_EVIDENCE = math.log(100)
 ALL_ROUTES = "*"
 FAILURES = "failures"
 LATENCY = "latency"
@@ -113,6 +117,7 @@
         "cases",
         "watching",
         "compared",
+        "clearance",
     )
 
     def __init__(
@@ -132,16 +137,27 @@
         self.cases: dict[str, RouteCase] = {}
         self.watching = False
         self.compared = False
+        self.clearance: sequential.Clearance | None = None
 
-    def add(self, window: evidences.Window) -> Verdict | None:
-        """Take a window; return a verdict if the version is bad."""
+    def add(
+        self, window: evidences.Window, weight: float = 1.0
+    ) -> Verdict | None:
+        """Take a window; return a verdict if the version is bad.
+
+        Args:
+            window: What was reported since the last one.
+            weight: How long it lasted, in usual windows.
+        """
+        fade = FADE**weight
         routes = evidences.routes_in(window)
         for route in routes:
             case = self.cases.setdefault(route, RouteCase())
-            self._add_route(case, route, window)
-        self._pool(routes, window)
+            self._add_route(case, route, window, fade)
+        self._pool(routes, window, fade)
         if self.watching:
             self._watch_new_cases()
+        if self.clearance is not None:
+            self._clear(window)
         found = []
         for route, case in self.cases.items():
             found.append(self._judge_failures(route, case))
@@ -149,7 +165,9 @@
         verdicts = [verdict for verdict in found if verdict is not None]
         return max(verdicts, key=lambda v: v.evidence, default=None)
 
-    def _pool(self, routes: list[str], window: evidences.Window) -> None:
+    def _pool(
+        self, routes: list[str], window: evidences.Window, fade: float
+    ) -> None:
         """Add all routes' strata to one more case.
 
         A service with little traffic may not show a fault on any one route
@@ -157,18 +175,22 @@
         so routes that differ are not mixed.
         """
         pooled = self.cases.setdefault(ALL_ROUTES, RouteCase())
-        pooled.old.fade(FADE)
-        pooled.new.fade(FADE)
+        pooled.old.fade(fade)
+        pooled.new.fade(fade)
         for route in routes:
             slow_bucket = self.cases[route].slow_bucket
             for old, new in self._strata(route, window):
                 self._add_stratum(pooled, old, new, slow_bucket)
 
     def _add_route(
-        self, case: RouteCase, route: str, window: evidences.Window
+        self,
+        case: RouteCase,
+        route: str,
+        window: evidences.Window,
+        fade: float,
     ) -> None:
-        case.old.fade(FADE)
-        case.new.fade(FADE)
+        case.old.fade(fade)
+        case.new.fade(fade)
         for old, new in self._strata(route, window):
             self._add_stratum(case, old, new, case.slow_bucket)
         self._learn_slowness(case)
@@ -256,13 +278,40 @@
         self.watching = True
         for case in self.cases.values():
             self._watch_case(case)
+            case.new = evidences.Counts()
+
+    def begin_clearing(self) -> None:
+        """Ask for evidence in the version's favour from now on."""
+        pooled = self.cases.get(ALL_ROUTES, RouteCase())
+        base = _base_rate(pooled.old_ever)
+        self.clearance = sequential.Clearance(
+            base, min(base + CLEAR_ALARM, 0.95), CLEAR_EVIDENCE
+        )
+
+    @property
+    def is_clear(self) -> bool:
+        """Tell whether evidence says that the version is in order."""
+        return self.clearance is not None and self.clearance.is_clear
+
+    @property
+    def is_doubtful(self) -> bool:
+        """Tell whether evidence speaks against it more than for it."""
+        return self.clearance is not None and self.clearance.sum < 0
+
+    def _clear(self, window: evidences.Window) -> None:
+        found = evidences.Counts()
+        for key, counts in window.items():
+            if key.version == self.new_version:
+                found.merge(counts)
+        self.clearance.add(found.failures, found.requests)
 
     def _watch_new_cases(self) -> None:
         """Watch routes of which this judge has only just heard.
 
         A new leader starts in the midst of the watch and knows nothing
         until the proxies' cumulative reports arrive. Without this it would
-        suspect nothing, and a fault that comes late would stay.
+        suspect nothing, and a fault that comes late would stay. What these
+        reports tell of the new version counts.
         """
         for case in self.cases.values():
             if case.baseline is None and case.old_ever.requests:
@@ -270,11 +319,9 @@
 
     def _watch_case(self, case: RouteCase) -> None:
         case.reference = self._reference(case)
-        base = (case.reference.failures + 0.5) / (case.reference.requests + 50)
-        base = min(base + BASE_TOLERANCE, 0.9)
+        base = _base_rate(case.reference)
         alarm = min(base + BASE_ALARM, 0.95)
         case.baseline = sequential.BaselineDetector(base, alarm)
-        case.new = evidences.Counts()
 
     def _reference(self, case: RouteCase) -> evidences.Counts:
         """Return the old version's counts that the watch compares with.
@@ -321,6 +368,7 @@
         evidence keeps the rate of false alarms.
         """
         self.watching = False
+        self.clearance = None
         self.compared = True
         self.threshold = min(self.threshold, self.compare_threshold)
         for case in self.cases.values():
@@ -342,12 +390,15 @@
             if route != ALL_ROUTES
         }
 
-    def usual_ms(self) -> float:
-        """Return how long the old version's requests take as a rule."""
+    def answered_ms(self) -> float:
+        """Return in what time nearly all of the old version's requests end.
+
+        A request that fails is heard of only when it ends.
+        """
         pooled = self.cases.get(ALL_ROUTES)
         latencies = pooled.old_ever.latencies if pooled else {}
-        middle = latency.quantile_bucket(latencies, 0.5)
-        return latency.bucket_floor_us(middle) / 1000 if middle >= 0 else 0.0
+        most = latency.quantile_bucket(latencies, SLOW_QUANTILE)
+        return latency.bucket_floor_us(most) / 1000 if most >= 0 else 0.0
 
     def old_seen(self) -> dict[str, int]:
         """Return how many requests of the old version each route had."""
@@ -356,6 +407,12 @@
         }
 
 
+def _base_rate(reference: evidences.Counts) -> float:
+    """Return the rate of failures that is in order, never quite 0 or 1."""
+    rate = (reference.failures + 0.5) / (reference.requests + 50)
+    return min(rate + BASE_TOLERANCE, 0.9)
+
+
 def _rate(counts: evidences.Counts) -> float:
     return counts.failures / counts.requests if counts.requests else 0.0
 
--- a/libs/moves/src/trefoil_moves/knobs.py
+++ b/libs/moves/src/trefoil_moves/knobs.py
@@ -17,7 +17,7 @@
 # it is spent at the share at risk, where a second costs little: what the
 # next share costs is missing when a fault shows only with all traffic.
 SHORT_TRIAL_SHARE = 0.19
-SHORT_STEP_SHARE = 0.06
+SHORT_STEP_SHARE = 0.04
 SHORT_PACE = 0.15
 # Two looks a second; a verdict then trails its evidence by 0.25 s on
 # average.
@@ -25,6 +25,20 @@
 # Three windows: at a hundred requests a second a version four times slower
 # shows within two, and a version in order keeps time for its watch.
 SHORT_COMPARE_MS = 1500
+# A second with all the traffic is most of what a bad version may cost in a
+# move of seconds; the watch goes on by evidence.
+SHORT_WATCH_MS = 700
+WATCH_MS = 30_000
+RISK_PERMILLE = 80
+
+
+def usual_watch_ms(span_ms: int) -> int:
+    """Return how long the whole share is watched if nobody says so.
+
+    Args:
+        span_ms: Time from the move's start to its deadline.
+    """
+    return SHORT_WATCH_MS if span_ms < SHORT_MOVE_MS else WATCH_MS
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/libs/moves/src/trefoil_moves/rulings.py
+++ b/libs/moves/src/trefoil_moves/rulings.py
@@ -12,6 +12,7 @@
 from trefoil_fleet import items as item_store
 from trefoil_wire import messages
 
+from . import knobs
 from . import phases
 
 if typing.TYPE_CHECKING:
@@ -175,7 +176,8 @@
     deadline_ms = body.deadline_ms
     if body.duration_ms:
         deadline_ms = state.clock_ms + body.duration_ms
-    if deadline_ms <= state.clock_ms:
+    span_ms = deadline_ms - state.clock_ms
+    if span_ms <= 0:
         return Ruling(Outcome.NOT_RUN, "the deadline has passed")
     move = messages.MoveRecord(
         move_id=command.command_id,
@@ -183,8 +185,8 @@
         from_version=from_version,
         to_version=body.to_version,
         deadline_ms=deadline_ms,
-        risk_permille=body.risk_permille,
-        watch_ms=body.watch_ms,
+        risk_permille=body.risk_permille or knobs.RISK_PERMILLE,
+        watch_ms=body.watch_ms or knobs.usual_watch_ms(span_ms),
         started_ms=state.clock_ms,
         permille=0,
         phase=phases.WAITING,
--- a/libs/moves/src/trefoil_moves/sequential.py
+++ b/libs/moves/src/trefoil_moves/sequential.py
@@ -83,6 +83,41 @@
         return _log_sum(self.sums) - math.log(len(self.sums))
 
 
+class Clearance:
+    """How surely a rate is below that of a fault.
+
+    The other bound of a sequential test: evidence in favour. It is asked for
+    by count, so a quiet second clears nothing, and what is bad after much
+    that was good counts at once, since the evidence is capped.
+
+    Args:
+        base_rate: The rate that is in order.
+        fault_rate: The least rate of a fault.
+        enough: Log of the evidence that clears.
+    """
+
+    __slots__ = ("gain_good", "loss_bad", "enough", "sum")
+
+    def __init__(
+        self, base_rate: float, fault_rate: float, enough: float
+    ) -> None:
+        fault_rate = max(fault_rate, base_rate)
+        self.gain_good = math.log((1 - base_rate) / (1 - fault_rate))
+        self.loss_bad = math.log(fault_rate / base_rate)
+        self.enough = enough
+        self.sum = 0.0
+
+    def add(self, bad: int, total: int) -> None:
+        """Add some requests."""
+        self.sum += (total - bad) * self.gain_good - bad * self.loss_bad
+        self.sum = min(self.sum, self.enough)
+
+    @property
+    def is_clear(self) -> bool:
+        """Tell whether the evidence is enough."""
+        return self.sum >= self.enough
+
+
 class BaselineDetector:
     """A CUSUM of a rate against a known baseline.
 
--- a/libs/moves/tests/test_short_moves.py
+++ b/libs/moves/tests/test_short_moves.py
@@ -125,6 +125,12 @@
     raise AssertionError("the move did not end")
 
 
+RATES = [20, 130, 300, 600]
+TAKEN_BACK_MS = 600
+# A change of leader in the midst of the last steps.
+LAST_CHANGES_MS = [12_000, 12_500, 13_000, 13_200, 13_400, 13_600]
+
+
 def allowed(rate: int = RATE) -> float:
     """Return how many requests a bad version may get."""
     return rate * SPAN_MS / 1000 * EXPOSURE_SHARE + EXPOSURE_SLACK
@@ -256,3 +262,36 @@
     )
     assert found.outcome == messages.Outcome.DONE
     assert found.ended_ms <= SPAN_MS - 1000
+
+
+@pytest.mark.parametrize("rate", RATES)
+@pytest.mark.parametrize("turns_ms", [3000, 5000, 7000, 9000, 11_000])
+def test_a_version_that_turns_bad_late_is_not_taken_for_good(
+    turns_ms: int, rate: int
+) -> None:
+    """It was done by half of its time; nobody watched it any more."""
+    found = play(fails=lambda now_ms: 0.4 * (now_ms >= turns_ms), rate=rate)
+    assert found.outcome == messages.Outcome.TAKEN_BACK
+    assert found.exposed + TAKEN_BACK_MS / 1000 * rate <= allowed(rate)
+
+
+@pytest.mark.parametrize("new_leader_ms", LAST_CHANGES_MS)
+@pytest.mark.parametrize("rate", RATES)
+def test_a_new_leader_does_not_end_a_watch_that_saw_nothing(
+    rate: int, new_leader_ms: int
+) -> None:
+    """Its watch ended by its clock, before the first failures were told."""
+    found = play(loaded=0.4, rate=rate, new_leader_ms=new_leader_ms)
+    assert found.outcome == messages.Outcome.TAKEN_BACK
+    assert found.exposed + TAKEN_BACK_MS / 1000 * rate <= allowed(rate)
+
+
+@pytest.mark.parametrize("new_leader_ms", [-1, 3000, 8000, *LAST_CHANGES_MS])
+@pytest.mark.parametrize("rate", RATES)
+def test_a_good_version_is_done_in_time_whoever_leads(
+    rate: int, new_leader_ms: int
+) -> None:
+    """Steps that wait must leave a new leader the time to end the move."""
+    found = play(rate=rate, new_leader_ms=new_leader_ms)
+    assert found.outcome == messages.Outcome.DONE
+    assert found.ended_ms <= SPAN_MS
