Tell a new leader of the old version in the watch

Cause: proxies report the counts that changed. With all the traffic at the new version the old one's change no more, so a leader that takes over never hears of them: no baseline, nothing to suspect, and an account that takes all requests for the new version's.

The tests' model reports everything each time and could not show it.

Change: while the new version has all the traffic each second report tells all counts.

--- a/libs/moves/src/trefoil_moves/evidence.py
+++ b/libs/moves/src/trefoil_moves/evidence.py
@@ -99,6 +99,7 @@
         "changed",
         "window",
         "reported_ms",
+        "told_all_ms",
         "urgent",
         "whole",
         "halted",
@@ -116,6 +117,7 @@
         self.changed: set[TallyKey] = set()
         self.window: Window = {}
         self.reported_ms = -REPORT_MS
+        self.told_all_ms = 0
         self.urgent = False
         self.whole = False
         self.halted = False
@@ -155,6 +157,11 @@
             return None
         self.reported_ms = now_ms
         self.urgent = False
+        if self.whole and now_ms >= self.told_all_ms + 2 * pause_ms:
+            # The old version's counts change no more. A leader that takes
+            # over would never hear of them, and have nothing to compare with.
+            self.told_all_ms = now_ms
+            self.changed.update(self.counts)
         self.sequence += 1
         tallies = [
             messages.Tally(
