Work out once when steps are due; sum only what clears

Cause: three places of pacing.py took the time to the due step from the same two figures; ten times a second the judge merged latencies that only the counts of failures were read from. Ruled out: adding each stratum by itself, shorter still: the evidence is capped at each addition, so the order would matter. Change: _waiting_ms; two sums in place of merged counts. Behaviour as before.

--- a/libs/moves/src/trefoil_moves/judge.py
+++ b/libs/moves/src/trefoil_moves/judge.py
@@ -299,11 +299,12 @@
         return self.clearance is not None and self.clearance.sum < 0
 
     def _clear(self, window: evidences.Window) -> None:
-        found = evidences.Counts()
+        failures = requests = 0.0
         for key, counts in window.items():
             if key.version == self.new_version:
-                found.merge(counts)
-        self.clearance.add(found.failures, found.requests)
+                failures += counts.failures
+                requests += counts.requests
+        self.clearance.add(failures, requests)
 
     def _watch_new_cases(self) -> None:
         """Watch routes of which this judge has only just heard.
--- a/libs/moves/src/trefoil_moves/pacing.py
+++ b/libs/moves/src/trefoil_moves/pacing.py
@@ -177,7 +177,7 @@
             return move.permille
         if standing.leans_against:
             return move.permille
-        if standing.left_ms <= self._ahead_ms(move):
+        if self._waiting_ms(move, standing) <= 0:
             return self._shares_above(move)[0]
         return self._small_share(move, standing)
 
@@ -222,8 +222,8 @@
         """Return the next share up to the one at risk, if it can be paid."""
         if move.permille >= move.risk_permille:
             return move.permille
-        waiting_ms = standing.left_ms - self._ahead_ms(move)
-        if waiting_ms < self.even.least_ms(move, standing.left_ms):
+        least_ms = self.even.least_ms(move, standing.left_ms)
+        if self._waiting_ms(move, standing) < least_ms:
             # The next share would last beyond the time when it is due.
             return move.permille
         share = self.even.next_share(move, standing)
@@ -232,11 +232,17 @@
 
     def _payable(self, move: messages.MoveRecord, standing: Standing) -> int:
         """Return the share that can be paid for until later steps are due."""
-        waiting_ms = standing.left_ms - self._ahead_ms(move)
+        waiting_ms = self._waiting_ms(move, standing)
         if waiting_ms <= 0:
             return move.risk_permille
         return int(self._spare_ms(move, standing) / waiting_ms * WHOLE)
 
+    def _waiting_ms(
+        self, move: messages.MoveRecord, standing: Standing
+    ) -> float:
+        """Return the time until the later steps are due."""
+        return standing.left_ms - self._ahead_ms(move)
+
     def _spare_ms(
         self, move: messages.MoveRecord, standing: Standing
     ) -> float:
