Log and count the limit and departure that targets state

Ruled out: nothing. Change: the proxy of a target reads both headers of its answers, in the order that concurrent answers allow, and tells target.limit, target.limit_malformed, target.leaving, the requests sent to each target and the limit in force as metrics. No decision uses them yet. Before: no trace.

--- a/libs/daemon/src/trefoil_daemon/dialect.py
+++ b/libs/daemon/src/trefoil_daemon/dialect.py
@@ -21,6 +21,10 @@
         retry_fractions: Whether Retry-After may have fractions of seconds.
         warmup_left: Set by a target in answers to health checks: how many
             milliseconds longer it is cold.
+        rate_limit: Set by a target on its answers for as long as it takes
+            only this many requests per second, a decimal number, from all
+            hosts together.
+        leaving: Set to 1 by a target on all its answers once it is leaving.
     """
 
     deadline: bytes = b"X-Trefoil-Deadline-Ms"
@@ -31,6 +35,8 @@
     target: bytes = b""
     retry_fractions: bool = False
     warmup_left: bytes = b"X-Trefoil-Warmup-Left-Ms"
+    rate_limit: bytes = b"X-Trefoil-Rate-Limit"
+    leaving: bytes = b"X-Trefoil-Leaving"
 
 
 DEFAULT = Dialect()
--- a/libs/daemon/src/trefoil_daemon/pools.py
+++ b/libs/daemon/src/trefoil_daemon/pools.py
@@ -6,11 +6,13 @@
 from trefoil_model import clock as clocks
 from trefoil_model import errors
 from trefoil_requests import effects
+from trefoil_requests import notices
 from trefoil_requests import silence as silent_connections
 from trefoil_wire import messages
 
 from . import _http
 from . import dialect as dialects
+from . import notice_reader
 from . import transport as transports
 
 DEFAULT_IDLE_MS = 5000
@@ -23,8 +25,12 @@
 class Owner(typing.Protocol):
     """What the pools report to their process."""
 
-    def target_answered(self, answer: messages.Answer) -> None:
-        """Handle a target's complete answer."""
+    def target_answered(
+        self,
+        answer: messages.Answer,
+        notice: notices.Notice = notices.NONE,
+    ) -> None:
+        """Handle a target's complete answer and what it states in it."""
 
     def target_unsent(self, request_id: int) -> None:
         """Handle a request of which no byte was sent."""
@@ -312,7 +318,8 @@
                 body=message.body,
                 ran=True,
                 service_us=(now_ms - connection.started_ms) * 1000,
-            )
+            ),
+            notice_reader.read(message, self.dialect),
         )
 
     def _on_close(self, stream: transports.Stream) -> None:
--- a/libs/daemon/src/trefoil_daemon/proxy_process.py
+++ b/libs/daemon/src/trefoil_daemon/proxy_process.py
@@ -18,6 +18,7 @@
 from trefoil_requests import effects as request_effects
 from trefoil_requests import entry as entries
 from trefoil_requests import ledger as ledgers
+from trefoil_requests import notices
 from trefoil_requests import quarantine as quarantines
 from trefoil_requests import routing
 from trefoil_requests import spending as spendings
@@ -497,11 +498,14 @@
         """Handle a local target's reported remaining warm-up time."""
         self.targets.on_warmup(target, left_ms, self.clock.now_ms())
 
-    def target_answered(self, answer: messages.Answer) -> None:
+    def target_answered(
+        self,
+        answer: messages.Answer,
+        notice: notices.Notice = notices.NONE,
+    ) -> None:
         """Handle a local target's complete answer."""
-        self.perform(
-            self.targets.on_target_answer(answer, self.clock.now_ms())
-        )
+        now_ms = self.clock.now_ms()
+        self.perform(self.targets.on_target_answer(answer, now_ms, notice))
 
     def target_unsent(self, request_id: int) -> None:
         """Handle a request that did not reach its local target.
--- a/libs/daemon/tests/test_edges.py
+++ b/libs/daemon/tests/test_edges.py
@@ -17,6 +17,7 @@
 from trefoil_model import clock as clocks
 from trefoil_requests import call as calls
 from trefoil_requests import effects
+from trefoil_requests import notices
 from trefoil_wire import messages
 
 DIALECT = dialects.Dialect(
@@ -93,7 +94,11 @@
         self.answers: list[messages.Answer] = []
         self.broken: list[int] = []
 
-    def target_answered(self, answer: messages.Answer) -> None:
+    def target_answered(
+        self,
+        answer: messages.Answer,
+        notice: notices.Notice = notices.NONE,
+    ) -> None:
         """Record an answer."""
         self.answers.append(answer)
 
--- a/libs/daemon/tests/test_slot_metrics.py
+++ b/libs/daemon/tests/test_slot_metrics.py
@@ -33,6 +33,8 @@
     core.put_target(record, 8080, 0)
     for number in (1, 2, 3):
         core.on_request("peer", request(number), 0)
-    (slots,) = slot_metrics.families(core.targets.values())
+    slots, sent, limits = slot_metrics.families(core.targets.values())
     values_by_state = {s.labels["state"]: s.value for s in slots.samples}
     assert values_by_state == {"all": 2, "running": 2, "queued": 1}
+    assert [sample.value for sample in sent.samples] == [2]
+    assert limits.samples == []
--- a/libs/requests/src/trefoil_requests/target_side.py
+++ b/libs/requests/src/trefoil_requests/target_side.py
@@ -18,9 +18,11 @@
 from . import attribution
 from . import bodies
 from . import effects
+from . import notices
 from . import occupancy as occupancies
 from . import pace as processing_times
 from . import quarantine as quarantines
+from . import rate_limit as rate_limits
 from . import warmup as warmups
 
 # Address of this proxy as the origin of requests that it sends to itself.
@@ -50,6 +52,9 @@
         advertised_cold: Whether it was cold in its last advertised record.
         processing_time: Mean run time of its requests.
         occupancy: Its load since its last log line.
+        named_limit: The rate limit that it names in its answers.
+        leaving: Whether it stated in an answer that it is leaving.
+        sent: Number of requests sent to it.
     """
 
     record: messages.TargetRecord
@@ -61,6 +66,11 @@
         default_factory=processing_times.ProcessingTime
     )
     occupancy: occupancies.Occupancy = dataclasses.field(init=False)
+    named_limit: rate_limits.NamedLimit = dataclasses.field(
+        default_factory=rate_limits.NamedLimit
+    )
+    leaving: bool = False
+    sent: int = 0
 
     def __post_init__(self) -> None:
         self.occupancy = occupancies.Occupancy(self.record.name)
@@ -542,6 +552,7 @@
                 effects.RepeatArrived(tracked.origin, request_id)
             )
         target = self.targets[tracked.target]
+        target.sent += 1
         self.pending_effects.append(
             effects.Dispatch(
                 tracked.target,
@@ -568,9 +579,18 @@
     # Events from targets
 
     def on_target_answer(
-        self, answer: messages.Answer, now_ms: int
+        self,
+        answer: messages.Answer,
+        now_ms: int,
+        notice: notices.Notice = notices.NONE,
     ) -> list[typing.Any]:
-        """Process the complete answer of a target."""
+        """Process the complete answer of a target.
+
+        Args:
+            answer: The answer.
+            now_ms: The time on the runtime's clock.
+            notice: What the target states about itself in it.
+        """
         self.now_ms = now_ms
         tracked = self.running.get(answer.request_id)
         if tracked is None:
@@ -581,6 +601,8 @@
         shed = declared_not_run or answer.status == MISDIRECTED
         answer.ran = not shed
         answer.shed = shed
+        if answer.status != MISDIRECTED:
+            self._hear(tracked, notice)
         if not shed:
             self._record_processing_time(tracked, answer)
         self._release(tracked, now_ms, completed=not shed)
@@ -588,6 +610,26 @@
         self._reply(tracked, answer)
         return self._flush()
 
+    def _hear(self, tracked: TrackedRequest, notice: notices.Notice) -> None:
+        """Record what a target states about itself in an answer."""
+        target = self.targets.get(tracked.target)
+        if target is None:
+            return
+        if notice.malformed_limit:
+            stated = notice.malformed_limit
+            self._note("target.limit_malformed", tracked, stated=stated)
+        known = target.named_limit
+        if known.hear(notice, tracked.dispatched_ms, self.now_ms):
+            self._note(
+                "target.limit",
+                tracked,
+                per_s=known.per_s,
+                sent_before=target.sent,
+            )
+        if notice.leaving and not target.leaving:
+            target.leaving = True
+            self._note("target.leaving", tracked)
+
     def _reply(self, tracked: TrackedRequest, answer: messages.Answer) -> None:
         """Send an answer with the current load to its entry proxy."""
         answer.load = self._load_of(tracked.target)
--- /dev/null
+++ b/libs/requests/tests/test_rate_limit.py
@@ -0,0 +1,46 @@
+"""Tests of the rate limit that a target names in its answers."""
+
+import pytest
+
+from trefoil_requests import notices
+from trefoil_requests import rate_limit as rate_limits
+
+
+def hear(
+    limit: rate_limits.NamedLimit,
+    per_s: float | None,
+    *,
+    sent_ms: int,
+    now_ms: int,
+) -> bool:
+    """Let a limit hear an answer that names a rate, or none."""
+    return limit.hear(notices.Notice(per_s), sent_ms, now_ms)
+
+
+def test_a_limit_is_named_changed_and_ended() -> None:
+    limit = rate_limits.NamedLimit()
+    assert hear(limit, 9.0, sent_ms=0, now_ms=100)
+    assert not hear(limit, 9.0, sent_ms=90, now_ms=120)
+    assert hear(limit, 4.0, sent_ms=100, now_ms=200)
+    assert limit.since_ms == 200
+    assert hear(limit, None, sent_ms=201, now_ms=300)
+    assert limit.per_s is None
+
+
+@pytest.mark.parametrize("late", [None, 20.0])
+def test_a_late_answer_does_not_raise_a_newer_limit(
+    late: float | None,
+) -> None:
+    """An older answer arrived after a newer one and lifted its limit."""
+    limit = rate_limits.NamedLimit()
+    hear(limit, 9.0, sent_ms=50, now_ms=100)
+    assert not hear(limit, late, sent_ms=40, now_ms=110)
+    assert limit.per_s == 9.0
+
+
+def test_a_malformed_limit_leaves_the_known_one() -> None:
+    limit = rate_limits.NamedLimit()
+    hear(limit, 9.0, sent_ms=0, now_ms=100)
+    malformed = notices.Notice(malformed_limit="nine")
+    assert not limit.hear(malformed, 200, 300)
+    assert limit.per_s == 9.0
