--- a/libs/emulator/src/trefoil_emulator/troubled_fleet.py
+++ b/libs/emulator/src/trefoil_emulator/troubled_fleet.py
@@ -14,6 +14,7 @@
 from trefoil_requests import attribution
 from trefoil_requests import call as calls
 from trefoil_requests import effects
+from trefoil_requests import notices
 from trefoil_requests import routing
 from trefoil_requests import target_side
 from trefoil_wire import messages
@@ -504,6 +505,12 @@
         )
         self._schedule_end(host, request, duration_ms, status, b"")
 
+    def _notice(
+        self, host: core_fleet.Host, request: messages.Request
+    ) -> notices.Notice:
+        """Return what a host's target states in its answer to a request."""
+        return notices.NONE
+
     def _schedule_nested_call(
         self,
         host: core_fleet.Host,
@@ -533,7 +540,7 @@
     ) -> None:
         """Schedule the end of a run; a status of 0 means a disconnect."""
 
-        def report() -> None:
+        def report(notice: notices.Notice) -> None:
             now_ms = int(self.now_ms)
             if not status:
                 new_effects = host.targets.on_target_disconnected(
@@ -547,11 +554,14 @@
                     ran=True,
                     service_us=int(duration_ms * 1000),
                 )
-                new_effects = host.targets.on_target_answer(answer, now_ms)
+                new_effects = host.targets.on_target_answer(
+                    answer, now_ms, notice
+                )
             self._apply(host, new_effects)
 
         def end() -> None:
             if host.runs.pop(request.request_id, False):
-                self._deliver(host.name, report)
+                notice = self._notice(host, request)
+                self._deliver(host.name, lambda: report(notice))
 
         self._schedule_after(duration_ms, end)
