Take the token bucket out of the limit of cold targets

Cause: the limit that a target names needs the same bucket as that of a cold target; a second one beside it would be a copy. Change: TokenBucket is a class of its own, used by Warmup; no behaviour changes, but that a limit which is set while a target is cold starts without tokens.

--- a/libs/daemon/src/trefoil_daemon/proxy_process.py
+++ b/libs/daemon/src/trefoil_daemon/proxy_process.py
@@ -149,7 +149,9 @@
             route.name: route.service_name for route in table.routes
         }
         self.targets.keep_routes(self.route_service)
-        self.targets.set_cold_limits(self._cold_limits(table))
+        self.targets.set_cold_limits(
+            self._cold_limits(table), self.clock.now_ms()
+        )
         self.records_changed()
         self._apply_evacuation(table)
         self._update_collectors(table)
--- a/libs/requests/src/trefoil_requests/target_side.py
+++ b/libs/requests/src/trefoil_requests/target_side.py
@@ -223,12 +223,14 @@
         ]
         return self.parents.repeat_share(dispatched, share)
 
-    def set_cold_limits(self, limits: dict[str, warmups.Limit]) -> None:
+    def set_cold_limits(
+        self, limits: dict[str, warmups.Limit], now_ms: int
+    ) -> None:
         """Set the rate limits of cold targets, by service."""
         self.limits = limits
         for target in self.targets.values():
             service = target.record.service_name
-            target.slots.warmup.limit = limits.get(service)
+            target.slots.warmup.set_limit(limits.get(service), now_ms)
 
     def put_target(
         self,
--- a/libs/requests/src/trefoil_requests/warmup.py
+++ b/libs/requests/src/trefoil_requests/warmup.py
@@ -13,6 +13,8 @@
 
 from trefoil_wire import messages
 
+from . import token_bucket
+
 # A target's report of its remaining warm-up is slightly out of date when it
 # arrives.
 MARGIN_MS = 50
@@ -54,7 +56,7 @@
 
 
 class Warmup:
-    """Token bucket for a target that may be cold.
+    """Rate limit of a target that may be cold.
 
     In any second a cold target gets at most the rate plus the burst. A target
     that turns cold starts without burst, since the requests that it got just
@@ -68,16 +70,27 @@
         "limit",
         "cold_until_ms",
         "assumed_cold",
-        "tokens",
-        "refilled_at_ms",
+        "bucket",
     )
 
     def __init__(self, limit: Limit | None) -> None:
-        self.limit = limit
+        self.limit: Limit | None = None
         self.cold_until_ms = 0
         self.assumed_cold = False
-        self.tokens = 0.0
-        self.refilled_at_ms = 0
+        self.bucket: token_bucket.TokenBucket | None = None
+        self.set_limit(limit, 0)
+
+    def set_limit(self, limit: Limit | None, now_ms: int) -> None:
+        """Change the limit that applies while the target is cold."""
+        self.limit = limit
+        if limit is None:
+            self.bucket = None
+        elif self.bucket is None:
+            self.bucket = token_bucket.TokenBucket(
+                limit.per_s, limit.burst, now_ms
+            )
+        else:
+            self.bucket.set_rate(limit.per_s, limit.burst, now_ms)
 
     def is_cold(self, now_ms: int) -> bool:
         """Return whether the target is cold, or may be."""
@@ -102,9 +115,8 @@
         if not left_ms:
             self.cold_until_ms = min(self.cold_until_ms, now_ms)
             return
-        if not self.is_cold(now_ms):
-            self.tokens = 0.0
-            self.refilled_at_ms = now_ms
+        if self.bucket is not None and not self.is_cold(now_ms):
+            self.bucket.empty(now_ms)
         self.cold_until_ms = now_ms + left_ms + MARGIN_MS
 
     def assume_cold(self, now_ms: int) -> None:
@@ -115,12 +127,12 @@
 
     def may_start(self, now_ms: int) -> bool:
         """Return whether the target may start a request now."""
-        return not self.is_limited(now_ms) or self._refill(now_ms) >= 1.0
+        return not self.is_limited(now_ms) or self.bucket.may_start(now_ms)
 
     def started(self, now_ms: int) -> None:
         """Count a request that the target starts."""
         if self.is_limited(now_ms):
-            self.tokens -= 1.0
+            self.bucket.started()
 
     def wait_ms(self, ahead: int, now_ms: int) -> float:
         """Return how long the rate limit delays a request.
@@ -131,12 +143,5 @@
         """
         if not self.is_limited(now_ms):
             return 0.0
-        missing_tokens = ahead + 1 - self._refill(now_ms)
-        refill_ms = max(missing_tokens, 0.0) * 1000 / self.limit.per_s
-        return min(refill_ms, float(self.cold_until_ms - now_ms))
-
-    def _refill(self, now_ms: int) -> float:
-        new_tokens = (now_ms - self.refilled_at_ms) * self.limit.per_s / 1000
-        self.tokens = min(self.tokens + new_tokens, self.limit.burst)
-        self.refilled_at_ms = now_ms
-        return self.tokens
+        wait_ms = self.bucket.wait_ms(ahead, now_ms)
+        return min(wait_ms, float(self.cold_until_ms - now_ms))
--- a/libs/requests/tests/test_target_side.py
+++ b/libs/requests/tests/test_target_side.py
@@ -172,7 +172,7 @@
 def cold_harness(left_ms: int = 3000, slots: int = 100) -> Harness:
     """Return a core whose target is cold and has free slots."""
     harness = Harness()
-    harness.core.set_cold_limits({"tables": LIMIT})
+    harness.core.set_cold_limits({"tables": LIMIT}, 0)
     harness.core.put_target(target_record(slots=slots), PORT, 0, left_ms)
     return harness
 
