Keep the rate limit that a target names, on its own host

Callers saw: nothing at once; a target in need that named 9 requests a second got up to 225 in 4 s (59 allowed) and could only grow slower. Cause: what a target states in an answer was passed on to the caller and used by nobody. Class: a promise that is stated in an answer and that only a process which saw the answer can keep. Ruled out: each caller's proxy keeping a share. The sum over proxies that hear of a limit at different times has no bound; the target's own proxy sees every request. Change: admission on the target's host starts a request only if a bucket of the named rate has a token, which holds half a second's worth. A lower limit applies at once, a higher one or none only if it cannot be older than the one in force. A request that finds no token is refused as not run, with the reason and when to come back, or queues as for a slot. Why it suffices: in any 4 s at most 4 L + L / 2 requests start and one more by rounding; 6 L + 5 are allowed.

--- a/libs/daemon/src/trefoil_daemon/slot_metrics.py
+++ b/libs/daemon/src/trefoil_daemon/slot_metrics.py
@@ -35,6 +35,6 @@
         slots.add(controller.running, target=name, state="running")
         slots.add(len(controller.queue), target=name, state="queued")
         sent.add(target.sent, target=name)
-        if target.named_limit.per_s is not None:
-            limits.add(target.named_limit.per_s, target=name)
+        if controller.rate_limit.per_s is not None:
+            limits.add(controller.rate_limit.per_s, target=name)
     return [slots, sent, limits]
--- a/libs/requests/src/trefoil_requests/admission.py
+++ b/libs/requests/src/trefoil_requests/admission.py
@@ -10,6 +10,7 @@
 import dataclasses
 import typing
 
+from . import rate_limit as rate_limits
 from . import warmup as warmups
 
 # Weight of one run in the moving means. They follow about the last ten runs,
@@ -126,9 +127,16 @@
 
 @dataclasses.dataclass(slots=True)
 class Refused:
-    """The request did not run: it would be late or may not be queued."""
+    """The request did not run: it would be late or may not be queued.
+
+    Args:
+        retry_after_ms: When its caller may come back.
+        limited: Whether the target has a free slot, but names a rate limit
+            that is used up.
+    """
 
     retry_after_ms: int
+    limited: bool = False
 
 
 class AdmissionController:
@@ -138,15 +146,26 @@
         slots: Number of requests that the target runs concurrently, as
             announced.
         warmup: Rate limit of the target while it is cold.
+
+    ``rate_limit`` is the limit that the target names itself.
     """
 
-    __slots__ = ("slots", "warmup", "running", "queue", "service_ms", "routes")
+    __slots__ = (
+        "slots",
+        "warmup",
+        "rate_limit",
+        "running",
+        "queue",
+        "service_ms",
+        "routes",
+    )
 
     def __init__(
         self, slots: int, warmup: warmups.Warmup | None = None
     ) -> None:
         self.slots = slots
         self.warmup = warmup or warmups.Warmup(None)
+        self.rate_limit = rate_limits.RateLimit()
         self.running = 0
         self.queue: list[QueuedRequest] = []
         self.service_ms = INITIAL_SERVICE_MS
@@ -165,7 +184,14 @@
 
     def _may_start(self, now_ms: int) -> bool:
         """Return whether a request may start now."""
-        return self.running < self.slots and self.warmup.may_start(now_ms)
+        if self.running >= self.slots or not self.warmup.may_start(now_ms):
+            return False
+        return self.rate_limit.may_start(now_ms)
+
+    def _is_limited(self, now_ms: int) -> bool:
+        """Return whether only the target's named limit holds requests up."""
+        has_slot = self.running < self.slots
+        return has_slot and not self.rate_limit.may_start(now_ms)
 
     def _starts_at_once(self, now_ms: int) -> bool:
         """Return whether a new request starts immediately."""
@@ -173,7 +199,11 @@
 
     def _wait_behind(self, count: int, now_ms: int) -> float:
         slots_ms = (count + 1) * self.service_ms / max(self.slots, 1)
-        return max(slots_ms, self.warmup.wait_ms(count, now_ms))
+        return max(
+            slots_ms,
+            self.warmup.wait_ms(count, now_ms),
+            self.rate_limit.wait_ms(count, now_ms),
+        )
 
     def run_time(self, route: str) -> RunTime:
         """Return the estimated run time of a route's requests."""
@@ -203,19 +233,24 @@
             self._start(now_ms)
             return Admitted()
         if not may_queue:
-            return Refused(MIN_RETRY_MS)
+            return Refused(MIN_RETRY_MS, self._is_limited(now_ms))
         ready_ms = self._wait_of(waiting, now_ms)
         ready_ms += self.run_time(waiting.route).mean_ms
         if now_ms + ready_ms > waiting.deadline_at_ms:
-            return Refused(max(int(self.wait_ms(now_ms)), MIN_RETRY_MS))
+            return self._refused(now_ms)
         evicted = 0
         if len(self.queue) >= QUEUE_PER_SLOT * self.slots:
             evicted = self._evict_for(waiting, now_ms)
             if not evicted:
-                return Refused(max(int(self.wait_ms(now_ms)), MIN_RETRY_MS))
+                return self._refused(now_ms)
         self.queue.append(waiting)
         return Queued(evicted)
 
+    def _refused(self, now_ms: int) -> Refused:
+        """Return a refusal until the requests that wait now have started."""
+        wait_ms = max(int(self.wait_ms(now_ms)), MIN_RETRY_MS)
+        return Refused(wait_ms, self._is_limited(now_ms))
+
     def expected_wait_ms(self, waiting: QueuedRequest, now_ms: int) -> float:
         """Return the expected wait of a request for a slot."""
         if self._starts_at_once(now_ms):
@@ -231,6 +266,7 @@
     def _start(self, now_ms: int) -> None:
         self.running += 1
         self.warmup.started(now_ms)
+        self.rate_limit.started()
 
     def _evict_for(self, waiting: QueuedRequest, now_ms: int) -> int:
         """Evict the lowest-ranked request and return its id.
--- a/libs/requests/src/trefoil_requests/rate_limit.py
+++ b/libs/requests/src/trefoil_requests/rate_limit.py
@@ -1,9 +1,21 @@
-"""The rate limit that a target in need names in its answers."""
+"""The rate limit that a target in need names in its answers.
+
+Every request to a target passes the proxy on its host, so that proxy alone
+can enforce the limit for the whole fleet.
+"""
 
 from . import notices
+from . import token_bucket
+
+# The bucket holds what the target takes in half a second: requests arrive
+# unevenly, and a smaller bucket would leave a part of the limit unused.
+BURST_S = 0.5
+# A target that names less still gets a request every ten seconds, since only
+# its answers show when the limit ends.
+MIN_PER_S = 0.1
 
 
-class NamedLimit:
+class RateLimit:
     """The limit that a target names, in the order in which it named it.
 
     Answers to concurrent requests arrive out of order. A lower limit applies
@@ -12,12 +24,13 @@
     limit, and would let requests through that the target cannot take.
     """
 
-    __slots__ = ("per_s", "heard_ms", "since_ms")
+    __slots__ = ("per_s", "heard_ms", "since_ms", "bucket")
 
     def __init__(self) -> None:
         self.per_s: float | None = None
         self.heard_ms = 0
         self.since_ms = 0
+        self.bucket: token_bucket.TokenBucket | None = None
 
     def hear(self, notice: notices.Notice, sent_ms: int, now_ms: int) -> bool:
         """Record what an answer states; return whether the limit changed.
@@ -35,10 +48,42 @@
         )
         if not lowers and sent_ms < self.heard_ms:
             return False
-        changed = named != self.per_s
-        if changed:
-            self.since_ms = now_ms
-        if named is not None or changed:
+        if named is not None:
             self.heard_ms = now_ms
-        self.per_s = named
-        return changed
+        if named == self.per_s:
+            return False
+        self._set(named, now_ms)
+        return True
+
+    def _set(self, per_s: float | None, now_ms: int) -> None:
+        self.per_s = per_s
+        self.since_ms = now_ms
+        if per_s is None:
+            self.bucket = None
+            return
+        rate = max(per_s, MIN_PER_S)
+        burst = max(rate * BURST_S, 1.0)
+        if self.bucket is None:
+            self.bucket = token_bucket.TokenBucket(rate, burst, now_ms)
+        else:
+            self.bucket.set_rate(rate, burst, now_ms)
+
+    def may_start(self, now_ms: int) -> bool:
+        """Return whether the target may start a request now."""
+        return self.bucket is None or self.bucket.may_start(now_ms)
+
+    def started(self) -> None:
+        """Count a request that the target starts."""
+        if self.bucket is not None:
+            self.bucket.started()
+
+    def wait_ms(self, ahead: int, now_ms: int) -> float:
+        """Return how long the limit delays a request.
+
+        Args:
+            ahead: Number of requests that wait before it.
+            now_ms: The time on the runtime's clock.
+        """
+        if self.bucket is None:
+            return 0.0
+        return self.bucket.wait_ms(ahead, now_ms)
--- a/libs/requests/src/trefoil_requests/target_side.py
+++ b/libs/requests/src/trefoil_requests/target_side.py
@@ -22,7 +22,6 @@
 from . import occupancy as occupancies
 from . import pace as processing_times
 from . import quarantine as quarantines
-from . import rate_limit as rate_limits
 from . import warmup as warmups
 
 # Address of this proxy as the origin of requests that it sends to itself.
@@ -36,6 +35,7 @@
 CERTAIN_PERMILLE = 1000
 NOT_RUN_HEADER = b"x-trefoil-not-run"
 EVACUATED = "the failure domain is evacuated"
+LIMITED = "the target's rate limit is used up"
 # Status of an answer from another target that now uses the same address.
 MISDIRECTED = 421
 
@@ -52,7 +52,6 @@
         advertised_cold: Whether it was cold in its last advertised record.
         processing_time: Mean run time of its requests.
         occupancy: Its load since its last log line.
-        named_limit: The rate limit that it names in its answers.
         leaving: Whether it stated in an answer that it is leaving.
         sent: Number of requests sent to it.
     """
@@ -66,9 +65,6 @@
         default_factory=processing_times.ProcessingTime
     )
     occupancy: occupancies.Occupancy = dataclasses.field(init=False)
-    named_limit: rate_limits.NamedLimit = dataclasses.field(
-        default_factory=rate_limits.NamedLimit
-    )
     leaving: bool = False
     sent: int = 0
 
@@ -506,7 +502,7 @@
                 self.running.pop(request.request_id, None)
                 self._refuse(
                     tracked,
-                    "no slot in time",
+                    LIMITED if decision.limited else "no slot in time",
                     wait_ms=decision.retry_after_ms,
                     full=True,
                 )
@@ -620,12 +616,12 @@
         if notice.malformed_limit:
             stated = notice.malformed_limit
             self._note("target.limit_malformed", tracked, stated=stated)
-        known = target.named_limit
-        if known.hear(notice, tracked.dispatched_ms, self.now_ms):
+        limit = target.slots.rate_limit
+        if limit.hear(notice, tracked.dispatched_ms, self.now_ms):
             self._note(
                 "target.limit",
                 tracked,
-                per_s=known.per_s,
+                per_s=limit.per_s,
                 sent_before=target.sent,
             )
         if notice.leaving and not target.leaving:
