Let a named limit outlive the proxy of its target

Callers saw: nothing; a target in need could be sent a full set of slots by other hosts each time the proxy on its host was restarted, since that proxy learned of the limit only by the next answer. Ruled out: asking peers for the old record of this host (they keep the newest only); one request at a time until the first answer (it would cost each start of a proxy the time of an answer, limit or not). New fields are optional. The first answer shows what holds.

--- a/libs/daemon/src/trefoil_daemon/announcements.py
+++ b/libs/daemon/src/trefoil_daemon/announcements.py
@@ -42,6 +42,9 @@
     sequence: int = 0
     warmup_left_ms: int = 0
 
+    def __post_init__(self) -> None:
+        self.record.started_ms = self.incarnation or None
+
     @property
     def order(self) -> tuple[int, int]:
         """Return a key that orders the announcements of a target."""
--- a/libs/requests/src/trefoil_requests/rate_limit.py
+++ b/libs/requests/src/trefoil_requests/rate_limit.py
@@ -4,6 +4,8 @@
 can enforce the limit for the whole fleet.
 """
 
+import math
+
 from . import notices
 from . import token_bucket
 
@@ -24,10 +26,11 @@
     limit, and would let requests through that the target cannot take.
     """
 
-    __slots__ = ("per_s", "heard_ms", "since_ms", "bucket")
+    __slots__ = ("per_s", "heard", "heard_ms", "since_ms", "bucket")
 
     def __init__(self) -> None:
         self.per_s: float | None = None
+        self.heard = False
         self.heard_ms = 0
         self.since_ms = 0
         self.bucket: token_bucket.TokenBucket | None = None
@@ -42,6 +45,7 @@
         """
         if notice.malformed_limit:
             return False
+        self.heard = True
         named = notice.limit_per_s
         lowers = named is not None and (
             self.per_s is None or named <= self.per_s
@@ -55,6 +59,22 @@
         self._set(named, now_ms)
         return True
 
+    def adopt(self, per_s: float | None, now_ms: int) -> None:
+        """Apply the limit that an entry proxy was told, if none is heard.
+
+        After a restart of this proxy its target has not answered yet, while
+        other proxies know its limit. The first answer shows what holds.
+
+        Args:
+            per_s: The limit, None if that proxy knows none.
+            now_ms: The time on the runtime's clock.
+        """
+        if self.heard or per_s is None or not math.isfinite(per_s):
+            return
+        if self.per_s is None or per_s < self.per_s:
+            self.heard_ms = now_ms
+            self._set(per_s, now_ms)
+
     def _set(self, per_s: float | None, now_ms: int) -> None:
         self.per_s = per_s
         self.since_ms = now_ms
--- a/libs/requests/src/trefoil_requests/target_side.py
+++ b/libs/requests/src/trefoil_requests/target_side.py
@@ -22,6 +22,7 @@
 from . import occupancy as occupancies
 from . import pace as processing_times
 from . import quarantine as quarantines
+from . import rate_limit as rate_limits
 from . import warmup as warmups
 
 # Address of this proxy as the origin of requests that it sends to itself.
@@ -259,6 +260,8 @@
             )
             return []
         known.slots.warmup.announce(warmup_left_ms, now_ms)
+        if record.started_ms != known.record.started_ms:
+            known.slots.rate_limit = rate_limits.RateLimit()
         known.record = record
         known.port = port
         known.slots.slots = record.slots
@@ -395,6 +398,8 @@
         if self.quarantine.refuses(request.fingerprint, now_ms):
             self._refuse(tracked, "quarantined", status=422)
             return self._flush()
+        limit = self.targets[request.target].slots.rate_limit
+        limit.adopt(request.limit_per_s, now_ms)
         self._admit(tracked, now_ms)
         return self._flush()
 
@@ -630,6 +635,9 @@
 
     def _reply(self, tracked: TrackedRequest, answer: messages.Answer) -> None:
         """Send an answer with the current load to its entry proxy."""
+        target = self.targets.get(tracked.target)
+        if target is not None:
+            answer.limit_per_s = target.slots.rate_limit.per_s
         answer.load = self._load_of(tracked.target)
         answer.body_wait_ms = self.incoming_bodies.expected_ms(self.now_ms)
         answer.held_ms = self.now_ms - tracked.received_ms
--- a/libs/wire/src/trefoil_wire/gen/ttypes.py
+++ b/libs/wire/src/trefoil_wire/gen/ttypes.py
@@ -156,7 +156,7 @@
     )
 
 
-    def __init__(self, name=None, resources=None, version=None, retry_budget=0.2000000000000000, health_path="", max_connections=0, warmup_ms=0, warmup_per_s=0,):
+    def __init__(self, name=None, resources=None, version=None, retry_budget=0.2000000000000000, health_path="", max_connections=0, warmup_ms=0, warmup_per_s=float(0),):
         self.name = name
         self.resources = resources
         self.version = version
@@ -4588,6 +4588,8 @@
      - tells_warmup
      - usual_us
      - cold_per_s
+     - started_ms
+     - limit_per_s
 
     """
 
@@ -4601,10 +4603,12 @@
         'tells_warmup',
         'usual_us',
         'cold_per_s',
+        'started_ms',
+        'limit_per_s',
     )
 
 
-    def __init__(self, name=None, service_name=None, version=None, resources=None, slots=None, state=None, tells_warmup=False, usual_us=0, cold_per_s=0,):
+    def __init__(self, name=None, service_name=None, version=None, resources=None, slots=None, state=None, tells_warmup=False, usual_us=0, cold_per_s=float(0), started_ms=None, limit_per_s=None,):
         self.name = name
         self.service_name = service_name
         self.version = version
@@ -4614,6 +4618,8 @@
         self.tells_warmup = tells_warmup
         self.usual_us = usual_us
         self.cold_per_s = cold_per_s
+        self.started_ms = started_ms
+        self.limit_per_s = limit_per_s
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4674,6 +4680,16 @@
                     self.cold_per_s = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.started_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.DOUBLE:
+                    self.limit_per_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4723,6 +4739,14 @@
             oprot.writeFieldBegin('cold_per_s', TType.DOUBLE, 9)
             oprot.writeDouble(self.cold_per_s)
             oprot.writeFieldEnd()
+        if self.started_ms is not None:
+            oprot.writeFieldBegin('started_ms', TType.I64, 10)
+            oprot.writeI64(self.started_ms)
+            oprot.writeFieldEnd()
+        if self.limit_per_s is not None:
+            oprot.writeFieldBegin('limit_per_s', TType.DOUBLE, 11)
+            oprot.writeDouble(self.limit_per_s)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -6563,6 +6587,7 @@
      - body_bytes
      - services_key
      - repeat_permille
+     - limit_per_s
 
     """
 
@@ -6586,10 +6611,11 @@
         'body_bytes',
         'services_key',
         'repeat_permille',
+        'limit_per_s',
     )
 
 
-    def __init__(self, request_id=None, route=None, method=None, path=None, headers=None, body=None, deadline_ms=None, target=None, crashes=0, fingerprint=None, version=None, retried=False, priority=0, caller_id="", aim_ms=0, settled=False, body_bytes=0, services_key="", repeat_permille=0,):
+    def __init__(self, request_id=None, route=None, method=None, path=None, headers=None, body=None, deadline_ms=None, target=None, crashes=0, fingerprint=None, version=None, retried=False, priority=0, caller_id="", aim_ms=0, settled=False, body_bytes=0, services_key="", repeat_permille=0, limit_per_s=None,):
         self.request_id = request_id
         self.route = route
         self.method = method
@@ -6609,6 +6635,7 @@
         self.body_bytes = body_bytes
         self.services_key = services_key
         self.repeat_permille = repeat_permille
+        self.limit_per_s = limit_per_s
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -6714,6 +6741,11 @@
                     self.repeat_permille = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.DOUBLE:
+                    self.limit_per_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -6800,6 +6832,10 @@
             oprot.writeFieldBegin('repeat_permille', TType.I32, 19)
             oprot.writeI32(self.repeat_permille)
             oprot.writeFieldEnd()
+        if self.limit_per_s is not None:
+            oprot.writeFieldBegin('limit_per_s', TType.DOUBLE, 20)
+            oprot.writeDouble(self.limit_per_s)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -7098,6 +7134,9 @@
      - body_wait_ms
      - called_permille
      - held_ms
+     - limit_per_s
+     - limit_wait_ms
+     - leaving
 
     """
 
@@ -7120,10 +7159,13 @@
         'body_wait_ms',
         'called_permille',
         'held_ms',
+        'limit_per_s',
+        'limit_wait_ms',
+        'leaving',
     )
 
 
-    def __init__(self, request_id=None, status=None, reason=None, headers=None, body=None, ran=None, retry_after_ms=0, service_us=0, crashed=False, sole=False, shed=False, unusable=False, load=-1, full=False, usual_us=0, body_wait_ms=0, called_permille=-10000, held_ms=0,):
+    def __init__(self, request_id=None, status=None, reason=None, headers=None, body=None, ran=None, retry_after_ms=0, service_us=0, crashed=False, sole=False, shed=False, unusable=False, load=-1, full=False, usual_us=0, body_wait_ms=0, called_permille=-10000, held_ms=0, limit_per_s=None, limit_wait_ms=None, leaving=None,):
         self.request_id = request_id
         self.status = status
         self.reason = reason
@@ -7142,6 +7184,9 @@
         self.body_wait_ms = body_wait_ms
         self.called_permille = called_permille
         self.held_ms = held_ms
+        self.limit_per_s = limit_per_s
+        self.limit_wait_ms = limit_wait_ms
+        self.leaving = leaving
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -7242,6 +7287,21 @@
                     self.held_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 19:
+                if ftype == TType.DOUBLE:
+                    self.limit_per_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.I32:
+                    self.limit_wait_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 21:
+                if ftype == TType.BOOL:
+                    self.leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -7324,6 +7384,18 @@
             oprot.writeFieldBegin('held_ms', TType.I32, 18)
             oprot.writeI32(self.held_ms)
             oprot.writeFieldEnd()
+        if self.limit_per_s is not None:
+            oprot.writeFieldBegin('limit_per_s', TType.DOUBLE, 19)
+            oprot.writeDouble(self.limit_per_s)
+            oprot.writeFieldEnd()
+        if self.limit_wait_ms is not None:
+            oprot.writeFieldBegin('limit_wait_ms', TType.I32, 20)
+            oprot.writeI32(self.limit_wait_ms)
+            oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.BOOL, 21)
+            oprot.writeBool(self.leaving)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -8385,7 +8457,7 @@
     (5, TType.STRING, 'health_path', 'UTF8', "", ),  # 5
     (6, TType.I32, 'max_connections', None, 0, ),  # 6
     (7, TType.I32, 'warmup_ms', None, 0, ),  # 7
-    (8, TType.DOUBLE, 'warmup_per_s', None, 0, ),  # 8
+    (8, TType.DOUBLE, 'warmup_per_s', None, float(0), ),  # 8
 )
 all_structs.append(Backend)
 Backend.thrift_spec = (
@@ -8718,7 +8790,9 @@
     (6, TType.I32, 'state', None, None, ),  # 6
     (7, TType.BOOL, 'tells_warmup', None, False, ),  # 7
     (8, TType.I32, 'usual_us', None, 0, ),  # 8
-    (9, TType.DOUBLE, 'cold_per_s', None, 0, ),  # 9
+    (9, TType.DOUBLE, 'cold_per_s', None, float(0), ),  # 9
+    (10, TType.I64, 'started_ms', None, None, ),  # 10
+    (11, TType.DOUBLE, 'limit_per_s', None, None, ),  # 11
 )
 all_structs.append(HostRecord)
 HostRecord.thrift_spec = (
@@ -8874,6 +8948,7 @@
     (17, TType.I32, 'body_bytes', None, 0, ),  # 17
     (18, TType.STRING, 'services_key', 'UTF8', "", ),  # 18
     (19, TType.I32, 'repeat_permille', None, 0, ),  # 19
+    (20, TType.DOUBLE, 'limit_per_s', None, None, ),  # 20
 )
 all_structs.append(RepeatArrived)
 RepeatArrived.thrift_spec = (
@@ -8915,6 +8990,9 @@
     (16, TType.I32, 'body_wait_ms', None, 0, ),  # 16
     (17, TType.I32, 'called_permille', None, -10000, ),  # 17
     (18, TType.I32, 'held_ms', None, 0, ),  # 18
+    (19, TType.DOUBLE, 'limit_per_s', None, None, ),  # 19
+    (20, TType.I32, 'limit_wait_ms', None, None, ),  # 20
+    (21, TType.BOOL, 'leaving', None, None, ),  # 21
 )
 all_structs.append(Cancel)
 Cancel.thrift_spec = (
--- a/libs/wire/trefoil.thrift
+++ b/libs/wire/trefoil.thrift
@@ -210,6 +210,11 @@
   8: i32 usual_us = 0,
   // Requests per second that it may get while it is cold; 0 for no limit.
   9: double cold_per_s = 0,
+  // When the target started, as it announced, Unix time; missing if unknown.
+  10: i64 started_ms,
+  // Requests per second that it says it takes from all hosts together;
+  // missing for no limit.
+  11: double limit_per_s,
 }
 struct HostRecord {
   1: string host, 2: string domain, 3: string region, 4: string address,
@@ -282,6 +287,9 @@
   // Probability that a target has received the request before, or that the
   // run that sent it was itself a repeat.
   19: i32 repeat_permille = 0,
+  // Rate limit that the target named in the answers to this entry proxy;
+  // missing if none. A target's proxy that restarted learns it from here.
+  20: double limit_per_s,
 }
 /* A request that its entry proxy sent again has reached its target. */
 struct RepeatArrived { 1: i64 request_id }
@@ -308,6 +316,11 @@
   // How long the target's proxy had the request; the rest of the time that
   // the entry proxy measures was spent on the links between them.
   18: i32 held_ms = 0,
+  // Rate limit that the target names, missing if none, and how long a further
+  // request from the same entry proxy would wait for it.
+  19: double limit_per_s, 20: i32 limit_wait_ms,
+  // Whether the target has stated that it is leaving.
+  21: bool leaving,
 }
 struct Cancel { 1: i64 request_id }
 struct Ping { 1: i64 nonce }
