Send nothing to a target that has stated its departure

Callers saw: requests on a target that ends; what had not run by its end was lost or had to be sent again. A target's departure was known by its announcements alone, and those may be seconds late. Change: the target's proxy takes the answer as the end of admission: what waits is refused as not run, the record tells the others at the next tick, and an announcement of the same start does not take it back. Entry proxies remember a departure for the rest of that start, since the target's proxy may restart. Found beside it: a draining target without running requests was forgotten, so an announcement brought it back as new; now only a removed one is. Why it suffices: no request starts after the answer was heard, and the answer is heard before it is passed on; after a restart of the target's proxy the host that passed it on sends nothing there.

--- a/libs/daemon/src/trefoil_daemon/proxy_process.py
+++ b/libs/daemon/src/trefoil_daemon/proxy_process.py
@@ -488,12 +488,12 @@
         self.perform(self.node.set_targets(records, now_ms))
 
     def _publish_target_changes(self, now_ms: int) -> None:
-        """Publish changed processing times and cold states of targets."""
+        """Publish changed processing times and states of targets."""
         times_due = now_ms >= self.processing_times_due_ms
         if times_due and self.targets.has_processing_times_to_report():
             self.processing_times_due_ms = now_ms + PROCESSING_TIME_INTERVAL_MS
             self._publish_targets(now_ms)
-        elif self.targets.has_cold_state_changed(now_ms):
+        elif self.targets.has_state_changed(now_ms):
             self._publish_targets(now_ms)
 
     def target_warmup(self, target: str, left_ms: int) -> None:
--- a/libs/requests/src/trefoil_requests/entry.py
+++ b/libs/requests/src/trefoil_requests/entry.py
@@ -27,7 +27,6 @@
 from . import placing as placements
 from . import quarantine as quarantines
 from . import routing
-from . import stated
 
 # A safe request that takes this many times its route's usual run time is sent
 # to a second target: its answer is probably lost, or its target slow. In
@@ -84,7 +83,6 @@
         "balancer",
         "accounting",
         "claims",
-        "statements",
         "live",
         "pending",
         "by_request",
@@ -115,7 +113,6 @@
         self.balancer = self.placement.balancer
         self.accounting = accounting.RetryBudgets()
         self.claims = ledgers.Claims()
-        self.statements = stated.Statements()
         self.live: dict[int, live_calls.LiveCall] = {}
         self.pending = pending_calls.PendingCalls()
         self.by_request: dict[int, int] = {}
@@ -320,7 +317,7 @@
             settled=live.may_queue,
             services_key=self.targets.services_key,
             repeat_permille=_repeat_permille(live),
-            limit_per_s=self.statements.limit_per_s(endpoint),
+            limit_per_s=self.placement.statements.limit_per_s(endpoint),
         )
         self.pending_effects.append(
             effects.Forward(endpoint.host, endpoint.address, request)
@@ -354,7 +351,7 @@
         if live is None:
             return self._flush()
         self._note_links(live, answer, now_ms, now_us)
-        self.statements.hear(live.endpoint, answer)
+        self.placement.statements.hear(live.endpoint, answer)
         self.call_shares.add_report(live.route.name, answer.called_permille)
         unserved = not answer.ran or answer.crashed or answer.unusable
         if unserved and self._await_other_attempt(live, answer, now_ms):
--- a/libs/requests/src/trefoil_requests/placing.py
+++ b/libs/requests/src/trefoil_requests/placing.py
@@ -10,6 +10,7 @@
 from . import crossing
 from . import live as live_calls
 from . import routing
+from . import stated
 
 # Number of full targets that may reject a request before it queues at the
 # next. With two, a free slot among a dozen targets is found nearly always;
@@ -44,6 +45,7 @@
         "table",
         "endpoints",
         "balancer",
+        "statements",
         "halted",
         "route_mean_us",
         "route_mean_bytes",
@@ -55,6 +57,7 @@
         self.table: routing.RouteTable | None = None
         self.endpoints = routing.Endpoints()
         self.balancer = balancers.Balancer(domain, rng, host)
+        self.statements = stated.Statements()
         self.halted: dict[str, frozenset[str]] = {}
         self.route_mean_us: dict[str, float] = {}
         self.route_mean_bytes: dict[str, float] = {}
@@ -167,8 +170,10 @@
         named_versions = {s.version for s in self.table.shares[service].shares}
         urgency = self._urgency(live, now_ms)
         for version in self._versions(live):
-            serving = self.endpoints.serving(
-                service, version, live.route.resource, named_versions
+            serving = self.statements.staying(
+                self.endpoints.serving(
+                    service, version, live.route.resource, named_versions
+                )
             )
             endpoint = self.balancer.pick(
                 serving,
--- a/libs/requests/src/trefoil_requests/stated.py
+++ b/libs/requests/src/trefoil_requests/stated.py
@@ -22,10 +22,12 @@
     Args:
         started_ms: When the target started; 0 if unknown.
         limit_per_s: The rate limit that it named, None if none.
+        leaving: Whether it stated that it is leaving.
     """
 
     started_ms: int
     limit_per_s: float | None = None
+    leaving: bool = False
 
 
 class Statements:
@@ -44,22 +46,40 @@
         """Record what an answer states about its target.
 
         A refusal comes from the target's proxy, which may have restarted and
-        know nothing. It never ends a limit.
+        know nothing. It never ends a limit. A departure is never ended.
         """
         from_target = answer.ran and not (answer.unusable or answer.crashed)
         statement = self._find(endpoint)
         if statement is None:
-            if answer.limit_per_s is None:
+            if answer.limit_per_s is None and not answer.leaving:
                 return
             statement = self._add(endpoint)
         if from_target or answer.limit_per_s is not None:
             statement.limit_per_s = answer.limit_per_s
+        if answer.leaving:
+            statement.leaving = True
 
     def limit_per_s(self, endpoint: routing.Endpoint) -> float | None:
         """Return the rate limit that a target named, None if none."""
         statement = self._find(endpoint)
         return statement.limit_per_s if statement is not None else None
 
+    def staying(
+        self, endpoints: list[routing.Endpoint]
+    ) -> list[routing.Endpoint]:
+        """Return the targets that have not stated that they are leaving.
+
+        The record of a leaving target may say otherwise: its proxy may have
+        restarted after the answer.
+        """
+        if not self.by_key:
+            return endpoints
+        return [e for e in endpoints if not self._is_leaving(e)]
+
+    def _is_leaving(self, endpoint: routing.Endpoint) -> bool:
+        statement = self._find(endpoint)
+        return statement is not None and statement.leaving
+
     def _find(self, endpoint: routing.Endpoint) -> Statement | None:
         """Return what a target stated since it started."""
         statement = self.by_key.get(endpoint.key)
--- a/libs/requests/src/trefoil_requests/target_side.py
+++ b/libs/requests/src/trefoil_requests/target_side.py
@@ -50,10 +50,11 @@
         port: Port on which it takes requests.
         slots: Admission control of its slots.
         draining: Whether it gets no new requests.
-        advertised_cold: Whether it was cold in its last advertised record.
+        advertised: Its state in its last advertised record.
         processing_time: Mean run time of its requests.
         occupancy: Its load since its last log line.
         leaving: Whether it stated in an answer that it is leaving.
+        removed: Whether it is gone but for the requests that still run.
         sent: Number of requests sent to it.
     """
 
@@ -61,12 +62,13 @@
     port: int
     slots: admission.AdmissionController
     draining: bool = False
-    advertised_cold: bool = False
+    advertised: int = messages.TargetState.READY
     processing_time: processing_times.ProcessingTime = dataclasses.field(
         default_factory=processing_times.ProcessingTime
     )
     occupancy: occupancies.Occupancy = dataclasses.field(init=False)
     leaving: bool = False
+    removed: bool = False
     sent: int = 0
 
     def __post_init__(self) -> None:
@@ -78,16 +80,21 @@
             return True
         return self.record.state == messages.TargetState.COLD
 
+    def state(self, now_ms: int) -> int:
+        """Return its state as other proxies should see it."""
+        if self.draining:
+            return messages.TargetState.DRAINING
+        if self.is_cold(now_ms):
+            return messages.TargetState.COLD
+        return messages.TargetState.READY
+
     def advertised_record(self, now_ms: int) -> messages.TargetRecord:
         """Return its record as sent to other proxies."""
         advertised = copy.copy(self.record)
         advertised.usual_us = self.processing_time.report()
-        self.advertised_cold = self.is_cold(now_ms)
-        if self.draining:
-            return advertised
-        advertised.state = messages.TargetState.READY
-        if self.advertised_cold:
-            advertised.state = messages.TargetState.COLD
+        self.advertised = self.state(now_ms)
+        advertised.state = self.advertised
+        if self.advertised == messages.TargetState.COLD:
             limit = self.slots.warmup.limit
             advertised.cold_per_s = limit.per_s if limit else 0.0
         return advertised
@@ -262,11 +269,15 @@
         known.slots.warmup.announce(warmup_left_ms, now_ms)
         if record.started_ms != known.record.started_ms:
             known.slots.rate_limit = rate_limits.RateLimit()
+            known.leaving = False
         known.record = record
         known.port = port
+        known.removed = False
         known.slots.slots = record.slots
-        known.draining = draining
-        if draining:
+        # An announcement may have been sent before the answer that stated the
+        # departure.
+        known.draining = draining or known.leaving
+        if known.draining:
             self._refuse_waiting(record.name, "the target is draining", now_ms)
         return self._flush()
 
@@ -282,6 +293,7 @@
         if target is None:
             return []
         target.draining = True
+        target.removed = True
         self._refuse_waiting(name, "the target left", now_ms)
         if not target.slots.running:
             self.targets.pop(name, None)
@@ -352,10 +364,10 @@
             for target in self.targets.values()
         )
 
-    def has_cold_state_changed(self, now_ms: int) -> bool:
-        """Return whether a cold state differs from its last report."""
+    def has_state_changed(self, now_ms: int) -> bool:
+        """Return whether a target's state differs from its last record."""
         return any(
-            target.is_cold(now_ms) != target.advertised_cold
+            target.state(now_ms) != target.advertised
             for target in self.targets.values()
         )
 
@@ -630,14 +642,19 @@
                 sent_before=target.sent,
             )
         if notice.leaving and not target.leaving:
-            target.leaving = True
             self._note("target.leaving", tracked)
+            target.leaving = True
+            target.draining = True
+            self._refuse_waiting(
+                tracked.target, "the target is leaving", self.now_ms
+            )
 
     def _reply(self, tracked: TrackedRequest, answer: messages.Answer) -> None:
         """Send an answer with the current load to its entry proxy."""
         target = self.targets.get(tracked.target)
         if target is not None:
             answer.limit_per_s = target.slots.rate_limit.per_s
+            answer.leaving = target.leaving or None
         answer.load = self._load_of(tracked.target)
         answer.body_wait_ms = self.incoming_bodies.expected_ms(self.now_ms)
         answer.held_ms = self.now_ms - tracked.received_ms
@@ -853,7 +870,7 @@
             self.parents.ended(tracked)
         target.slots.finished(took_ms, tracked.request.route)
         self._start_waiting(target, now_ms)
-        if target.draining and not target.slots.running:
+        if target.removed and not target.slots.running:
             self.targets.pop(tracked.target, None)
 
     def _start_waiting(self, target: LocalTarget, now_ms: int) -> None:
--- a/libs/requests/tests/test_stated.py
+++ b/libs/requests/tests/test_stated.py
@@ -56,3 +56,15 @@
         target.host = f"h{number}"
         statements.hear(target, answer(1.0))
     assert len(statements.by_key) == stated.MAX_TARGETS
+
+
+def test_a_departure_holds_until_the_next_start_of_its_target() -> None:
+    """A restarted proxy announced its leaving target as ready again."""
+    statements = stated.Statements()
+    departure = answer(None)
+    departure.leaving = True
+    statements.hear(endpoint(), departure)
+    statements.hear(endpoint(), answer(None))
+    assert statements.staying([endpoint()]) == []
+    restarted = endpoint(started_ms=2)
+    assert statements.staying([restarted]) == [restarted]
--- a/libs/requests/tests/test_target_side.py
+++ b/libs/requests/tests/test_target_side.py
@@ -209,8 +209,8 @@
     record = harness.core.advertised_record(TARGET, 0)
     assert record.state == messages.TargetState.COLD
     assert record.cold_per_s == LIMIT.per_s
-    assert not harness.core.has_cold_state_changed(1000)
-    assert harness.core.has_cold_state_changed(4000)
+    assert not harness.core.has_state_changed(1000)
+    assert harness.core.has_state_changed(4000)
     assert (
         harness.core.advertised_record(TARGET, 4000).state
         == messages.TargetState.READY
--- a/libs/requests/tests/test_target_statements.py
+++ b/libs/requests/tests/test_target_statements.py
@@ -133,3 +133,28 @@
     harness.send(1, 0)
     harness.answer(1, 100, notices.Notice(0.5), status=421)
     assert dispatched(harness.send(2, 110)) == [2]
+
+
+def test_requests_that_wait_for_a_target_that_leaves_are_refused() -> None:
+    """A queued request was sent seconds after the target had said it left."""
+    harness = Harness()
+    for number in range(1, SLOTS + 2):
+        harness.send(number, 0, settled=True)
+    leaving = notices.Notice(leaving=True)
+    emitted = harness.answer(1, 100, leaving)
+    assert dispatched(emitted) == []
+    not_run = [reply for reply in replies(emitted) if not reply.ran]
+    assert [reply.request_id for reply in not_run] == [SLOTS + 1]
+    assert not_run[0].leaving
+
+
+def test_a_late_announcement_does_not_take_a_departure_back() -> None:
+    harness = Harness()
+    harness.send(1, 0)
+    harness.answer(1, 100, notices.Notice(leaving=True))
+    harness.announce(150, started_ms=1)
+    assert dispatched(harness.send(2, 160)) == []
+    record = harness.core.advertised_record(TARGET, 160)
+    assert record.state == messages.TargetState.DRAINING
+    harness.announce(300, started_ms=2)
+    assert dispatched(harness.send(3, 310)) == [3]
