Tell each proxy its turn at a target with a rate limit

Callers saw: calls that were sent to a limited target only to be refused there and sent on: 8 to 19 refusals by other hosts' calls for each call that it ran. Cause: proxies balance by slots and run times; a limited target has free slots and is fast, so each of them came for each token. Change: each answer and refusal of a limited target tells its proxy when to ask again; each is told another token's time, up to 2 s ahead. Until then it counts as full there, and the rest of the service takes the call.

--- a/libs/emulator/src/trefoil_emulator/limited_fleet.py
+++ b/libs/emulator/src/trefoil_emulator/limited_fleet.py
@@ -7,8 +7,10 @@
 import dataclasses
 import typing
 
+from trefoil_requests import call as calls
 from trefoil_requests import effects
 from trefoil_requests import notices
+from trefoil_requests import target_side
 from trefoil_wire import messages
 
 from . import core_fleet
@@ -49,6 +51,20 @@
     per_s: float | None
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Ended:
+    """The end of one attempt of a caller.
+
+    Args:
+        served: Whether it was answered with success.
+        in_time: Whether that was within the latency target, counted from the
+            caller's first attempt.
+    """
+
+    served: bool
+    in_time: bool
+
+
 @dataclasses.dataclass(slots=True)
 class LimitedTarget:
     """What a target states, and what reached it.
@@ -121,7 +137,7 @@
         self.stated: dict[int, notices.Notice] = {}
         self.began: dict[int, float] = {}
         self.refused_remotely = 0
-        self.answered_late_by_kind: dict[str, list[float]] = {}
+        self.ended: list[Ended] = []
         super().__init__(*args, **options)
         self._publish()
 
@@ -215,7 +231,8 @@
         answer = effect.answer
         origin = host.name if effect.origin == "local" else effect.origin
         notice = self.stated.pop(answer.request_id, None)
-        if not answer.ran and origin != host.name:
+        is_limited = answer.reason == target_side.LIMITED
+        if is_limited and origin != host.name:
             self.refused_remotely += 1
         if notice is not None:
             self._hop(
@@ -235,6 +252,15 @@
 
     # Callers and targets
 
+    def _finish_call(self, host: core_fleet.Host, final: calls.Final) -> None:
+        caller = host.calls.get(final.call_id)
+        if caller is not None:
+            served = final.status == core_fleet.OK
+            took_ms = self.now_ms - caller.created_ms
+            in_time = took_ms <= caller.kind.latency_target_ms
+            self.ended.append(Ended(served, served and in_time))
+        super()._finish_call(host, final)
+
     def _send_request(
         self, caller: troubled_fleet.Caller, name: str = ""
     ) -> None:
--- a/libs/emulator/tests/test_target_limits.py
+++ b/libs/emulator/tests/test_target_limits.py
@@ -78,6 +78,18 @@
     assert fleet.excesses() == {}
 
 
+def test_a_limited_target_refuses_few_calls_of_other_hosts() -> None:
+    """All hosts came for each token; each refusal cost its caller a hop."""
+    fleet = make_fleet()
+    fleet.name_limit("tables0", LIMIT_PER_S)
+    fleet.run(limited_fleet.SETTLING_MS)
+    since_ms, refused = fleet.now_ms, fleet.refused_remotely
+    fleet.run(8000)
+    ran = fleet.arrivals_since("tables0", since_ms)
+    assert ran >= 0.9 * LIMIT_PER_S * 8
+    assert fleet.refused_remotely - refused <= ran
+
+
 @pytest.mark.parametrize("restarts", [False, True])
 def test_a_target_that_says_it_leaves_gets_no_later_request(
     restarts: bool,
--- a/libs/requests/src/trefoil_requests/balancer.py
+++ b/libs/requests/src/trefoil_requests/balancer.py
@@ -48,6 +48,7 @@
 MAX_LOCAL_COMPARED = 9
 # Hedges leave a quarter of the slots to requests that were not sent before.
 FREE_SLOTS_LOAD = 0.75
+FULL_LOAD = 1.0
 JITTER = 0.05
 REFUSED_PAUSE_MS = 50
 LOST_PAUSE_MS = 1000
@@ -81,6 +82,9 @@
         link_wait_us: How long its latest answer and the request for it waited
             for links on the path.
         link_reported_ms: When that answer arrived.
+        turn_after_ms: How long after its latest answer this proxy may ask it
+            again, where it names a rate limit.
+        turn_at_ms: When this proxy may ask it again.
     """
 
     running: int = 0
@@ -95,6 +99,8 @@
     bodies_busy_until_ms: int = 0
     link_wait_us: int = 0
     link_reported_ms: int = 0
+    turn_after_ms: int = 0
+    turn_at_ms: int = 0
 
 
 class Balancer:
@@ -165,6 +171,7 @@
             expected_us = self._expected_us(
                 endpoint, unseen_us, first_seen_ms, now_ms
             )
+            expected_us += self._turn_wait_us(endpoint.key, now_ms)
             if endpoint.host != self.host:
                 expected_us += remote_penalty_us
                 expected_us += self.link_wait_us(endpoint.key, now_ms)
@@ -197,6 +204,22 @@
         stats.link_wait_us = max(transit_us - IDLE_TRANSIT_US, 0)
         stats.link_reported_ms = now_ms
 
+    def note_limit(self, key: str, turn_after_ms: int, now_ms: int) -> None:
+        """Record when this proxy may ask a target with a rate limit again.
+
+        Args:
+            key: The target's key.
+            turn_after_ms: How long to wait, 0 without a limit.
+            now_ms: The time on the runtime's clock.
+        """
+        stats = self.target_stats(key)
+        stats.turn_after_ms = turn_after_ms
+        stats.turn_at_ms = now_ms + turn_after_ms
+
+    def _turn_wait_us(self, key: str, now_ms: int) -> float:
+        """Return how long a call waits for this proxy's turn at a target."""
+        return max(self.target_stats(key).turn_at_ms - now_ms, 0) * 1000.0
+
     def link_wait_us(self, key: str, now_ms: int) -> float:
         """Return how long a call to a target waits for links on its path.
 
@@ -242,11 +265,16 @@
 
     def is_full(self, endpoint: routing.Endpoint, now_ms: int) -> bool:
         """Return whether all slots of a target are estimated to be in use."""
-        return self._load(endpoint, now_ms) >= 1.0
+        return self._load(endpoint, now_ms) >= FULL_LOAD
 
     def _load(self, endpoint: routing.Endpoint, now_ms: int) -> float:
-        """Return the estimated requests at a target, per slot."""
+        """Return the estimated requests at a target, per slot.
+
+        A target with a rate limit counts as full until this proxy's turn.
+        """
         stats = self.target_stats(endpoint.key)
+        if now_ms < stats.turn_at_ms:
+            return FULL_LOAD
         slots = max(endpoint.target.slots, 1)
         age_ms = min(now_ms - stats.load_reported_ms, LOAD_REPORT_TTL_MS)
         other_load = stats.other_load * (1 - age_ms / LOAD_REPORT_TTL_MS)
@@ -259,9 +287,12 @@
             stats = self.stats[key] = TargetStats()
         return stats
 
-    def started(self, key: str) -> None:
+    def started(self, key: str, now_ms: int = 0) -> None:
         """Record that a request was sent to a target."""
-        self.target_stats(key).running += 1
+        stats = self.target_stats(key)
+        stats.running += 1
+        if stats.turn_after_ms:
+            stats.turn_at_ms = now_ms + stats.turn_after_ms
 
     def answered(
         self,
--- a/libs/requests/src/trefoil_requests/entry.py
+++ b/libs/requests/src/trefoil_requests/entry.py
@@ -292,7 +292,7 @@
             live.first_request_id = live.request_id
         live.sent_us = now_us
         self.by_request[live.request_id] = live.call.call_id
-        self.balancer.started(endpoint.key)
+        self.balancer.started(endpoint.key, now_ms)
         body = live.call.body
         body_follows = endpoint.host != self.local_host and bodies.is_large(
             body
@@ -380,6 +380,9 @@
             transit_us=max(now_us - live.sent_us - held_us, 0),
             now_ms=now_ms,
         )
+        self.balancer.note_limit(
+            live.endpoint.key, answer.limit_wait_ms or 0, now_ms
+        )
 
     def _on_served(
         self,
--- a/libs/requests/src/trefoil_requests/rate_limit.py
+++ b/libs/requests/src/trefoil_requests/rate_limit.py
@@ -15,6 +15,9 @@
 # A target that names less still gets a request every ten seconds, since only
 # its answers show when the limit ends.
 MIN_PER_S = 0.1
+# No entry proxy waits longer for its turn: it does not learn of the end of a
+# limit before it asks again.
+MAX_TURN_MS = 2000
 
 
 class RateLimit:
@@ -26,7 +29,14 @@
     limit, and would let requests through that the target cannot take.
     """
 
-    __slots__ = ("per_s", "heard", "heard_ms", "since_ms", "bucket")
+    __slots__ = (
+        "per_s",
+        "heard",
+        "heard_ms",
+        "since_ms",
+        "bucket",
+        "next_turn_ms",
+    )
 
     def __init__(self) -> None:
         self.per_s: float | None = None
@@ -34,6 +44,7 @@
         self.heard_ms = 0
         self.since_ms = 0
         self.bucket: token_bucket.TokenBucket | None = None
+        self.next_turn_ms = 0.0
 
     def hear(self, notice: notices.Notice, sent_ms: int, now_ms: int) -> bool:
         """Record what an answer states; return whether the limit changed.
@@ -107,3 +118,25 @@
         if self.bucket is None:
             return 0.0
         return self.bucket.wait_ms(ahead, now_ms)
+
+    def turn_ms(self, queued: int, now_ms: int) -> int:
+        """Return when the entry proxy that is answered now may ask again.
+
+        Each proxy gets the time of another token. If all were told when the
+        next one is free, they would ask for it together, and all but one
+        would be refused.
+
+        Args:
+            queued: Number of requests that wait for a token.
+            now_ms: The time on the runtime's clock.
+        """
+        if self.bucket is None:
+            return 0
+        free_ms = now_ms + self.bucket.wait_ms(queued, now_ms)
+        if max(free_ms, self.next_turn_ms) <= now_ms:
+            return 0
+        turn_ms = max(free_ms, self.next_turn_ms)
+        if turn_ms > now_ms + MAX_TURN_MS:
+            return MAX_TURN_MS
+        self.next_turn_ms = turn_ms + 1000 / self.bucket.per_s
+        return int(turn_ms - now_ms)
--- a/libs/requests/src/trefoil_requests/target_side.py
+++ b/libs/requests/src/trefoil_requests/target_side.py
@@ -653,7 +653,11 @@
         """Send an answer with the current load to its entry proxy."""
         target = self.targets.get(tracked.target)
         if target is not None:
-            answer.limit_per_s = target.slots.rate_limit.per_s
+            limit = target.slots.rate_limit
+            answer.limit_per_s = limit.per_s
+            if limit.per_s is not None:
+                queued = len(target.slots.queue)
+                answer.limit_wait_ms = limit.turn_ms(queued, self.now_ms)
             answer.leaving = target.leaving or None
         answer.load = self._load_of(tracked.target)
         answer.body_wait_ms = self.incoming_bodies.expected_ms(self.now_ms)
--- a/libs/requests/tests/test_balancer.py
+++ b/libs/requests/tests/test_balancer.py
@@ -178,3 +178,23 @@
         for _ in range(100)
     }
     assert chosen_hosts == {"a", "b"}
+
+
+def test_a_limited_target_gets_no_call_before_this_proxys_turn() -> None:
+    """Calls were sent to a target that could only refuse them."""
+    balancer = make_balancer()
+    endpoints = [endpoint("a"), endpoint("b")]
+    balancer.note_limit("a/t", 300, NOW_MS - 100)
+    assert picks(balancer, endpoints) == {"b": 400}
+    assert balancer.is_full(endpoints[0], NOW_MS)
+    balancer.note_limit("a/t", 300, NOW_MS - 300)
+    assert picks(balancer, endpoints)["a"] > 100
+
+
+def test_the_turn_at_a_limited_target_is_used_once() -> None:
+    """A proxy sent a second call before its first one was answered."""
+    balancer = make_balancer()
+    endpoints = [endpoint("a"), endpoint("b")]
+    balancer.note_limit("a/t", 300, NOW_MS - 300)
+    balancer.started("a/t", NOW_MS)
+    assert picks(balancer, endpoints) == {"b": 400}
--- a/libs/requests/tests/test_rate_limit.py
+++ b/libs/requests/tests/test_rate_limit.py
@@ -76,3 +76,26 @@
             limit.started()
             count += 1
     assert count <= 4 * 10 + 5
+
+
+def test_entry_proxies_do_not_get_the_same_turn() -> None:
+    """All proxies came for one token; all but one were refused."""
+    limit = rate_limits.RateLimit()
+    hear(limit, 10.0, sent_ms=0, now_ms=0)
+    turns = [limit.turn_ms(0, 0) for _ in range(5)]
+    assert turns == [100, 200, 300, 400, 500]
+
+
+def test_no_turn_is_far_ahead() -> None:
+    """A proxy did not learn that a limit had ended long before its turn."""
+    limit = rate_limits.RateLimit()
+    hear(limit, 0.1, sent_ms=0, now_ms=0)
+    turns = [limit.turn_ms(0, 0) for _ in range(3)]
+    assert turns == [rate_limits.MAX_TURN_MS] * 3
+
+
+def test_a_target_that_has_tokens_left_may_be_asked_at_once() -> None:
+    limit = rate_limits.RateLimit()
+    hear(limit, 10.0, sent_ms=0, now_ms=0)
+    assert limit.turn_ms(0, 400) == 0
+    assert limit.turn_ms(10, 400) > 0
