Report only what was not written as unsent when a link opens

Callers saw: a keyed payment that could run twice. "Unsent" means certainly not run: the entry proxy releases the key and sends the request elsewhere. Cause: a link that had opened wrote the waiting requests one by one and emptied the list after the last. A write that failed closed the link midway, and the requests that had been written counted as unsent too. Evidence: test_a_request_that_was_written_before_a_failed_write_is_not_unsent fails on the code before: unsent [5, 6, 7], lost []; now unsent [7], lost [5, 6]. Found by reading; whether the known failures of killed_amid_payments come from it is not shown by this. Looked for elsewhere: the connections to targets clear their one unsent request before they write it, which errs on the safe side. Change: each request leaves the list before it is written, and writing stops when the link has closed. Why it suffices: whatever a write may have passed on is no longer in the list that is reported as unsent.

--- a/libs/daemon/src/trefoil_daemon/hub.py
+++ b/libs/daemon/src/trefoil_daemon/hub.py
@@ -308,9 +308,10 @@
         self._write(connection, self.owner.greeting(connection.subscribe))
         if not connection.subscribe:
             connection.ready = True
-            for message in connection.waiting:
-                self._write(connection, message)
-            connection.waiting = []
+            # A write that fails closes the connection. What was written by
+            # then may run, so only the rest counts as unsent.
+            while connection.waiting and not stream.closed:
+                self._write(connection, connection.waiting.pop(0))
 
     def _on_close(self, stream: transports.Stream) -> None:
         connection = stream.owner
--- a/libs/daemon/tests/test_hub.py
+++ b/libs/daemon/tests/test_hub.py
@@ -278,3 +278,24 @@
     rig.open()
     rig.wait(3100)
     assert rig.owner.calls == [("down", "s1", 0)]
+
+
+def test_a_request_that_was_written_before_a_failed_write_is_not_unsent() -> (
+    None
+):
+    """A written request was reported as not run, and run a second time."""
+    rig = Rig()
+    for number in (5, 6, 7):
+        request = messages.Request(request_id=number, deadline_ms=2000)
+        rig.hub.request_send("peer", "peer:1", request)
+    stream = rig.transport.streams[-1]
+    write = stream.write
+
+    def write_until_the_second_request(data: bytes) -> None:
+        write(data)
+        if messages.Request(request_id=6, deadline_ms=2000) in stream.sent:
+            stream.close()
+
+    stream.write = write_until_the_second_request
+    rig.open()
+    assert rig.owner.calls == [("lost", [7], [5, 6])]
