Let a replica that joined a service catch up before it grants

Callers saw: a payment made twice, when hosts joined the service between a request and its retry; a scale-out is ordinary work. Cause: with two joins a key can have a majority of replicas that never heard of the claim; `claim` compared views and asked only whether this process had started since. Two more of the kind, found by the state machine: a retry's single grant, pulled first, hid the grants of the first attempt; its release then removed what was known of them. Ruled out: the date of a key as proof (a cut-off part grants under the older view for as long as it is cut off); joint majorities (a claimant that has just started does not know the former set). Change: a joined host abstains until all former members but one have sent what they granted and see the join; the first claim starts that and waits for it; grants of one key to two claims keep it undecided.

--- a/libs/daemon/src/trefoil_daemon/proxy_process.py
+++ b/libs/daemon/src/trefoil_daemon/proxy_process.py
@@ -17,6 +17,7 @@
 from trefoil_requests import call as calls
 from trefoil_requests import effects as request_effects
 from trefoil_requests import entry as entries
+from trefoil_requests import joining
 from trefoil_requests import ledger as ledgers
 from trefoil_requests import notices
 from trefoil_requests import quarantine as quarantines
@@ -554,6 +555,8 @@
         )
         for host in self.ledger.tick(now_ms, self.node.ready):
             self.request_send(host, "", pull)
+        self.perform(self.ledger.join_pulls(now_ms))
+        self.perform(self.ledger.reply_to_held(now_ms))
         self._halt_bad_versions(now_ms)
         self._report(now_ms)
         self._publish_target_changes(now_ms)
@@ -738,6 +741,11 @@
     process.reply(effect.origin, messages.RepeatArrived(effect.request_id))
 
 
+@execute.register
+def _(effect: joining.ReplyToClaim, process: ProxyProcess) -> None:
+    process.reply(effect.origin, effect.reply)
+
+
 @execute.register
 def _(effect: bodies.ChunkRequest, process: ProxyProcess) -> None:
     process.reply(effect.origin, effect.pull)
@@ -806,8 +814,8 @@
 
 @receive.register
 def _(message: messages.Claim, process: ProxyProcess, origin: str) -> None:
-    reply = process.ledger.claim(message, process.clock.now_ms())
-    process.reply(origin, reply)
+    now_ms = process.clock.now_ms()
+    process.perform(process.ledger.receive_claim(origin, message, now_ms))
 
 
 @receive.register
@@ -844,7 +852,9 @@
 def _(
     message: messages.LedgerPush, process: ProxyProcess, origin: str
 ) -> None:
-    process.ledger.push(message, process.clock.now_ms())
+    now_ms = process.clock.now_ms()
+    process.ledger.push(message, now_ms)
+    process.perform(process.ledger.reply_to_held(now_ms))
 
 
 @receive.register
--- a/libs/requests/src/trefoil_requests/ledger.py
+++ b/libs/requests/src/trefoil_requests/ledger.py
@@ -4,9 +4,9 @@
 of the service, including those that left recently. A request runs only after
 a majority of its replicas has granted the claim, so two proxies cannot both
 run it. A replica abstains if it may lack the record of an earlier claim,
-because it restarted or because the key had other replicas before. A claim
-without a majority is refused, and the answer says that it is unknown whether
-the request ran before.
+because it restarted or because it joined the service and the key had other
+replicas before. A claim without a majority is refused, and the answer says
+that it is unknown whether the request ran before.
 """
 
 import collections
@@ -19,9 +19,10 @@
 from trefoil_wire import messages
 
 from . import effects
+from . import joining
+from . import replica_sets
 
-REPLICAS = 3
-RETENTION_MS = 600_000
+RETENTION_MS = replica_sets.RETENTION_MS
 MAX_CLOCK_SKEW_MS = 5000
 SYNC_INTERVAL_MS = 500
 # Hosts that have restarted too cannot confirm keys for minutes, so the
@@ -53,43 +54,6 @@
     return int(match.group(1)) if match else 0
 
 
-class ReplicaSets:
-    """The hosts of each service, including those that left recently."""
-
-    __slots__ = ("hosts", "departed_until_ms")
-
-    def __init__(self) -> None:
-        self.hosts: dict[str, set[str]] = {}
-        self.departed_until_ms: dict[tuple[str, str], int] = {}
-
-    def update(
-        self, hosts_of: typing.Mapping[str, list[str]], now_ms: int
-    ) -> None:
-        """Update the hosts of each service.
-
-        Args:
-            hosts_of: Names of the hosts that have targets of each service.
-            now_ms: The time on the runtime's clock.
-        """
-        for service in set(self.hosts) | set(hosts_of):
-            new = set(hosts_of.get(service, ()))
-            for host in self.hosts.get(service, set()) - new:
-                self.departed_until_ms[(service, host)] = now_ms + RETENTION_MS
-            for host in new:
-                self.departed_until_ms.pop((service, host), None)
-            self.hosts[service] = new
-
-    def replicas(self, service: str, key: int, now_ms: int) -> list[str]:
-        """Return the replicas of a key, in rendezvous order."""
-        departed = {
-            host
-            for (name, host), until_ms in self.departed_until_ms.items()
-            if name == service and until_ms > now_ms
-        }
-        pool = self.hosts.get(service, set()) | departed
-        return list(hashing.rank(str(key), pool)[:REPLICAS])
-
-
 @dataclasses.dataclass(slots=True)
 class ClaimRecord:
     """One claimed key.
@@ -99,12 +63,15 @@
         fingerprint: Fingerprint of its request.
         granted_at_ms: When it was granted, on the runtime's clock.
         answer: The answer to resends, None until it is known.
+        rivals: Other claims that other hosts granted the key to; while there
+            are any, it is not known which of them may have run.
     """
 
     claim_id: int
     fingerprint: int
     granted_at_ms: int
     answer: messages.Answer | None = None
+    rivals: set[int] = dataclasses.field(default_factory=set)
 
 
 class Ledger:
@@ -132,6 +99,7 @@
         "sync_interval_ms",
         "answer_sizes",
         "answer_bytes",
+        "held_claims",
     )
 
     def __init__(
@@ -141,7 +109,7 @@
         self.incarnation = incarnation
         self.started_ms = now_ms
         self.started_wall_ms = wall_ms
-        self.replica_sets = ReplicaSets()
+        self.replica_sets = replica_sets.ReplicaSets(local_host)
         self.records: dict[int, ClaimRecord] = {}
         self.synced = False
         self.keys_in_use = False
@@ -153,6 +121,7 @@
             collections.deque()
         )
         self.answer_bytes = 0
+        self.held_claims: list[joining.HeldClaim] = []
 
     def can_confirm(self, issued_ms: int, now_ms: int) -> bool:
         """Return whether a key with no record was certainly never granted.
@@ -168,6 +137,8 @@
         """Grant a claim, report its key as taken, or abstain."""
         record = self.records.get(claim.key)
         if record is not None and now_ms - record.granted_at_ms < RETENTION_MS:
+            if record.rivals:
+                return self._reply(claim, ABSTAIN)
             if record.claim_id == claim.claim_id:
                 return self._reply(claim, GRANTED)
             return self._reply(claim, TAKEN, self._answer_for(record, claim))
@@ -180,6 +151,10 @@
         if not same_view or not self.can_confirm(claim.issued_ms, now_ms):
             self._note_keys_in_use()
             return self._reply(claim, ABSTAIN)
+        # The date of a key does not help here: former replicas may grant it
+        # under their view of before the join for as long as they are cut off.
+        if self.replica_sets.is_joining(claim.service_name, now_ms):
+            return self._reply(claim, ABSTAIN)
         self._drop_expired(now_ms)
         if len(self.records) >= MAX_ENTRIES:
             # Removing a live key would let its resend run again.
@@ -192,7 +167,11 @@
     def done(self, done: messages.ClaimDone) -> None:
         """Store the answer of a claim for resends of its request."""
         record = self.records.get(done.key)
-        if record is not None and record.claim_id == done.claim_id:
+        if record is None:
+            return
+        if done.claim_id in (record.claim_id, *record.rivals):
+            record.claim_id = done.claim_id
+            record.rivals.clear()
             record.answer = done.answer
             self.answer_sizes.append((done.key, len(done.answer.body or b"")))
             self.answer_bytes += self.answer_sizes[-1][1]
@@ -212,8 +191,19 @@
 
     def release(self, release: messages.ClaimRelease) -> None:
         """Remove a claim whose request certainly did not run."""
+        self.held_claims = [
+            held
+            for held in self.held_claims
+            if held.claim.claim_id != release.claim_id
+        ]
         record = self.records.get(release.key)
-        if record is not None and record.claim_id == release.claim_id:
+        if record is None:
+            return
+        if record.claim_id != release.claim_id:
+            record.rivals.discard(release.claim_id)
+        elif record.rivals:
+            record.claim_id = record.rivals.pop()
+        else:
             del self.records[release.key]
 
     # Recovery after a restart
@@ -243,6 +233,62 @@
             self.sync_interval_ms = min(interval_ms, MAX_SYNC_INTERVAL_MS)
         return sorted(asked)
 
+    def receive_claim(
+        self, origin: str, claim: messages.Claim, now_ms: int
+    ) -> list[typing.Any]:
+        """Reply to a claim, once this host has caught up where it joined.
+
+        Without the wait, the first callers after each join would be refused.
+
+        Args:
+            origin: Address of the claimant.
+            claim: The claim.
+            now_ms: The time on the runtime's clock.
+        """
+        if not self.replica_sets.is_joining(claim.service_name, now_ms):
+            reply = self.claim(claim, now_ms)
+            return [joining.ReplyToClaim(origin, reply)]
+        until_ms = now_ms + joining.MAX_HOLD_MS
+        self.held_claims.append(joining.HeldClaim(origin, claim, until_ms))
+        self.replica_sets.joins[claim.service_name].is_needed = True
+        return self.join_pulls(now_ms)
+
+    def reply_to_held(self, now_ms: int) -> list[joining.ReplyToClaim]:
+        """Return the replies to claims that need not wait any more."""
+        held, self.held_claims = self.held_claims, []
+        replies = []
+        for waiting in held:
+            service = waiting.claim.service_name
+            is_joining = self.replica_sets.is_joining(service, now_ms)
+            if is_joining and now_ms < waiting.until_ms:
+                self.held_claims.append(waiting)
+                continue
+            reply = self.claim(waiting.claim, now_ms)
+            replies.append(joining.ReplyToClaim(waiting.origin, reply))
+        return replies
+
+    def join_pulls(self, now_ms: int) -> list[effects.Send]:
+        """Return the pulls for the services that this host has joined.
+
+        They begin with the first claim that this host cannot confirm: where
+        nobody sends keys, a start of the whole fleet costs no messages.
+        """
+        pulls = []
+        for service in list(self.replica_sets.joins):
+            if not self.replica_sets.is_joining(service, now_ms):
+                continue
+            join = self.replica_sets.joins[service]
+            pull = messages.LedgerPull(
+                self.local_host,
+                self.incarnation,
+                service,
+                sorted(self.replica_sets.members(service, now_ms)),
+            )
+            pulls += [
+                effects.Send(host, "", pull) for host in join.ask(now_ms)
+            ]
+        return pulls
+
     def _note_keys_in_use(self) -> None:
         """Record that callers send keys, so that all hosts are asked."""
         if not self.keys_in_use:
@@ -272,8 +318,14 @@
             for key, record in self.records.items()
             if now_ms - record.granted_at_ms < RETENTION_MS
         ]
-        complete = self.can_confirm(0, now_ms)
-        return messages.LedgerPush(self.local_host, entries, complete)
+        push = messages.LedgerPush(
+            self.local_host, entries, self.can_confirm(0, now_ms)
+        )
+        if pull.service_name:
+            members = self.replica_sets.members(pull.service_name, now_ms)
+            push.service_name = pull.service_name
+            push.knows_members = members.issuperset(pull.members or ())
+        return push
 
     def push(self, push: messages.LedgerPush, now_ms: int) -> None:
         """Add the records that another host sent."""
@@ -281,19 +333,37 @@
             self._note_keys_in_use()
         self.sample_pending.discard(push.host)
         for entry in push.entries or ():
-            if entry.key not in self.records:
-                self.records[entry.key] = ClaimRecord(
-                    entry.claim_id,
-                    entry.fingerprint,
-                    now_ms - entry.age_ms,
-                    entry.answer,
-                )
+            self._add_record(entry, now_ms)
+        join = self.replica_sets.joins.get(push.service_name or "")
+        if join is not None and push.knows_members:
+            join.pending.discard(push.host)
         if push.complete and self.sync_pending is not None:
             self.sync_pending.discard(push.host)
             # A host that has no other to ask is never synced: no other host
             # can confirm its records.
             self.synced = not self.sync_pending
 
+    def _add_record(self, entry: messages.LedgerEntry, now_ms: int) -> None:
+        """Add a record of another host.
+
+        A retry may have got a single grant where its first attempt was lost.
+        If that grant arrives before those of the first attempt, it must not
+        hide them.
+        """
+        known = self.records.get(entry.key)
+        if known is not None and known.claim_id == entry.claim_id:
+            return
+        if known is not None and entry.answer is None:
+            if known.answer is None:
+                known.rivals.add(entry.claim_id)
+            return
+        self.records[entry.key] = ClaimRecord(
+            entry.claim_id,
+            entry.fingerprint,
+            now_ms - entry.age_ms,
+            entry.answer,
+        )
+
     def _reply(
         self,
         claim: messages.Claim,
--- a/libs/requests/tests/test_ledger.py
+++ b/libs/requests/tests/test_ledger.py
@@ -3,6 +3,7 @@
 import pytest
 
 from trefoil_requests import ledger as ledgers
+from trefoil_requests import replica_sets as replicas
 from trefoil_wire import messages
 
 
@@ -65,7 +66,7 @@
 
 def test_a_host_that_left_recently_stays_in_the_ranking() -> None:
     """Otherwise two replicas of a key could change together."""
-    replica_sets = ledgers.ReplicaSets()
+    replica_sets = replicas.ReplicaSets()
     replica_sets.update({"s": ["a", "b", "c", "d"]}, 0)
     before = replica_sets.replicas("s", 5, 0)
     replica_sets.update({"s": [h for h in "abcd" if h != before[0]]}, 10)
--- /dev/null
+++ b/libs/requests/tests/test_replica_joins.py
@@ -0,0 +1,244 @@
+"""Tests of keys whose replicas change since hosts join their service."""
+
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies as st
+import pytest
+
+from trefoil_requests import effects
+from trefoil_requests import joining
+from trefoil_requests import ledger as ledgers
+from trefoil_wire import messages
+
+SERVICE = "pay"
+FORMER = ["h1", "h2", "h3", "h4"]
+JOINED = ["h5", "h6", "h7", "h8"]
+# Ledgers have run for longer than any key is kept.
+STARTED_WALL_MS = 1_000_000_000_000
+NOW_MS = 1_000_000
+
+
+class Fleet:
+    """Ledgers of several hosts, each with its own view of the members."""
+
+    def __init__(self) -> None:
+        self.now_ms = NOW_MS
+        self.numbers = 0
+        self.unreachable: set[str] = set()
+        self.members = list(FORMER)
+        self.ledgers = {
+            name: ledgers.Ledger(name, 1, 0, STARTED_WALL_MS)
+            for name in FORMER + JOINED
+        }
+        for name in self.ledgers:
+            self.see(name)
+        self.now_ms += 2 * joining.RECORDS_ARRIVE_MS
+
+    def see(self, name: str) -> None:
+        """Let a host learn who is a member now."""
+        replica_sets = self.ledgers[name].replica_sets
+        replica_sets.update({SERVICE: sorted(self.members)}, self.now_ms)
+
+    def join(self, count: int) -> None:
+        """Let more hosts join, which all hosts learn at once."""
+        self.members += JOINED[:count]
+        for name in self.ledgers:
+            self.see(name)
+
+    def pull(self, name: str, pulls: list[effects.Send]) -> None:
+        """Let the former replicas that can be reached answer a host."""
+        for pull in pulls:
+            if pull.host not in self.unreachable:
+                other = self.ledgers[pull.host]
+                push = other.pull(pull.message, self.now_ms)
+                self.ledgers[name].push(push, self.now_ms)
+
+    def claim(
+        self, name: str, text: str, lost: frozenset[str] = frozenset()
+    ) -> type:
+        """Claim a key; return the class of the outcome.
+
+        Args:
+            name: Host of the claimant.
+            text: The key.
+            lost: Hosts that the claim does not reach.
+        """
+        self.numbers += 1
+        key = ledgers.key_of(SERVICE, text)
+        claim = messages.Claim(
+            claim_id=self.numbers,
+            key=key,
+            fingerprint=7,
+            keepers=self.ledgers[name].replica_sets.replicas(
+                SERVICE, key, self.now_ms
+            ),
+            service_name=SERVICE,
+            issued_ms=ledgers.issued_ms_of(text),
+        )
+        claims = ledgers.Claims()
+        results = claims.begin(1, claim, self.now_ms)
+        for host in claim.keepers:
+            if host not in lost:
+                for reply in self._deliver(host, claim):
+                    results += claims.receive_reply(reply)
+        results += claims.tick(self.now_ms + ledgers.CLAIM_TIMEOUT_MS)
+        self._expire_held()
+        for result in results:
+            if isinstance(result, effects.Send):
+                if isinstance(result.message, messages.ClaimRelease):
+                    self.ledgers[result.host].release(result.message)
+        return next(
+            type(result)
+            for result in results
+            if not isinstance(result, effects.Send)
+        )
+
+    def _deliver(
+        self, host: str, claim: messages.Claim
+    ) -> list[messages.ClaimReply]:
+        """Deliver a claim; return the replies that come in time."""
+        ledger = self.ledgers[host]
+        outcome = ledger.receive_claim("o", claim, self.now_ms)
+        self.pull(host, [e for e in outcome if isinstance(e, effects.Send)])
+        outcome += ledger.reply_to_held(self.now_ms)
+        return [
+            effect.reply
+            for effect in outcome
+            if isinstance(effect, joining.ReplyToClaim)
+        ]
+
+    def _expire_held(self) -> None:
+        """Let the replies to held claims be too late."""
+        for ledger in self.ledgers.values():
+            ledger.reply_to_held(self.now_ms + joining.MAX_HOLD_MS)
+
+
+@pytest.mark.parametrize("count", [1, 2, 4])
+@pytest.mark.parametrize("date", ["", f"{STARTED_WALL_MS + 2_000_000}-"])
+def test_a_key_is_granted_once_although_its_replicas_change(
+    count: int, date: str
+) -> None:
+    """Hosts joined between a request and its retry, and both ran."""
+    fleet = Fleet()
+    keys = [f"{date}{number}" for number in range(300)]
+    for number, key in enumerate(keys):
+        lost = frozenset([FORMER[number % 4]])
+        fleet.claim("h1", key, lost)
+    known = [k for k in keys if fleet.claim("h2", k) is ledgers.KeyUsed]
+    fleet.join(count)
+    fleet.unreachable = set(FORMER + JOINED)
+    retried = [fleet.claim("h2", key) for key in known]
+    assert ledgers.ClaimGranted not in retried
+    fleet.unreachable = {"h3"}
+    fleet.now_ms += joining.MAX_ASK_INTERVAL_MS
+    assert [fleet.claim("h2", k) for k in known] == (
+        [ledgers.KeyUsed] * len(known)
+    )
+    new_keys = [fleet.claim("h2", f"{date}n{n}") for n in range(300)]
+    assert new_keys == [ledgers.ClaimGranted] * 300
+
+
+def test_a_grant_under_an_older_view_is_not_missed() -> None:
+    """A former replica granted a claim after it had been asked."""
+    fleet = Fleet()
+    fleet.members += JOINED[:2]
+    for name in JOINED:
+        fleet.see(name)
+        fleet.claim(name, "needed")
+    keys = [f"k{number}" for number in range(300)]
+    for key in keys:
+        fleet.claim("h1", key)
+    for name in FORMER:
+        fleet.see(name)
+    retried = {fleet.claim("h2", key) for key in keys}
+    assert ledgers.ClaimGranted not in retried
+
+
+def test_members_that_a_new_process_learns_later_are_asked_too() -> None:
+    """A process that knew only itself at first took itself for settled."""
+    ledger = ledgers.Ledger("h5", 1, 0, STARTED_WALL_MS)
+    ledger.replica_sets.update({SERVICE: ["h5"]}, 10)
+    ledger.replica_sets.update({SERVICE: [*FORMER, "h5"]}, 500)
+    assert ledger.replica_sets.is_joining(SERVICE, 600)
+    assert ledger.replica_sets.joins[SERVICE].pending == set(FORMER)
+
+
+def test_a_host_that_returns_soon_is_not_joining() -> None:
+    """While it was away it stayed a replica, and was asked as before."""
+    fleet = Fleet()
+    fleet.members.remove("h1")
+    fleet.see("h1")
+    fleet.now_ms += 1000
+    fleet.members.append("h1")
+    fleet.see("h1")
+    assert not fleet.ledgers["h1"].replica_sets.is_joining(
+        SERVICE, fleet.now_ms
+    )
+
+
+class ChangingReplicas(stateful.RuleBasedStateMachine):
+    """No key is granted twice while hosts join and messages are lost."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.fleet = Fleet()
+        self.granted: set[str] = set()
+
+    @stateful.rule()
+    def host_joins(self) -> None:
+        """Let one more host join; it learns that first."""
+        missing = [h for h in JOINED if h not in self.fleet.members]
+        if missing:
+            self.fleet.members.append(missing[0])
+            self.fleet.see(missing[0])
+
+    @stateful.rule(names=st.sets(st.sampled_from(FORMER + JOINED)))
+    def hosts_learn(self, names: set[str]) -> None:
+        """Let some hosts learn who is a member."""
+        for name in names:
+            self.fleet.see(name)
+
+    @stateful.rule(
+        unreachable=st.sets(st.sampled_from(FORMER + JOINED), max_size=3),
+        after_ms=st.sampled_from([0, 200, 6000]),
+    )
+    def links_change(self, unreachable: set[str], after_ms: int) -> None:
+        """Let some hosts not answer joining ones, from some time on."""
+        self.fleet.now_ms += after_ms
+        self.fleet.unreachable = unreachable
+
+    @stateful.rule(
+        name=st.sampled_from(FORMER + JOINED),
+        number=st.integers(0, 5),
+        lost=st.frozensets(st.sampled_from(FORMER + JOINED), max_size=3),
+    )
+    def caller_sends(
+        self, name: str, number: int, lost: frozenset[str]
+    ) -> None:
+        """Send one of a few keys through any proxy."""
+        key = f"k{number}"
+        if self.fleet.claim(name, key, lost) is ledgers.ClaimGranted:
+            assert key not in self.granted
+            self.granted.add(key)
+
+
+TestChangingReplicas = ChangingReplicas.TestCase
+TestChangingReplicas.settings = settings(
+    max_examples=300, stateful_step_count=30
+)
+
+
+def test_the_grant_of_a_retry_does_not_hide_the_first_grant() -> None:
+    """A replica caught up with the retry first, and granted it."""
+    ledger = ledgers.Ledger("h5", 1, 0, STARTED_WALL_MS)
+    ledger.replica_sets.update({SERVICE: ["h5"]}, NOW_MS)
+    key = ledgers.key_of(SERVICE, "k")
+    for host, claim_id in (("h2", 8), ("h3", 7)):
+        entry = messages.LedgerEntry(key, claim_id, 7, 100, None)
+        ledger.push(messages.LedgerPush(host, [entry], True), NOW_MS)
+    retry = messages.Claim(8, key, 7, ["h5"], SERVICE, 0)
+    assert ledger.claim(retry, NOW_MS).verdict == ledgers.ABSTAIN
+    answer = messages.Answer(request_id=1, status=200, ran=True)
+    entry = messages.LedgerEntry(key, 7, 7, 100, answer)
+    ledger.push(messages.LedgerPush("h4", [entry], True), NOW_MS)
+    assert ledger.claim(retry, NOW_MS).verdict == ledgers.TAKEN
--- a/libs/wire/src/trefoil_wire/gen/ttypes.py
+++ b/libs/wire/src/trefoil_wire/gen/ttypes.py
@@ -8273,18 +8273,24 @@
     Attributes:
      - host
      - incarnation
+     - service_name
+     - members
 
     """
 
     __slots__ = (
         'host',
         'incarnation',
+        'service_name',
+        'members',
     )
 
 
-    def __init__(self, host=None, incarnation=None,):
+    def __init__(self, host=None, incarnation=None, service_name=None, members=None,):
         self.host = host
         self.incarnation = incarnation
+        self.service_name = service_name
+        self.members = members
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -8305,6 +8311,21 @@
                     self.incarnation = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.members = []
+                    (_etype194, _size191) = iprot.readListBegin()
+                    for _i195 in range(_size191):
+                        _elem196 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.members.append(_elem196)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -8323,6 +8344,17 @@
             oprot.writeFieldBegin('incarnation', TType.I64, 2)
             oprot.writeI64(self.incarnation)
             oprot.writeFieldEnd()
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 3)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.members is not None:
+            oprot.writeFieldBegin('members', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRING, len(self.members))
+            for iter197 in self.members:
+                oprot.writeString(iter197.encode('utf-8') if sys.version_info[0] == 2 else iter197)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -8354,6 +8386,8 @@
      - host
      - entries
      - complete
+     - service_name
+     - knows_members
 
     """
 
@@ -8361,13 +8395,17 @@
         'host',
         'entries',
         'complete',
+        'service_name',
+        'knows_members',
     )
 
 
-    def __init__(self, host=None, entries=None, complete=None,):
+    def __init__(self, host=None, entries=None, complete=None, service_name=None, knows_members=None,):
         self.host = host
         self.entries = entries
         self.complete = complete
+        self.service_name = service_name
+        self.knows_members = knows_members
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -8386,11 +8424,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype194, _size191) = iprot.readListBegin()
-                    for _i195 in range(_size191):
-                        _elem196 = LedgerEntry()
-                        _elem196.read(iprot)
-                        self.entries.append(_elem196)
+                    (_etype201, _size198) = iprot.readListBegin()
+                    for _i202 in range(_size198):
+                        _elem203 = LedgerEntry()
+                        _elem203.read(iprot)
+                        self.entries.append(_elem203)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -8399,6 +8437,16 @@
                     self.complete = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.knows_members = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -8416,14 +8464,22 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter197 in self.entries:
-                iter197.write(oprot)
+            for iter204 in self.entries:
+                iter204.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.complete is not None:
             oprot.writeFieldBegin('complete', TType.BOOL, 3)
             oprot.writeBool(self.complete)
             oprot.writeFieldEnd()
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 4)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.knows_members is not None:
+            oprot.writeFieldBegin('knows_members', TType.BOOL, 5)
+            oprot.writeBool(self.knows_members)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -9062,6 +9118,8 @@
     None,  # 0
     (1, TType.STRING, 'host', 'UTF8', None, ),  # 1
     (2, TType.I64, 'incarnation', None, None, ),  # 2
+    (3, TType.STRING, 'service_name', 'UTF8', None, ),  # 3
+    (4, TType.LIST, 'members', (TType.STRING, 'UTF8', False), None, ),  # 4
 )
 all_structs.append(LedgerPush)
 LedgerPush.thrift_spec = (
@@ -9069,6 +9127,8 @@
     (1, TType.STRING, 'host', 'UTF8', None, ),  # 1
     (2, TType.LIST, 'entries', (TType.STRUCT, [LedgerEntry, None], False), None, ),  # 2
     (3, TType.BOOL, 'complete', None, None, ),  # 3
+    (4, TType.STRING, 'service_name', 'UTF8', None, ),  # 4
+    (5, TType.BOOL, 'knows_members', None, None, ),  # 5
 )
 fix_spec(all_structs)
 del all_structs
--- a/libs/wire/trefoil.thrift
+++ b/libs/wire/trefoil.thrift
@@ -341,5 +341,16 @@
   1: i64 key, 2: i64 claim_id, 3: i64 fingerprint, 4: i64 age_ms,
   5: Answer answer,
 }
-struct LedgerPull { 1: string host, 2: i64 incarnation }
-struct LedgerPush { 1: string host, 2: list<LedgerEntry> entries, 3: bool complete }
+/* service_name and members: set by a host that joined the service; the hosts
+   that may be replicas of its keys, as that host sees them. */
+struct LedgerPull {
+  1: string host, 2: i64 incarnation, 3: string service_name,
+  4: list<string> members,
+}
+/* complete: the sender has not forgotten any grant. knows_members: the sender
+   sees all members of the pull too, so it no longer grants claims under an
+   older view. */
+struct LedgerPush {
+  1: string host, 2: list<LedgerEntry> entries, 3: bool complete,
+  4: string service_name, 5: bool knows_members,
+}
