Prove limits and departures with real processes

Cause: the simulated fleet has no HTTP; the header's way from the target's answer through parser, admission and log was tested in parts only.

--- a/libs/emulator/src/trefoil_emulator/behaviour.py
+++ b/libs/emulator/src/trefoil_emulator/behaviour.py
@@ -33,6 +33,9 @@
         lie: Report healthy on the health page even while hanging.
         workers: Requests that are processed concurrently, others queue; 0
             for no limit.
+        rate_limit: The rate limit that its answers name, as they write it;
+            empty for none.
+        leaving: Its answers state that it is leaving.
     """
 
     delay_ms: float = 5.0
@@ -50,6 +53,8 @@
     cold_factor: float = 8.0
     lie: bool = False
     workers: int = 0
+    rate_limit: str = ""
+    leaving: bool = False
 
     @classmethod
     def from_json(cls, text: str) -> typing.Self:
@@ -64,6 +69,15 @@
         """
         return cls(**json.loads(text or "{}"))
 
+    def headers(self) -> bytes:
+        """Return the header lines in which it states something of itself."""
+        lines = b""
+        if self.rate_limit:
+            lines += f"X-Trefoil-Rate-Limit: {self.rate_limit}\r\n".encode()
+        if self.leaving:
+            lines += b"X-Trefoil-Leaving: 1\r\n"
+        return lines
+
     def is_fault_active(self, path: str, age_s: float, running: int) -> bool:
         """Return whether the fault is active for a request.
 
--- a/libs/emulator/src/trefoil_emulator/target.py
+++ b/libs/emulator/src/trefoil_emulator/target.py
@@ -156,8 +156,9 @@
                 "echo": request.body.decode("latin-1")[:200],
             }
         ).encode()
-        content_type = b"Content-Type: application/json\r\n"
-        connection.answer(status, "OK", content_type, body)
+        headers = b"Content-Type: application/json\r\n"
+        headers += self.behaviour.headers()
+        connection.answer(status, "OK", headers, body)
 
     def _control(
         self,
