--- a/libs/requests/src/trefoil_requests/entry.py
+++ b/libs/requests/src/trefoil_requests/entry.py
@@ -18,6 +18,7 @@
 from . import bodies
 from . import budget
 from . import call as calls
+from . import claims as claiming
 from . import effects
 from . import ledger as ledgers
 from . import live as live_calls
@@ -112,7 +113,7 @@
         self.placement = placements.Placement(local_host, domain, rng)
         self.balancer = self.placement.balancer
         self.accounting = accounting.RetryBudgets()
-        self.claims = ledgers.Claims()
+        self.claims = claiming.Claims()
         self.live: dict[int, live_calls.LiveCall] = {}
         self.pending = pending_calls.PendingCalls()
         self.by_request: dict[int, int] = {}
@@ -252,13 +253,13 @@
     ) -> None:
         for item in results:
             match item:
-                case ledgers.ClaimGranted():
+                case claiming.ClaimGranted():
                     live = self.live.get(item.call_id)
                     if live is not None:
                         self._attempt(live, now_ms, now_us)
-                case ledgers.KeyUsed():
+                case claiming.KeyUsed():
                     self._finish_ran_before(item)
-                case ledgers.ClaimUndecided():
+                case claiming.ClaimUndecided():
                     self._finish_unknown(item.call_id)
                 case _:
                     self.pending_effects.append(item)
@@ -407,7 +408,7 @@
                 self.pending_effects.append(effects.BroadcastNotice(notice))
         if live.claim is not None:
             self.pending_effects.extend(
-                ledgers.store_answer(live.claim, answer)
+                claiming.store_answer(live.claim, answer)
             )
             live.claim = None
         self._finish(
@@ -766,7 +767,7 @@
         wait_ms: int = 0,
     ) -> None:
         if live.claim is not None:
-            self.pending_effects.extend(ledgers.release(live.claim))
+            self.pending_effects.extend(claiming.release(live.claim))
             live.claim = None
         self._finish(
             live,
@@ -798,7 +799,7 @@
             ),
         )
 
-    def _finish_ran_before(self, result: ledgers.KeyUsed) -> None:
+    def _finish_ran_before(self, result: claiming.KeyUsed) -> None:
         live = self.live.get(result.call_id)
         if live is None:
             return
--- a/libs/requests/tests/test_replica_joins.py
+++ b/libs/requests/tests/test_replica_joins.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies as st
 import pytest
 
+from trefoil_requests import claims as claiming
 from trefoil_requests import effects
 from trefoil_requests import joining
 from trefoil_requests import ledger as ledgers
@@ -75,13 +76,13 @@
             service_name=SERVICE,
             issued_ms=ledgers.issued_ms_of(text),
         )
-        claims = ledgers.Claims()
+        claims = claiming.Claims()
         results = claims.begin(1, claim, self.now_ms)
         for host in claim.keepers:
             if host not in lost:
                 for reply in self._deliver(host, claim):
                     results += claims.receive_reply(reply)
-        results += claims.tick(self.now_ms + ledgers.CLAIM_TIMEOUT_MS)
+        results += claims.tick(self.now_ms + claiming.CLAIM_TIMEOUT_MS)
         self._expire_held()
         for result in results:
             if isinstance(result, effects.Send):
@@ -124,18 +125,18 @@
     for number, key in enumerate(keys):
         lost = frozenset([FORMER[number % 4]])
         fleet.claim("h1", key, lost)
-    known = [k for k in keys if fleet.claim("h2", k) is ledgers.KeyUsed]
+    known = [k for k in keys if fleet.claim("h2", k) is claiming.KeyUsed]
     fleet.join(count)
     fleet.unreachable = set(FORMER + JOINED)
     retried = [fleet.claim("h2", key) for key in known]
-    assert ledgers.ClaimGranted not in retried
+    assert claiming.ClaimGranted not in retried
     fleet.unreachable = {"h3"}
     fleet.now_ms += joining.MAX_ASK_INTERVAL_MS
     assert [fleet.claim("h2", k) for k in known] == (
-        [ledgers.KeyUsed] * len(known)
+        [claiming.KeyUsed] * len(known)
     )
     new_keys = [fleet.claim("h2", f"{date}n{n}") for n in range(300)]
-    assert new_keys == [ledgers.ClaimGranted] * 300
+    assert new_keys == [claiming.ClaimGranted] * 300
 
 
 def test_a_grant_under_an_older_view_is_not_missed() -> None:
@@ -151,7 +152,7 @@
     for name in FORMER:
         fleet.see(name)
     retried = {fleet.claim("h2", key) for key in keys}
-    assert ledgers.ClaimGranted not in retried
+    assert claiming.ClaimGranted not in retried
 
 
 def test_members_that_a_new_process_learns_later_are_asked_too() -> None:
@@ -217,7 +218,7 @@
     ) -> None:
         """Send one of a few keys through any proxy."""
         key = f"k{number}"
-        if self.fleet.claim(name, key, lost) is ledgers.ClaimGranted:
+        if self.fleet.claim(name, key, lost) is claiming.ClaimGranted:
             assert key not in self.granted
             self.granted.add(key)
 
