Show the rate limit that a target names to operators

Cause: the record had a field for it that nothing set, and `show targets` did not tell which targets are limited. Change: a target's record carries the limit that its proxy heard, sent at most once a second with the processing times; `show targets` shows it. Proxies do not decide by it: what they passed on themselves is newer. After: test_other_hosts_see_the_limit_in_the_targets_ record passes, as do the tests of the daemon.

--- a/libs/daemon/src/trefoil_daemon/proxy_process.py
+++ b/libs/daemon/src/trefoil_daemon/proxy_process.py
@@ -38,7 +38,7 @@
 from . import slot_metrics
 
 HALT_CHECK_INTERVAL_MS = 1000
-# Each reported processing time is sent to every proxy of the fleet.
+# Each reported processing time or limit is sent to every proxy of the fleet.
 PROCESSING_TIME_INTERVAL_MS = 1000
 # The accepted false-alarm probability of a move is divided among this many
 # checks on each of this many proxies.
@@ -489,9 +489,9 @@
         self.perform(self.node.set_targets(records, now_ms))
 
     def _publish_target_changes(self, now_ms: int) -> None:
-        """Publish changed processing times and states of targets."""
+        """Publish changed states, processing times and rate limits."""
         times_due = now_ms >= self.processing_times_due_ms
-        if times_due and self.targets.has_processing_times_to_report():
+        if times_due and self.targets.has_figures_to_report():
             self.processing_times_due_ms = now_ms + PROCESSING_TIME_INTERVAL_MS
             self._publish_targets(now_ms)
         elif self.targets.has_state_changed(now_ms):
--- a/libs/daemon/src/trefoil_daemon/queries.py
+++ b/libs/daemon/src/trefoil_daemon/queries.py
@@ -268,12 +268,18 @@
                         "target": target.name,
                         "slots": target.slots,
                         "state": state_names[target.state].lower(),
+                        "limit_per_s": _limit_text(target),
                     }
                 )
     rows.sort(key=lambda row: tuple(str(value) for value in row.values()))
     return rows
 
 
+def _limit_text(target: messages.TargetRecord) -> str:
+    """Return the rate limit that a target names, empty if none."""
+    return "" if target.limit_per_s is None else f"{target.limit_per_s:g}"
+
+
 @answer.register
 def _(statement: statements.ShowRoutes, context: QueryContext) -> list[Row]:
     return [
--- a/libs/requests/src/trefoil_requests/target_side.py
+++ b/libs/requests/src/trefoil_requests/target_side.py
@@ -51,6 +51,7 @@
         slots: Admission control of its slots.
         draining: Whether it gets no new requests.
         advertised: Its state in its last advertised record.
+        advertised_limit: The rate limit in that record, None for none.
         processing_time: Mean run time of its requests.
         occupancy: Its load since its last log line.
         leaving: Whether it stated in an answer that it is leaving.
@@ -63,6 +64,7 @@
     slots: admission.AdmissionController
     draining: bool = False
     advertised: int = messages.TargetState.READY
+    advertised_limit: float | None = None
     processing_time: processing_times.ProcessingTime = dataclasses.field(
         default_factory=processing_times.ProcessingTime
     )
@@ -94,6 +96,8 @@
         advertised.usual_us = self.processing_time.report()
         self.advertised = self.state(now_ms)
         advertised.state = self.advertised
+        self.advertised_limit = self.slots.rate_limit.per_s
+        advertised.limit_per_s = self.advertised_limit
         if self.advertised == messages.TargetState.COLD:
             limit = self.slots.warmup.limit
             advertised.cold_per_s = limit.per_s if limit else 0.0
@@ -357,10 +361,11 @@
         target = self.targets.get(name)
         return target.slots.running if target else 0
 
-    def has_processing_times_to_report(self) -> bool:
-        """Return whether a processing time has changed enough to report."""
+    def has_figures_to_report(self) -> bool:
+        """Return whether a processing time or a rate limit has changed."""
         return any(
             target.processing_time.should_report
+            or target.slots.rate_limit.per_s != target.advertised_limit
             for target in self.targets.values()
         )
 
--- a/libs/requests/tests/test_target_statements.py
+++ b/libs/requests/tests/test_target_statements.py
@@ -127,6 +127,16 @@
     assert 9900 <= refused.retry_after_ms <= 10_000
 
 
+def test_other_hosts_see_the_limit_in_the_targets_record() -> None:
+    harness = Harness()
+    harness.send(1, 0)
+    harness.answer(1, 100, notices.Notice(2.5))
+    assert harness.core.has_figures_to_report()
+    record = harness.core.advertised_record(TARGET, 110)
+    assert record.limit_per_s == 2.5
+    assert not harness.core.has_figures_to_report()
+
+
 def test_another_target_at_the_address_does_not_set_a_limit() -> None:
     """An answer 421 comes from a target that is not the addressed one."""
     harness = Harness()
