Test stated limits beside the other faults of requests

Cause: the tests of limits and departures with real processes wrote the fixture of test_request_processes again. Change: they stand there, with its four hosts; what they check is as before.

--- a/tests/test_request_processes.py
+++ b/tests/test_request_processes.py
@@ -16,6 +16,8 @@
 ROOT = pathlib.Path(__file__).parent.parent
 DOCUMENT = (ROOT / "demo" / "matbakh.yaml").read_text(encoding="utf-8")
 HOSTS = {"h1": "ariana", "h2": "ariana", "h3": "manouba", "h4": "manouba"}
+LIMIT_PER_S = 4.0
+LIMIT_CALLS = 160
 pytestmark = pytest.mark.processes
 
 
@@ -333,3 +335,54 @@
             time.sleep(1)
 
     threading.Thread(target=renew, daemon=True).start()
+
+
+def call_all(fleet: fleets.LocalFleet, count: int) -> list[int]:
+    """Return the statuses of calls that are sent through all proxies."""
+    names = list(HOSTS)
+    return [
+        fleet.call(names[number % len(names)], "/slots").status
+        for number in range(count)
+    ]
+
+
+def served(fleet: fleets.LocalFleet, target: str) -> int:
+    """Return how many requests a target has answered."""
+    return fleet.stats(target)["served"]
+
+
+def test_a_limited_target_gets_its_rate_and_the_others_the_rest(
+    fleet,
+) -> None:
+    """A target in need got a full share of all calls."""
+    fleets.wait_for(
+        "the target of h1 at h1",
+        lambda: fleet.call("h1", "/slots").status == 200,
+    )
+    fleet.behave("t-h1", rate_limit=str(LIMIT_PER_S))
+    call_all(fleet, 8)
+    before, begun_s = served(fleet, "t-h1"), time.monotonic()
+    statuses = call_all(fleet, LIMIT_CALLS)
+    took_s = time.monotonic() - begun_s
+    assert statuses == [200] * LIMIT_CALLS
+    got = served(fleet, "t-h1") - before
+    assert got <= LIMIT_PER_S * took_s + LIMIT_PER_S / 2 + 1
+    assert "event=target.limit " in fleet.log("h1")
+
+
+def test_a_target_that_states_its_departure_gets_no_more(fleet) -> None:
+    """A target that was about to end still got calls."""
+    fleet.behave("t-h1", leaving=True)
+    fleets.wait_for(
+        "an answer with the departure",
+        lambda: call_all(fleet, 4)
+        and "event=target.leaving " in fleet.log("h1"),
+    )
+    for host in HOSTS:
+        fleets.wait_for(
+            f"another target at {host}",
+            lambda: fleet.call(host, "/slots").status == 200,
+        )
+    before = served(fleet, "t-h1")
+    assert call_all(fleet, LIMIT_CALLS) == [200] * LIMIT_CALLS
+    assert served(fleet, "t-h1") == before
