Let the new safeguards' tests notice that they are gone

Cause: four of thirteen rows of safeguards.yaml on limits, departures and joins were not noticed by their tests: entry proxies that remember a departure covered the target's side; a target that counts as full was avoided without its wait; the simulated replicas took replies to held claims for late (they come at 250 ms, claimants wait 400 ms); the older-view test sent too few keys to reach a joined replica. Change: a test of its own for the first, busier alternatives, held replies delivered in time, twenty keys. No check is narrower.

--- a/libs/requests/tests/test_balancer.py
+++ b/libs/requests/tests/test_balancer.py
@@ -184,6 +184,8 @@
     """Calls were sent to a target that could only refuse them."""
     balancer = make_balancer()
     endpoints = [endpoint("a"), endpoint("b")]
+    for _ in range(5):
+        balancer.started("b/t")
     balancer.note_limit("a/t", 300, NOW_MS - 100)
     assert picks(balancer, endpoints) == {"b": 400}
     assert balancer.is_full(endpoints[0], NOW_MS)
--- a/libs/requests/tests/test_replica_joins.py
+++ b/libs/requests/tests/test_replica_joins.py
@@ -82,8 +82,9 @@
             if host not in lost:
                 for reply in self._deliver(host, claim):
                     results += claims.receive_reply(reply)
+        for reply in self._expire_held():
+            results += claims.receive_reply(reply)
         results += claims.tick(self.now_ms + claiming.CLAIM_TIMEOUT_MS)
-        self._expire_held()
         for result in results:
             if isinstance(result, effects.Send):
                 if isinstance(result.message, messages.ClaimRelease):
@@ -108,10 +109,17 @@
             if isinstance(effect, joining.ReplyToClaim)
         ]
 
-    def _expire_held(self) -> None:
-        """Let the replies to held claims be too late."""
-        for ledger in self.ledgers.values():
-            ledger.reply_to_held(self.now_ms + joining.MAX_HOLD_MS)
+    def _expire_held(self) -> list[messages.ClaimReply]:
+        """Return the replies to claims that were held for as long as may be.
+
+        They are in time for their claimant.
+        """
+        until_ms = self.now_ms + joining.MAX_HOLD_MS
+        return [
+            effect.reply
+            for ledger in self.ledgers.values()
+            for effect in ledger.reply_to_held(until_ms)
+        ]
 
 
 @pytest.mark.parametrize("count", [1, 2, 4])
@@ -145,7 +153,8 @@
     fleet.members += JOINED[:2]
     for name in JOINED:
         fleet.see(name)
-        fleet.claim(name, "needed")
+        for number in range(20):
+            fleet.claim(name, f"earlier{number}")
     keys = [f"k{number}" for number in range(300)]
     for key in keys:
         fleet.claim("h1", key)
--- a/libs/requests/tests/test_target_statements.py
+++ b/libs/requests/tests/test_target_statements.py
@@ -158,6 +158,15 @@
     assert not_run[0].leaving
 
 
+def test_a_target_that_stated_its_departure_gets_no_more_requests() -> None:
+    """Hosts that had not passed the departure on went on to send."""
+    harness = Harness()
+    harness.send(1, 0)
+    harness.answer(1, 100, notices.Notice(leaving=True))
+    (refused,) = replies(harness.send(2, 110))
+    assert not refused.ran
+
+
 def test_a_late_announcement_does_not_take_a_departure_back() -> None:
     harness = Harness()
     harness.send(1, 0)
