Give no port to two processes of a fleet

Cause: free_ports closed its sockets before their processes listened, and was asked for each member apart; the kernel may choose such a port again. Ruled out: the product. Change: what was handed out is not handed out again. Test: test_no_two_processes_get_the_same_port, with a kernel that chooses each port twice; it needs the set, so on the code before it fails for that and not for the port.

--- a/libs/emulator/src/trefoil_emulator/fleet.py
+++ b/libs/emulator/src/trefoil_emulator/fleet.py
@@ -34,16 +34,21 @@
     """A condition did not hold within the time limit."""
 
 
+# Addresses that ``free_ports`` has returned. A port is free again until its
+# process listens there, so the kernel may choose it for another process too.
+reserved_addresses: set[tuple[str, int]] = set()
+
+
 def free_ports(count: int, ip: str) -> list[int]:
-    """Return distinct free ports of an IP address."""
-    socks = []
-    for _ in range(count):
-        sock = socket.socket()
-        sock.bind((ip, 0))
-        socks.append(sock)
-    ports = [sock.getsockname()[1] for sock in socks]
-    for sock in socks:
-        sock.close()
+    """Return free ports of an IP address that were not returned before."""
+    ports: list[int] = []
+    while len(ports) < count:
+        with socket.socket() as sock:
+            sock.bind((ip, 0))
+            address = sock.getsockname()
+        if address not in reserved_addresses:
+            reserved_addresses.add(address)
+            ports.append(address[1])
     return ports
 
 
