Let joins end beside replicas of an older release

Callers saw, in a mixed fleet played by hand: 26 and 24 of 60 keyed payments refused. Cause: a joined replica waits until the former ones say that they see the join; an older release answers its pull and does not say so, so the join would have lasted ten minutes. Change: an answer without the field counts as the former replica's; answers of this release always say it. Why it suffices: until the last old process is gone, the guarantee is that of the old release. Tests: two more in test_replica_joins.py; the first fails without the branch.

--- a/libs/requests/src/trefoil_requests/ledger.py
+++ b/libs/requests/src/trefoil_requests/ledger.py
@@ -319,6 +319,7 @@
         push = messages.LedgerPush(
             self.local_host, entries, self.can_confirm(0, now_ms)
         )
+        push.knows_members = False
         if pull.service_name:
             members = self.replica_sets.members(pull.service_name, now_ms)
             push.service_name = pull.service_name
@@ -332,15 +333,26 @@
         self.sample_pending.discard(push.host)
         for entry in push.entries or ():
             self._add_record(entry, now_ms)
-        join = self.replica_sets.joins.get(push.service_name or "")
-        if join is not None and push.knows_members:
-            join.pending.discard(push.host)
+        self._note_caught_up(push)
         if push.complete and self.sync_pending is not None:
             self.sync_pending.discard(push.host)
             # A host that has no other to ask is never synced: no other host
             # can confirm its records.
             self.synced = not self.sync_pending
 
+    def _note_caught_up(self, push: messages.LedgerPush) -> None:
+        """Record that a former replica has sent what it granted."""
+        if push.knows_members is None:
+            # A process of an older release does not say which members it
+            # sees. Without this, keyed requests would be refused for as long
+            # as a rolling upgrade lasts.
+            for join in self.replica_sets.joins.values():
+                join.pending.discard(push.host)
+            return
+        join = self.replica_sets.joins.get(push.service_name or "")
+        if join is not None and push.knows_members:
+            join.pending.discard(push.host)
+
     def _add_record(self, entry: messages.LedgerEntry, now_ms: int) -> None:
         """Add a record of another host.
 
--- a/libs/requests/tests/test_replica_joins.py
+++ b/libs/requests/tests/test_replica_joins.py
@@ -252,3 +252,25 @@
     entry = messages.LedgerEntry(key, 7, 7, 100, answer)
     ledger.push(messages.LedgerPush("h4", [entry], True), NOW_MS)
     assert ledger.claim(retry, NOW_MS).verdict == ledgers.TAKEN
+
+
+def test_former_replicas_of_an_older_release_do_not_block_a_join() -> None:
+    """Keyed requests were refused for as long as a rolling upgrade lasted."""
+    fleet = Fleet()
+    fleet.join(1)
+    ledger = fleet.ledgers["h5"]
+    for host in FORMER[:3]:
+        ledger.push(messages.LedgerPush(host, [], False), fleet.now_ms)
+    assert not ledger.replica_sets.is_joining(SERVICE, fleet.now_ms)
+
+
+def test_an_answer_to_another_pull_does_not_end_a_join() -> None:
+    """A restarted process asks the same hosts for what it has forgotten."""
+    fleet = Fleet()
+    fleet.join(1)
+    ledger = fleet.ledgers["h5"]
+    pull = messages.LedgerPull("h5", 1)
+    for host in FORMER:
+        push = fleet.ledgers[host].pull(pull, fleet.now_ms)
+        ledger.push(push, fleet.now_ms)
+    assert ledger.replica_sets.is_joining(SERVICE, fleet.now_ms)
--- a/libs/wire/trefoil.thrift
+++ b/libs/wire/trefoil.thrift
@@ -349,7 +349,7 @@
 }
 /* complete: the sender has not forgotten any grant. knows_members: the sender
    sees all members of the pull too, so it no longer grants claims under an
-   older view. */
+   older view; missing from older releases. */
 struct LedgerPush {
   1: string host, 2: list<LedgerEntry> entries, 3: bool complete,
   4: string service_name, 5: bool knows_members,
