Wait for all four hosts before comparing their revisions

Cause: the test of a suspended leader waited until no listed host lacked a revision, which holds too while fewer than four are listed, and then wanted four; seen once, three hosts. Ruled out: nothing in the product is shown by it. Change: the wait is for four hosts with a revision; the assertion stays.

--- a/tests/test_control_processes.py
+++ b/tests/test_control_processes.py
@@ -77,6 +77,12 @@
     fleet.wait_ready(4)
 
 
+def _known_hosts(fleet: fleets.LocalFleet, at: str) -> int:
+    """Return the number of hosts whose revision a control process knows."""
+    known = revisions(fleet, at).values()
+    return sum(revision is not None for revision in known)
+
+
 def test_a_leader_is_suspended_and_resumes(fleet) -> None:
     """The leader is suspended for longer than its lease, then resumes.
 
@@ -96,7 +102,7 @@
     # their revisions are unknown ("not heard from").
     fleets.wait_for(
         "all reports at the next leader",
-        lambda: None not in revisions(fleet, at).values(),
+        lambda: _known_hosts(fleet, at) == 4,
     )
     previous = revisions(fleet, at)
     assert len(previous) == 4
