Make a join's pull only when somebody is asked

Change: the hosts to ask come first, the message only if there are any. No behaviour changes. After: the tests of joins, the ledger and the safeguards pass.

--- a/libs/requests/src/trefoil_requests/ledger.py
+++ b/libs/requests/src/trefoil_requests/ledger.py
@@ -275,18 +275,18 @@
         for service in list(self.replica_sets.joins):
             if not self.replica_sets.is_joining(service, now_ms):
                 continue
-            join = self.replica_sets.joins[service]
-            pull = messages.LedgerPull(
-                self.local_host,
-                self.incarnation,
-                service,
-                sorted(self.replica_sets.members(service, now_ms)),
-            )
-            pulls += [
-                effects.Send(host, "", pull) for host in join.ask(now_ms)
-            ]
+            asked = self.replica_sets.joins[service].ask(now_ms)
+            if asked:
+                pull = self._join_pull(service, now_ms)
+                pulls += [effects.Send(host, "", pull) for host in asked]
         return pulls
 
+    def _join_pull(self, service: str, now_ms: int) -> messages.LedgerPull:
+        members = self.replica_sets.members(service, now_ms)
+        return messages.LedgerPull(
+            self.local_host, self.incarnation, service, sorted(members)
+        )
+
     def _note_keys_in_use(self) -> None:
         """Record that callers send keys, so that all hosts are asked."""
         if not self.keys_in_use:
