Keep what a target stated when an announcement lacks its start

Cause: a status report without `born`, which another writer may send, looked like another start of the target, so its limit and its departure were dropped until the next answer. Evidence: test_an_announcement_without_a_start_does_not_end_a_limit fails on the code before. Change: such an announcement keeps the start that is known. Why it suffices: only a start that differs from a known one begins anew.

--- a/libs/requests/src/trefoil_requests/target_side.py
+++ b/libs/requests/src/trefoil_requests/target_side.py
@@ -271,6 +271,8 @@
             )
             return []
         known.slots.warmup.announce(warmup_left_ms, now_ms)
+        if record.started_ms is None:
+            record.started_ms = known.record.started_ms
         if record.started_ms != known.record.started_ms:
             known.slots.rate_limit = rate_limits.RateLimit()
             known.leaving = False
--- a/libs/requests/tests/test_target_statements.py
+++ b/libs/requests/tests/test_target_statements.py
@@ -24,7 +24,7 @@
         self.announce(0, started_ms=1)
 
     def announce(
-        self, now_ms: int, started_ms: int, state: int = READY
+        self, now_ms: int, started_ms: int | None, state: int = READY
     ) -> list[typing.Any]:
         """Let the target announce itself."""
         record = messages.TargetRecord(
@@ -115,6 +115,18 @@
     assert dispatched(harness.send(3, 210)) == [3]
 
 
+def test_an_announcement_without_a_start_does_not_end_a_limit() -> None:
+    """It was taken for the first one of another start of the target."""
+    harness = Harness()
+    harness.send(1, 0)
+    harness.answer(1, 100, notices.Notice(0.5, leaving=True))
+    harness.announce(150, started_ms=None)
+    assert dispatched(harness.send(2, 160)) == []
+    record = harness.core.advertised_record(TARGET, 160)
+    assert (record.started_ms, record.limit_per_s) == (1, 0.5)
+    assert record.state == messages.TargetState.DRAINING
+
+
 def test_a_refusal_for_a_limit_tells_when_to_come_back() -> None:
     """Callers came back at once, to be refused again."""
     harness = Harness()
