Do the work of joins and of the simulated fleet once

Cause, from a last reading of the whole change: each change of records worked out the members of every service, also on hosts that joined none; a turn was computed twice; the simulated fleet searched all attempts for the newest at each request and wrote the local origin's name again. Ruled out as worth sharing: the request builders of two test files in different libraries. Change: members only where this host joins or is joining; the turn once; the newest attempt is the last in order; the constant. No behaviour changes, no test is touched.

--- a/libs/emulator/src/trefoil_emulator/limited_fleet.py
+++ b/libs/emulator/src/trefoil_emulator/limited_fleet.py
@@ -229,7 +229,8 @@
         self, host: core_fleet.Host, effect: effects.Reply
     ) -> None:
         answer = effect.answer
-        origin = host.name if effect.origin == "local" else effect.origin
+        is_local = effect.origin == troubled_fleet.LOCAL
+        origin = host.name if is_local else effect.origin
         notice = self.stated.pop(answer.request_id, None)
         is_limited = answer.reason == target_side.LIMITED
         if is_limited and origin != host.name:
@@ -265,14 +266,14 @@
         self, caller: troubled_fleet.Caller, name: str = ""
     ) -> None:
         super()._send_request(caller, name)
-        # The newest number is that of the call just made.
-        self.began[max(self.attempts)] = self.now_ms
+        number = next(reversed(self.attempts))
+        self.began[number] = self.now_ms
 
     def _run_request(
         self, host: core_fleet.Host, request: messages.Request
     ) -> None:
         origin = host.targets.running[request.request_id].origin
-        origin = host.name if origin == "local" else origin
+        origin = host.name if origin == troubled_fleet.LOCAL else origin
         target = self._limited(host.name)
         told_ms = target.told_ms.get(origin)
         target.arrivals.append(
--- a/libs/requests/src/trefoil_requests/rate_limit.py
+++ b/libs/requests/src/trefoil_requests/rate_limit.py
@@ -133,9 +133,9 @@
         if self.bucket is None:
             return 0
         free_ms = now_ms + self.bucket.wait_ms(queued, now_ms)
-        if max(free_ms, self.next_turn_ms) <= now_ms:
-            return 0
         turn_ms = max(free_ms, self.next_turn_ms)
+        if turn_ms <= now_ms:
+            return 0
         if turn_ms > now_ms + MAX_TURN_MS:
             return MAX_TURN_MS
         self.next_turn_ms = turn_ms + 1000 / self.bucket.per_s
--- a/libs/requests/src/trefoil_requests/replica_sets.py
+++ b/libs/requests/src/trefoil_requests/replica_sets.py
@@ -36,17 +36,23 @@
         """
         for service in set(self.hosts) | set(hosts_of):
             new = set(hosts_of.get(service, ()))
-            members = self.members(service, now_ms)
-            if self.local_host in new and self.local_host not in members:
-                self.joins[service] = joining.Join(members, now_ms)
-            elif service in self.joins:
-                self.joins[service].add_members(new - members, now_ms)
-            for host in self.hosts.get(service, set()) - new:
+            known = self.hosts.get(service, set())
+            if service in self.joins or self.local_host in new - known:
+                self._note_join(service, new, now_ms)
+            for host in known - new:
                 self.departed_until_ms[(service, host)] = now_ms + RETENTION_MS
             for host in new:
                 self.departed_until_ms.pop((service, host), None)
             self.hosts[service] = new
 
+    def _note_join(self, service: str, new: set[str], now_ms: int) -> None:
+        """Record a join of this host, or hosts that appear after it."""
+        members = self.members(service, now_ms)
+        if self.local_host in new and self.local_host not in members:
+            self.joins[service] = joining.Join(members, now_ms)
+        elif service in self.joins:
+            self.joins[service].add_members(new - members, now_ms)
+
     def members(self, service: str, now_ms: int) -> set[str]:
         """Return the hosts that may be replicas of a service's keys."""
         departed = {
