--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 
 PYTHON ?= python3.11
 VENV := .venv
-LIBS := model wire settings store quorum fleet moves requests language \
+LIBS := model wire settings store quorum fleet accounts moves requests language \
 	daemon cli emulator
 BIN := $(VENV)/bin
 NAME ?= requests
--- /dev/null
+++ b/libs/accounts/src/trefoil_accounts/__init__.py
@@ -0,0 +1,1 @@
+"""Client accounts: keys, how long they are honoured, and quotas."""
--- /dev/null
+++ b/libs/accounts/src/trefoil_accounts/directory.py
@@ -0,0 +1,46 @@
+"""The client accounts of one configuration, found by their keys."""
+
+import typing
+
+from trefoil_fleet import items as item_store
+from trefoil_model import keys
+from trefoil_wire import messages
+
+
+class Directory:
+    """The accounts of one configuration.
+
+    Args:
+        keys_required: Whether callers need the key of an account, except on
+            open routes.
+        accounts: The accounts.
+    """
+
+    __slots__ = ("keys_required", "by_name", "name_by_digest")
+
+    def __init__(
+        self,
+        keys_required: bool = False,
+        accounts: typing.Iterable[messages.Account] = (),
+    ) -> None:
+        self.keys_required = keys_required
+        self.by_name = {account.name: account for account in accounts}
+        self.name_by_digest = {
+            digest: account.name
+            for account in self.by_name.values()
+            for digest in account.key_digests
+        }
+
+    @classmethod
+    def from_items(cls, items: item_store.Items) -> typing.Self:
+        """Return the accounts of a configuration."""
+        policy = items.get(item_store.ACCESS_POLICY)
+        if policy is None or not policy.keys_required:
+            return cls()
+        return cls(True, items.all(item_store.ACCOUNT))
+
+    def find(self, key: str) -> messages.Account | None:
+        """Return the account that holds a key, None if none does."""
+        digest = keys.digest_of(key.encode("utf-8", "replace"))
+        name = self.name_by_digest.get(digest)
+        return self.by_name[name] if name is not None else None
--- a/libs/daemon/src/trefoil_daemon/control_process.py
+++ b/libs/daemon/src/trefoil_daemon/control_process.py
@@ -32,6 +32,7 @@
 from . import leading_moves
 from . import operators
 from . import queries
+from . import revision_answers
 
 # How often a host asks to join. Hosts that ask at the same time are added one
 # after the other: a change of voters must be committed before the next.
@@ -126,6 +127,7 @@
         self.routed_to: dict[str, str] = {}
         self.published_controls_number = 0
         self.confirmations = floor_confirmations.FloorConfirmations(self)
+        self.revision_answers = revision_answers.RevisionAnswers(self)
         self.unpublished = False
 
     def _open_agreement(self, driver: facade.Driver, now_ms: int) -> None:
@@ -636,6 +638,7 @@
             self.perform(self.raft.tick(now_ms))
         self.node.set_leader(rafts.process_name(self.raft.leader))
         self.confirmations.tick()
+        self.revision_answers.tick()
         self.evacuations.tick()
         leader_heard = now_ms - self.raft.last_received_ms < LEADER_TIMEOUT_MS
         self.node.set_leader_known(self.raft.is_leader or leader_heard)
@@ -830,6 +833,20 @@
     process.on_query_reply(message)
 
 
+@receive.register
+def _(
+    message: messages.RevisionQuery, process: ControlProcess, host: str
+) -> None:
+    process.revision_answers.ask(host, message)
+
+
+@receive.register
+def _(
+    message: messages.RevisionReply, process: ControlProcess, host: str
+) -> None:
+    process.revision_answers.on_reply(message)
+
+
 @receive.register
 def _(
     message: messages.EvidenceReport, process: ControlProcess, host: str
--- a/libs/daemon/src/trefoil_daemon/dialect.py
+++ b/libs/daemon/src/trefoil_daemon/dialect.py
@@ -25,6 +25,8 @@
             only this many requests per second, a decimal number, from all
             hosts together.
         leaving: Set to 1 by a target on all its answers once it is leaving.
+        account: Name of the caller's account, for the target.
+        key_scheme: Scheme of the Authorization header that carries a key.
     """
 
     deadline: bytes = b"X-Trefoil-Deadline-Ms"
@@ -37,6 +39,8 @@
     warmup_left: bytes = b"X-Trefoil-Warmup-Left-Ms"
     rate_limit: bytes = b"X-Trefoil-Rate-Limit"
     leaving: bytes = b"X-Trefoil-Leaving"
+    account: bytes = b"X-Trefoil-Account"
+    key_scheme: bytes = b"Bearer"
 
 
 DEFAULT = Dialect()
--- a/libs/daemon/src/trefoil_daemon/gateway.py
+++ b/libs/daemon/src/trefoil_daemon/gateway.py
@@ -9,6 +9,7 @@
 from . import http_server
 
 IDEMPOTENCY_KEY_HEADER = b"idempotency-key"
+AUTHORIZATION_HEADER = b"authorization"
 MAX_KEY_CHARS = 256
 
 
@@ -54,6 +55,7 @@
             dialect.retried,
             dialect.caller_service,
             dialect.target,
+            dialect.account,
         )
         self.reserved_headers = frozenset(
             name.lower() for name in header_names if name
@@ -88,10 +90,21 @@
             retried=message.field(self.dialect.retried.lower()) == "1",
             caller_id=connection.request_id,
             entered_ms=connection.elapsed_ms(now_ms),
+            account_key=self._key_of(message),
+            received_boot_ms=connection.server.clock.boot_ms(),
         )
+        if AUTHORIZATION_HEADER in message.fields:
+            _separate_authorization(call)
         self.connections[connection.number] = connection
         self.process.call(call)
 
+    def _key_of(self, message: _http.Message) -> str:
+        """Return the key of the caller's account, empty without one."""
+        scheme, _, key = message.field(AUTHORIZATION_HEADER).partition(" ")
+        if scheme.lower() != self.dialect.key_scheme.decode().lower():
+            return ""
+        return key.strip()
+
     def _headers_of(self, message: _http.Message) -> bytes:
         """Return the header lines for the target.
 
@@ -104,7 +117,7 @@
             headers = b"".join(
                 line + b"\r\n"
                 for line in lines
-                if line.partition(b":")[0].lower() not in self.reserved_headers
+                if _name_of(line) not in self.reserved_headers
             )
         if self.dialect.caller_service and self.service:
             service = self.service.encode("latin-1", "replace")
@@ -128,6 +141,9 @@
             return
         outcome = b"unknown" if final.ran else b"not-run"
         headers = b"X-Trefoil-Outcome: " + outcome + b"\r\n"
+        if final.status == 401:
+            scheme = self.dialect.key_scheme
+            headers += b"WWW-Authenticate: " + scheme + b"\r\n"
         if final.retry_after_ms:
             headers += b"Retry-After: %s\r\n" % self._seconds(
                 final.retry_after_ms
@@ -143,5 +159,20 @@
         return b"%d" % -(-wait_ms // 1000)
 
 
+def _separate_authorization(call: calls.Call) -> None:
+    """Move a call's authorization out of the headers for its target."""
+    lines = [line + b"\r\n" for line in call.headers.split(b"\r\n")[:-1]]
+    call.authorization = b"".join(
+        line for line in lines if _name_of(line) == AUTHORIZATION_HEADER
+    )
+    call.headers = b"".join(
+        line for line in lines if _name_of(line) != AUTHORIZATION_HEADER
+    )
+
+
+def _name_of(line: bytes) -> bytes:
+    return line.partition(b":")[0].lower()
+
+
 def _number(text: str) -> int:
     return int(text) if text.isascii() and text.isdigit() else 0
--- a/libs/daemon/src/trefoil_daemon/pools.py
+++ b/libs/daemon/src/trefoil_daemon/pools.py
@@ -124,6 +124,9 @@
         extra = b"%s: %d\r\n" % (self.dialect.deadline, left_ms)
         if request.retried and self.dialect.retried:
             extra += self.dialect.retried + b": 1\r\n"
+        if request.account and self.dialect.account:
+            account = request.account.encode("latin-1", "replace")
+            extra += self.dialect.account + b": " + account + b"\r\n"
         if self.dialect.target:
             name = request.target.encode("latin-1", "replace")
             extra += self.dialect.target + b": " + name + b"\r\n"
--- a/libs/daemon/src/trefoil_daemon/proxy_process.py
+++ b/libs/daemon/src/trefoil_daemon/proxy_process.py
@@ -4,6 +4,8 @@
 import random
 import typing
 
+from trefoil_accounts import access as accesses
+from trefoil_accounts import key_lease
 from trefoil_fleet import effects as fleet_effects
 from trefoil_fleet import items as item_store
 from trefoil_fleet import node as nodes
@@ -33,6 +35,7 @@
 from . import budget_metrics
 from . import exposition
 from . import facade
+from . import key_leases
 from . import operators
 from . import relay as relays
 from . import slot_metrics
@@ -115,8 +118,12 @@
             quarantine=self.quarantine,
             targets=self.targets,
             rng=rng,
+            access=accesses.Access(
+                key_lease.KeyLease(settings.key_revocation_ms)
+            ),
         )
-        self.entry.accounting.max_ratio = settings.retry_ratio
+        self.key_leases = key_leases.KeyLeases(self)
+        self.entry.retry_budgets.max_ratio = settings.retry_ratio
         self.announced = announcements.Announcements(settings.lease_ms)
         self.collectors: dict[str, evidences.Collector] = {}
         self.version_comparisons: dict[str, comparisons.VersionComparison] = {}
@@ -209,11 +216,12 @@
             # spend. One more host may have joined and not be known here yet.
             hosts = len(records.by_host) + 1
             reserve = self.settings.retry_slack / hosts
-            self.entry.accounting.set_reserve(reserve)
+            self.entry.retry_budgets.set_reserve(reserve)
 
     def reconfigure(self, settings: setting_store.ProxySettings) -> None:
         """Apply changed settings."""
         self.settings = settings
+        self.entry.access.lease.revocation_ms = settings.key_revocation_ms
         self.node.overlay.set_configured(settings.known_controls)
         self.records_dirty = True
 
@@ -320,11 +328,22 @@
                 self._on_crash_notice(host, message)
             case messages.EvidenceReport():
                 self._forward_evidence(host, message)
+            case messages.RevisionQuery():
+                self.key_leases.ask(host, message)
+            case messages.RevisionReply():
+                self._on_revision_reply(message)
             case _:
                 self.perform(
                     self.node.receive(host, message, self.clock.now_ms())
                 )
 
+    def _on_revision_reply(self, reply: messages.RevisionReply) -> None:
+        self.key_leases.on_reply(reply)
+        if self.entry.pending.by_id:
+            self.perform(
+                self.entry.start_pending(self.clock.now_ms(), self.now_us())
+            )
+
     def _on_crash_notice(
         self, source: str, notice: messages.CrashNotice
     ) -> None:
@@ -544,6 +563,7 @@
         """Run periodic work."""
         now_ms, now_us = self.clock.now_ms(), self.now_us()
         self.perform(self.node.tick(now_ms))
+        self.key_leases.tick()
         if self.records_dirty:
             self.records_changed()
         for name in self.announced.expired(now_ms):
@@ -561,7 +581,7 @@
         self._report(now_ms)
         self._publish_target_changes(now_ms)
         self.perform(
-            self.spending_log.report(self.entry.accounting.budgets, now_ms)
+            self.spending_log.report(self.entry.retry_budgets.budgets, now_ms)
         )
         self._withdraw_targets_if_due(now_ms)
         self.relay.tick(now_ms)
@@ -600,7 +620,7 @@
 
     def families(self) -> list[exposition.Family]:
         """Return retry metrics by service and slot metrics by target."""
-        repeats = budget_metrics.families(self.entry.accounting.budgets)
+        repeats = budget_metrics.families(self.entry.retry_budgets.budgets)
         return repeats + slot_metrics.families(self.targets.targets.values())
 
     # Leaving
--- a/libs/daemon/tests/test_proxy_process.py
+++ b/libs/daemon/tests/test_proxy_process.py
@@ -298,7 +298,7 @@
 
     def add_retry_tokens(self, host: str) -> None:
         """Fill a proxy's retry budget, which is empty after its start."""
-        self.processes[host].entry.accounting.budgets["tables"].tokens = 5.0
+        self.processes[host].entry.retry_budgets.budgets["tables"].tokens = 5.0
 
     def final(self, host: str, call_id: int) -> calls.Final | None:
         """Return a call's final answer."""
@@ -997,7 +997,7 @@
         .consecutive_losses
         == 0
     )
-    retry_budget = net.processes["h1"].entry.accounting.budgets["tables"]
+    retry_budget = net.processes["h1"].entry.retry_budgets.budgets["tables"]
     assert retry_budget.tokens == -budget.CALL_PRICE
     assert retry_budget.spent[budget.Cause.CALLED] == 1
 
--- a/libs/emulator/src/trefoil_emulator/troubled_fleet.py
+++ b/libs/emulator/src/trefoil_emulator/troubled_fleet.py
@@ -202,7 +202,7 @@
         known = self.known[name]
         host = self.hosts[name]
         host.entry.records_changed(known, int(self.now_ms))
-        host.entry.accounting.set_reserve(
+        host.entry.retry_budgets.set_reserve(
             self.slack / (len(known.by_host) + 1)
         )
         host.targets.origins.hosts = attribution.hosts_by_services(
--- a/libs/fleet/src/trefoil_fleet/check.py
+++ b/libs/fleet/src/trefoil_fleet/check.py
@@ -1,15 +1,14 @@
 """Validation of a whole configuration before it is put in force."""
 
+import math
+
 from trefoil_model import errors
+from trefoil_model import keys
 from trefoil_wire import messages
 from trefoil_wire import routes as route_fields
 
 from . import items as item_store
 
-# No caller keeps its connection open for longer than this. A larger timeout
-# was most likely given in the wrong unit.
-MAX_TIMEOUT_MS = 600_000
-
 
 def find_problems(items: item_store.Items) -> list[str]:
     """Return every reason why a configuration must not be put in force.
@@ -25,6 +24,7 @@
         services = {s.name: s for s in items.all(item_store.SERVICE)}
         routes = items.all(item_store.ROUTE)
         shares = items.all(item_store.SHARES)
+        accounts = items.all(item_store.ACCOUNT)
     except (errors.FrameError, KeyError, ValueError) as error:
         return [f"unreadable item: {error}"]
     problems = []
@@ -37,6 +37,7 @@
             problems.append(f"service {name}: no version has a share")
     for entry in shares:
         problems.extend(_share_problems(entry, services))
+    problems.extend(_account_problems(accounts))
     return problems
 
 
@@ -58,10 +59,10 @@
         problems.append(f"{label}: a weight is below 0")
     elif weights and not sum(weights):
         problems.append(f"{label}: no backend has a weight")
-    if not 0 < route.timeout_ms <= MAX_TIMEOUT_MS:
+    if not 0 < route.timeout_ms <= route_fields.MAX_TIMEOUT_MS:
         problems.append(
             f"{label}: the timeout is {route.timeout_ms} ms, "
-            f"not 1 to {MAX_TIMEOUT_MS}"
+            f"not 1 to {route_fields.MAX_TIMEOUT_MS}"
         )
     if route.max_attempts < 1:
         problems.append(f"{label}: {route.max_attempts} attempts serve nobody")
@@ -95,3 +96,23 @@
     if total != 1000 or any(s.permille < 0 for s in entry.shares):
         return [f"{label}: they add up to {total}, not 1000"]
     return []
+
+
+def _account_problems(accounts: list[messages.Account]) -> list[str]:
+    """Return the problems of the accounts, without any of their keys."""
+    problems = []
+    owners: dict[bytes, str] = {}
+    for account in accounts:
+        label = f"account {account.name!r}"
+        if not (account.name.isascii() and account.name.isprintable()):
+            problems.append(f"{label}: the name is not printable ASCII")
+        for rate in (account.rate_per_s, account.burst):
+            if not (math.isfinite(rate) and rate >= 0):
+                problems.append(f"{label}: {rate} is not a rate")
+        for digest in account.key_digests:
+            if len(digest) != keys.DIGEST_BYTES:
+                problems.append(f"{label}: a key can't be read")
+            owner = owners.setdefault(digest, account.name)
+            if owner != account.name:
+                problems.append(f"{label}: account {owner} has the same key")
+    return problems
--- a/libs/fleet/src/trefoil_fleet/items.py
+++ b/libs/fleet/src/trefoil_fleet/items.py
@@ -18,6 +18,8 @@
 DRAIN = "drain/"
 EVACUATION = "evacuation/"
 LIMITS = "limits/callers"
+ACCOUNT = "account/"
+ACCESS_POLICY = "access/policy"
 KINDS: dict[str, type] = {
     SERVICE: messages.Service,
     ROUTE: messages.Route,
@@ -25,10 +27,12 @@
     DRAIN: messages.Drain,
     EVACUATION: messages.Evacuation,
     "limits/": messages.CallerLimits,
+    ACCOUNT: messages.Account,
+    "access/": messages.AccessPolicy,
 }
 # Key prefixes of the items that a configuration document sets. Other commands
 # set the rest.
-DOCUMENT_PREFIXES = (SERVICE, ROUTE, "limits/")
+DOCUMENT_PREFIXES = (SERVICE, ROUTE, "limits/", ACCOUNT, "access/")
 MAX_TOMBSTONES = 512
 
 
--- a/libs/model/src/trefoil_model/clock.py
+++ b/libs/model/src/trefoil_model/clock.py
@@ -13,6 +13,12 @@
     def now_us(self) -> int:
         """Return monotonic microseconds since the same start."""
 
+    def boot_ms(self) -> int:
+        """Return milliseconds that count while the host is suspended.
+
+        The other monotonic times stand still then.
+        """
+
     def wall_ms(self) -> int:
         """Return milliseconds since the Unix epoch; may jump."""
 
@@ -30,6 +36,10 @@
         """Return monotonic microseconds."""
         return time.monotonic_ns() // 1000
 
+    def boot_ms(self) -> int:
+        """Return milliseconds that count while the host is suspended."""
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
+
     def wall_ms(self) -> int:
         """Return milliseconds since the Unix epoch."""
         return time.time_ns() // 1_000_000
@@ -42,10 +52,11 @@
         start_ms: Initial monotonic and wall time, in milliseconds.
     """
 
-    __slots__ = ("current_ms", "wall_offset_ms")
+    __slots__ = ("current_ms", "suspended_ms", "wall_offset_ms")
 
     def __init__(self, start_ms: int = 1_000_000) -> None:
         self.current_ms = start_ms
+        self.suspended_ms = 0
         self.wall_offset_ms = 0
 
     def now_ms(self) -> int:
@@ -56,11 +67,19 @@
         """Return the current monotonic time in microseconds."""
         return self.current_ms * 1000
 
+    def boot_ms(self) -> int:
+        """Return the monotonic time plus the time of suspensions."""
+        return self.current_ms + self.suspended_ms
+
     def wall_ms(self) -> int:
         """Return the wall time in milliseconds, including its offset."""
-        return self.current_ms + self.wall_offset_ms
+        return self.current_ms + self.suspended_ms + self.wall_offset_ms
 
     def advance(self, by_ms: int) -> int:
         """Advance by some milliseconds and return the monotonic time."""
         self.current_ms += by_ms
         return self.current_ms
+
+    def suspend(self, for_ms: int) -> None:
+        """Suspend the host: only boot and wall time go on."""
+        self.suspended_ms += for_ms
--- a/libs/moves/src/trefoil_moves/command_results.py
+++ b/libs/moves/src/trefoil_moves/command_results.py
@@ -4,6 +4,7 @@
 the same state, so nothing here reads a clock or uses random numbers.
 """
 
+import collections
 import dataclasses
 import functools
 import typing
@@ -77,8 +78,10 @@
             return refusal
     candidate = state.items.copy()
     _put_configuration(candidate, index, body)
-    problems = check.find_problems(candidate) + _move_problems(
-        state, candidate
+    problems = (
+        _repeated_accounts(body)
+        + check.find_problems(candidate)
+        + _move_problems(state, candidate)
     )
     if problems:
         return CommandResult(
@@ -141,6 +144,10 @@
         new_records[item_store.ROUTE + route.name] = route
     if body.limits is not None:
         new_records[item_store.LIMITS] = body.limits
+    if body.accounts is not None:
+        new_records[item_store.ACCESS_POLICY] = messages.AccessPolicy(True)
+    for account in body.accounts or ():
+        new_records[item_store.ACCOUNT + account.name] = account
     names = {service.name for service in body.services}
     for key, item in list(items.by_key.items()):
         kind, _, name = key.partition("/")
@@ -155,6 +162,21 @@
             items.set(index, key, record)
 
 
+def _repeated_accounts(body: messages.ApplyConfiguration) -> list[str]:
+    """Return a problem for each account that is given more than once.
+
+    Only the last one would be in force, with its keys and its limits.
+    """
+    counts = collections.Counter(
+        account.name for account in body.accounts or ()
+    )
+    return [
+        f"account {name} is given twice"
+        for name, count in sorted(counts.items())
+        if count > 1
+    ]
+
+
 def _move_problems(
     state: "states.State", candidate: item_store.Items
 ) -> list[str]:
--- a/libs/requests/src/trefoil_requests/call.py
+++ b/libs/requests/src/trefoil_requests/call.py
@@ -7,6 +7,7 @@
 
 STATUS_REASONS = {
     400: "Bad Request",
+    401: "Unauthorized",
     404: "Not Found",
     405: "Method Not Allowed",
     409: "Conflict",
@@ -41,6 +42,11 @@
         caller_id: The caller's own id of the request, for logs; empty
             without one.
         entered_ms: Time from its first byte until it was received completely.
+        account_key: Key of the caller's account, empty without one.
+        authorization: Header lines that may hold a key. They are not part of
+            ``headers`` and reach targets only if callers need no keys.
+        received_boot_ms: When it was received completely, on the clock that
+            goes on while the host is suspended.
     """
 
     call_id: int
@@ -54,6 +60,9 @@
     retried: bool = False
     caller_id: str = ""
     entered_ms: int = 0
+    account_key: str = ""
+    authorization: bytes = b""
+    received_boot_ms: int = 0
 
     def fingerprint(self) -> int:
         """Return a hash that identifies resends of the same request."""
--- a/libs/requests/src/trefoil_requests/entry.py
+++ b/libs/requests/src/trefoil_requests/entry.py
@@ -8,12 +8,13 @@
 import random
 import typing
 
+from trefoil_accounts import access as accesses
+from trefoil_accounts import key_lease
 from trefoil_fleet import records as record_store
 from trefoil_model import effects as common
 from trefoil_model import errors
 from trefoil_wire import messages
 
-from . import accounts as accounting
 from . import attribution
 from . import bodies
 from . import budget
@@ -27,6 +28,7 @@
 from . import pending as pending_calls
 from . import placing as placements
 from . import quarantine as quarantines
+from . import retry_budgets as budgets
 from . import routing
 
 # A safe request that takes this many times its route's usual run time is sent
@@ -69,6 +71,8 @@
         quarantine: Requests known to crash targets.
         targets: The targets on this host, which send their calls here.
         rng: Draws versions, targets and ids.
+        access: Checks callers' keys; without it keys are honoured for any
+            time.
     """
 
     __slots__ = (
@@ -82,7 +86,8 @@
         "original_deadlines",
         "placement",
         "balancer",
-        "accounting",
+        "retry_budgets",
+        "access",
         "claims",
         "live",
         "pending",
@@ -101,6 +106,7 @@
         quarantine: quarantines.Quarantine,
         targets: LocalTargets,
         rng: random.Random,
+        access: accesses.Access | None = None,
     ) -> None:
         self.local_host = local_host
         self.domain = domain
@@ -112,7 +118,8 @@
         self.original_deadlines = original_deadlines.OriginalDeadlines()
         self.placement = placements.Placement(local_host, domain, rng)
         self.balancer = self.placement.balancer
-        self.accounting = accounting.RetryBudgets()
+        self.retry_budgets = budgets.RetryBudgets()
+        self.access = access or accesses.Access(key_lease.KeyLease())
         self.claims = claiming.Claims()
         self.live: dict[int, live_calls.LiveCall] = {}
         self.pending = pending_calls.PendingCalls()
@@ -129,7 +136,8 @@
         names = {route.name for route in table.routes}
         self.original_deadlines.keep_only(names)
         self.call_shares.keep_only(names)
-        self.accounting.put_in_force(table.services)
+        self.retry_budgets.put_in_force(table.services)
+        self.access.put_in_force(table.accounts, table.revision)
 
     def records_changed(
         self, records: record_store.Records, now_ms: int
@@ -146,12 +154,14 @@
         self, call: calls.Call, now_ms: int, now_us: int
     ) -> list[typing.Any]:
         """Start a caller's request."""
-        if self.placement.table is None and not self.draining:
+        if self._is_starting() and not self.draining:
             if self.pending.hold(call, now_ms):
                 return []
         route = self._route_or_refuse(call)
-        if route is None:
+        allowed = self._authorize(call, route) if route else None
+        if allowed is None:
             return self._flush()
+        account = allowed.account
         timeout_ms = route.timeout_ms
         if call.deadline_ms:
             timeout_ms = min(timeout_ms, call.deadline_ms)
@@ -167,6 +177,8 @@
             deadline_at_ms=now_ms + timeout_ms,
             due_at_ms=now_ms + latency_target_ms - waited_ms,
             service=routing.draw_service(route, self.rng),
+            account=account.name if account else "",
+            priority=_priority(route, account),
         )
         self.live[call.call_id] = live
         if self.quarantine.refuses(live.fingerprint, now_ms):
@@ -179,6 +191,47 @@
             self._attempt(live, now_ms, now_us)
         return self._flush()
 
+    def _is_starting(self) -> bool:
+        """Return whether this proxy has just started and can't serve yet."""
+        return self.placement.table is None or self.access.is_starting
+
+    def _authorize(
+        self, call: calls.Call, route: messages.Route
+    ) -> accesses.Allowed | None:
+        """Return the caller's account, or answer the call without one."""
+        decision = self.access.check(
+            call.account_key, bool(route.open), call.received_boot_ms
+        )
+        if isinstance(decision, accesses.Denied):
+            self._note_denied(call, route, decision)
+            self._refuse(
+                call,
+                decision.status,
+                decision.denial,
+                decision.retry_after_ms,
+            )
+            return None
+        if not self.access.directory.keys_required:
+            call.headers += call.authorization
+        return decision
+
+    def _note_denied(
+        self, call: calls.Call, route: messages.Route, denied: accesses.Denied
+    ) -> None:
+        revision = self.placement.table.revision
+        self.pending_effects.append(
+            common.Note(
+                "request.denied",
+                {
+                    "id": call.caller_id or call.call_id,
+                    "route": route.name,
+                    "status": denied.status,
+                    "why": denied.denial,
+                    "revision": revision,
+                },
+            )
+        )
+
     def _add_to_budget(self, live: live_calls.LiveCall) -> None:
         """Credit the budget, or charge it for a call of a repeat."""
         if live.call.retried:
@@ -186,10 +239,12 @@
         else:
             share = self.call_shares.share(live.route.name)
             live.repeat = self.targets.repeat_share(share) if share else 0.0
-        self.accounting.deposit(live)
+        self.retry_budgets.deposit(live)
 
     def start_pending(self, now_ms: int, now_us: int) -> list[typing.Any]:
-        """Start the calls that were buffered before a configuration."""
+        """Start the calls that were buffered while this proxy started."""
+        if self._is_starting():
+            return []
         released = []
         for call in self.pending.release(now_ms):
             released.extend(self.start(call, now_ms, now_us))
@@ -210,22 +265,24 @@
             self._refuse(call, error.status, error.reason)
             return None
 
-    def _refuse(self, call: calls.Call, status: int, reason: str) -> None:
-        self.pending_effects.append(
-            effects.Finish(
-                calls.Final(
-                    call.call_id,
-                    status,
-                    reason,
-                    retry_after_ms=RETRY_AFTER_MS if status == 503 else 0,
-                )
-            )
+    def _refuse(
+        self,
+        call: calls.Call,
+        status: int,
+        reason: str,
+        retry_after_ms: int = 0,
+    ) -> None:
+        if status == 503:
+            retry_after_ms = retry_after_ms or RETRY_AFTER_MS
+        final = calls.Final(
+            call.call_id, status, reason, retry_after_ms=retry_after_ms
         )
+        self.pending_effects.append(effects.Finish(final))
 
     def _claim(self, live: live_calls.LiveCall, now_ms: int) -> None:
         service = live.service
         issued_ms = ledgers.issued_ms_of(live.call.key)
-        key = ledgers.key_of(service, live.call.key)
+        key = ledgers.key_of(service, live.call.key, live.account)
         claim = messages.Claim(
             claim_id=self._next_id(),
             key=key,
@@ -270,7 +327,7 @@
         """Send a call to a target, or refuse it if none can take it."""
         endpoint = self.placement.place(live, now_ms)
         if endpoint is None:
-            self.accounting.refund(live)
+            self.retry_budgets.refund(live)
             self._finish_no_target(live)
             return
         self._send_to(live, endpoint, now_ms, now_us)
@@ -312,13 +369,14 @@
             fingerprint=live.fingerprint,
             version=live.version,
             retried=live.call.retried or live.attempts > 1,
-            priority=route.priority or 0,
+            priority=live.priority,
             caller_id=live.call.caller_id,
             aim_ms=max(live.due_at_ms - now_ms, 1),
             settled=live.may_queue,
             services_key=self.targets.services_key,
             repeat_permille=_repeat_permille(live),
             limit_per_s=self.placement.statements.limit_per_s(endpoint),
+            account=live.account,
         )
         self.pending_effects.append(
             effects.Forward(endpoint.host, endpoint.address, request)
@@ -559,7 +617,7 @@
             # Where all targets are full, requests are slow because they
             # queue. Sending them twice would lengthen all queues.
             return
-        if not self.accounting.withdraw(live.service, budget.Cause.HEDGED):
+        if not self.retry_budgets.withdraw(live.service, budget.Cause.HEDGED):
             return
         first = live.attempt
         live.may_queue = False
@@ -569,7 +627,7 @@
             target=first.endpoint.key,
             waited_ms=(now_us - first.sent_us) // 1000,
             also=endpoint.key,
-            budget=round(self.accounting.remaining(live.service), 1),
+            budget=round(self.retry_budgets.remaining(live.service), 1),
         )
         live.paid = True
         self._send_to(live, endpoint, now_ms, now_us)
@@ -609,7 +667,7 @@
             live.may_have_run = True
         else:
             live.attempts -= 1
-        self.accounting.end(live)
+        self.retry_budgets.end(live)
         live.swap_attempts()
         live.hedge = None
         return True
@@ -623,7 +681,7 @@
         live = self.live.get(self.by_request.get(request_id, -1))
         if live is not None and live.request_id == request_id:
             if live.hedge is None:
-                self.accounting.end(live)
+                self.retry_budgets.end(live)
 
     def _may_place_again(
         self, live: live_calls.LiveCall, answer: messages.Answer, now_ms: int
@@ -651,10 +709,10 @@
             return False
         if now_ms >= live.deadline_at_ms:
             return False
-        if not self.accounting.has_budget(live.service):
+        if not self.retry_budgets.has_budget(live.service):
             return False
-        self.accounting.end(live)
-        granted = self.accounting.withdraw(live.service, cause)
+        self.retry_budgets.end(live)
+        granted = self.retry_budgets.withdraw(live.service, cause)
         live.paid = granted
         self._note(
             "request.retried" if granted else "request.out_of_budget",
@@ -662,7 +720,7 @@
             target=live.endpoint.key,
             cause=cause,
             left_ms=live.deadline_at_ms - now_ms,
-            budget=round(self.accounting.remaining(live.service), 1),
+            budget=round(self.retry_budgets.remaining(live.service), 1),
         )
         return granted
 
@@ -848,9 +906,9 @@
             self._send_cancel(live.hedge.request_id, live.hedge.endpoint)
             self.balancer.note_cancelled(live.hedge.endpoint.key)
             if live.hedge.paid:
-                self.accounting.arrived(live.service)
+                self.retry_budgets.arrived(live.service)
             live.hedge = None
-        self.accounting.end(live)
+        self.retry_budgets.end(live)
 
     def _log_own_answer(
         self, live: live_calls.LiveCall, final: calls.Final
@@ -897,6 +955,13 @@
         return pending_effects
 
 
+def _priority(route: messages.Route, account: messages.Account | None) -> int:
+    """Return a call's priority: its account's, or else its route's."""
+    if account is not None and account.priority is not None:
+        return account.priority
+    return route.priority or 0
+
+
 def _repeat_permille(live: live_calls.LiveCall) -> int:
     """Return the probability that an attempt is a repeat, in permille."""
     return int(1000 * (1.0 if live.paid else live.repeat))
--- a/libs/requests/src/trefoil_requests/ledger.py
+++ b/libs/requests/src/trefoil_requests/ledger.py
@@ -38,9 +38,14 @@
 ABSTAIN = 3
 
 
-def key_of(service: str, key: str) -> int:
-    """Return the hash under which replicas store a key."""
-    return hashing.hash64(f"{service}\0{key}".encode())
+def key_of(service: str, key: str, account: str = "") -> int:
+    """Return the hash under which replicas store a key.
+
+    The same key of two accounts is not the same: one of them would be given
+    the answer to the other's request.
+    """
+    scope = f"{service}\0{account}" if account else service
+    return hashing.hash64(f"{scope}\0{key}".encode())
 
 
 def issued_ms_of(key: str) -> int:
--- a/libs/requests/src/trefoil_requests/live.py
+++ b/libs/requests/src/trefoil_requests/live.py
@@ -38,6 +38,8 @@
         started_us: When it arrived.
         deadline_at_ms: When its caller stops waiting for it.
         due_at_ms: When its answer exceeds its route's latency target.
+        account: Name of the caller's account, empty for none.
+        priority: Priority of the call; 0 is the most urgent.
         claim: The claim on its idempotency key, for once-only requests.
         service: The service that was drawn for it.
         drawn_version: The version that was drawn for it.
@@ -67,6 +69,8 @@
     started_us: int
     deadline_at_ms: int
     due_at_ms: int
+    account: str = ""
+    priority: int = 0
     claim: messages.Claim | None = None
     service: str = ""
     drawn_version: str | None = None
--- a/libs/requests/src/trefoil_requests/routing.py
+++ b/libs/requests/src/trefoil_requests/routing.py
@@ -4,6 +4,7 @@
 import dataclasses
 import random
 
+from trefoil_accounts import directory
 from trefoil_fleet import exclusions
 from trefoil_fleet import items as item_store
 from trefoil_fleet import records as record_store
@@ -45,6 +46,7 @@
         "services",
         "excluded",
         "limits",
+        "accounts",
     )
 
     def __init__(self, items: item_store.Items) -> None:
@@ -64,6 +66,7 @@
             entry.service_name: entry for entry in items.all(item_store.SHARES)
         }
         self.excluded = exclusions.Exclusions.from_items(items)
+        self.accounts = directory.Directory.from_items(items)
 
     def match(self, host: str, path: str, method: str) -> messages.Route:
         """Return the route of a request.
--- a/libs/settings/src/trefoil_settings/configuration.py
+++ b/libs/settings/src/trefoil_settings/configuration.py
@@ -19,6 +19,7 @@
 MAX_WEIGHT = 1_000_000
 MAX_CONNECTIONS = 100_000
 MAX_WARMUP_PER_S = 1_000_000
+MAX_ACCOUNT_PER_S = 1_000_000
 MAX_DOCUMENT_NUMBER = (1 << 63) - 1
 MAX_HEAD_BYTES = 1 << 20
 MAX_BODY_BYTES = 1 << 30
@@ -82,6 +83,28 @@
 )
 
 
+ACCOUNT = schema.Record(
+    (
+        ("name", schema.Field(schema.Name(), required=True)),
+        ("keys", schema.Field(schema.ListOf(schema.Key()), default=[])),
+        ("priority", schema.Field(schema.Number(0, 100))),
+        (
+            "rate_per_s",
+            schema.Field(
+                schema.Number(0, MAX_ACCOUNT_PER_S, integer=False), default=0
+            ),
+        ),
+        (
+            "burst",
+            schema.Field(
+                schema.Number(0, MAX_ACCOUNT_PER_S, integer=False), default=0
+            ),
+        ),
+    ),
+    lambda keys, **rest: messages.Account(key_digests=keys, **rest),
+)
+
+
 def _make_route(**values: typing.Any) -> messages.Route:
     values["service_name"] = values.pop("service")
     values["timeout_ms"] = values.pop("timeout")
@@ -117,6 +140,7 @@
             schema.Field(schema.Duration(), default=DEFAULT_TIMEOUT_MS),
         ),
         ("repeat", schema.Field(schema.Text(tuple(REPEAT)), default="once")),
+        ("open", schema.Field(schema.Flag(), default=False)),
     ),
     _make_route,
 )
@@ -126,6 +150,7 @@
         ("services", schema.Field(schema.ListOf(SERVICE), required=True)),
         ("routes", schema.Field(schema.ListOf(ROUTE), default=[])),
         ("limits", schema.Field(LIMITS)),
+        ("accounts", schema.Field(schema.ListOf(ACCOUNT))),
         (
             "number",
             schema.Field(schema.Number(0, MAX_DOCUMENT_NUMBER), default=0),
@@ -186,6 +211,27 @@
             reader.findings.add(place, f"route {route.name!r} stands twice")
         seen.add(route.name)
         _check_route(reader, place, route, services)
+    _check_accounts(reader, document.accounts or [])
+
+
+def _check_accounts(
+    reader: schema.Reader, accounts: list[messages.Account]
+) -> None:
+    names = set()
+    owners: dict[bytes, str] = {}
+    for account in accounts:
+        place = reader.places[id(account)]
+        if account.name in names:
+            reader.findings.add(
+                place, f"account {account.name!r} stands twice"
+            )
+        names.add(account.name)
+        for digest in account.key_digests:
+            owner = owners.setdefault(digest, account.name)
+            if owner != account.name:
+                reader.findings.add(
+                    place, f"a key is also one of account {owner!r}"
+                )
 
 
 def _check_route(
@@ -196,8 +242,8 @@
 ) -> None:
     if not route.prefix.startswith("/"):
         reader.findings.add(place, "prefix must start with /")
-    if route.timeout_ms < 1:
-        reader.findings.add(place, "timeout must be at least 1ms")
+    if not 1 <= route.timeout_ms <= routes.MAX_TIMEOUT_MS:
+        reader.findings.add(place, "timeout must be 1ms to 10m")
     if bool(route.service_name) == bool(route.backends):
         reader.findings.add(place, "give either service or backends")
     for name in routes.services_of(route):
--- a/libs/settings/src/trefoil_settings/schema.py
+++ b/libs/settings/src/trefoil_settings/schema.py
@@ -13,11 +13,15 @@
 import yaml
 
 from trefoil_model import findings as finding_store
+from trefoil_model import keys
 
 DURATION = re.compile(r"(\d+(?:\.\d+)?)(ms|s|m|h)")
 DURATION_MS = {"ms": 1, "s": 1000, "m": 60_000, "h": 3_600_000}
 NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9_.-]{0,63}")
 MAX_PORT = 65535
+# libyaml reads a file of a hundred thousand keys in seconds instead of half a
+# minute; it is missing on some platforms.
+LOADER = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
 FLAG_VALUES = {"true": True, "false": False}
 
 
@@ -37,6 +41,14 @@
     """A name of up to 64 letters, digits, dots, dashes and underscores."""
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Key:
+    """A client account's key, read as its digest.
+
+    Findings tell the place of a key but never the key itself.
+    """
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Number:
     """A number within bounds.
@@ -141,7 +153,7 @@
             kind: Kind of its value.
         """
         try:
-            node = yaml.compose(text, Loader=yaml.SafeLoader)
+            node = yaml.compose(text, Loader=LOADER)
         except yaml.YAMLError as error:
             mark = getattr(error, "problem_mark", None)
             line = mark.line + 1 if mark else 1
@@ -220,6 +232,21 @@
     return text
 
 
+@read.register
+def _(kind: Key, reader: Reader, node: yaml.Node) -> typing.Any:
+    text = reader.scalar(node, "a key")
+    if text is None:
+        return None
+    if not keys.is_valid(text):
+        reader.problem(
+            node,
+            f"a key has 1 to {keys.MAX_KEY_BYTES} printable ASCII characters "
+            "and no space",
+        )
+        return None
+    return keys.digest_of(text.encode("ascii"))
+
+
 @read.register
 def _(kind: Number, reader: Reader, node: yaml.Node) -> typing.Any:
     text = reader.scalar(node, "a number")
--- a/libs/settings/src/trefoil_settings/settings.py
+++ b/libs/settings/src/trefoil_settings/settings.py
@@ -57,6 +57,10 @@
             multiple of the rate in its service's configuration.
         cold_slack: Additional requests that a cold target may get in any
             second.
+        key_revocation_ms: How long after a change is acknowledged a key that
+            it took away may be honoured at any host, even one that is cut
+            off; 0 if only hosts in contact with the control hosts have to
+            know of it.
     """
 
     host: str
@@ -80,6 +84,7 @@
     retry_slack: float = 0.0
     cold_overage: float = 1.0
     cold_slack: float = 0.0
+    key_revocation_ms: int = 0
     metrics: str = ""
     advertise: str = ""
 
@@ -240,6 +245,7 @@
             "linger",
             schema.Field(schema.Duration(), default=0),
         ),
+        ("key_revocation", schema.Field(schema.Duration(), default=0)),
         (
             "max_body_mib",
             schema.Field(schema.Number(1, MAX_BODY_MIB), default=1),
@@ -247,8 +253,12 @@
         ("lease", schema.Field(schema.Duration(), default=3000)),
         ("grace", schema.Field(schema.Duration(), default=30_000)),
     ),
-    lambda lease, grace, linger, **rest: ProxySettings(
-        lease_ms=lease, grace_ms=grace, linger_ms=linger, **rest
+    lambda lease, grace, linger, key_revocation, **rest: ProxySettings(
+        lease_ms=lease,
+        grace_ms=grace,
+        linger_ms=linger,
+        key_revocation_ms=key_revocation,
+        **rest,
     ),
 )
 
--- a/libs/settings/tests/test_settings.py
+++ b/libs/settings/tests/test_settings.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from trefoil_model import keys
 from trefoil_settings import configuration
 from trefoil_settings import settings
 
@@ -121,6 +122,53 @@
     assert problem in str(configuration.parse(text).error)
 
 
+ACCOUNTS = """\
+accounts:
+  - {name: alice, keys: [sesame], priority: 1, rate_per_s: 5, burst: 10}
+  - {name: bob, keys: [other]}
+"""
+
+
+def test_accounts_are_read_with_digests_of_their_keys() -> None:
+    alice, bob = configuration.parse(DOCUMENT + ACCOUNTS).ok.accounts
+    assert (alice.priority, alice.rate_per_s, alice.burst) == (1, 5, 10)
+    assert alice.key_digests == [keys.digest_of(b"sesame")]
+    assert (bob.priority, bob.rate_per_s) == (None, 0)
+
+
+@pytest.mark.parametrize(
+    ("change", "problem"),
+    [
+        (("other", "sesame"), "7:5: a key is also one of account 'alice'"),
+        (("name: bob", "name: alice"), "7:5: account 'alice' stands twice"),
+        (("[other]", "['']"), "7:24: a key has 1 to 512 printable"),
+        (("[other]", "['a b']"), "7:24: a key has 1 to 512 printable"),
+        (("[other]", "[[other]]"), "7:24: expected a key"),
+        (("rate_per_s: 5", "rate_per_s: -1"), "-1 is not between 0"),
+        (("rate_per_s: 5", "rate_per_s: .nan"), "6:60: '.nan' is not a"),
+        (("rate_per_s: 5", "rate_per_s: nan"), "nan is not between 0"),
+        (("burst: 10", "burst: inf"), "inf is not between 0"),
+        (("service: tables", "service: tables, timeout: 11m"), "1ms to 10m"),
+    ],
+)
+def test_invalid_accounts(change: tuple[str, str], problem: str) -> None:
+    text = (DOCUMENT + ACCOUNTS).replace(*change)
+    found = str(configuration.parse(text).error)
+    assert problem in found
+    assert "sesame" not in found
+    assert "other" not in found
+
+
+def test_a_file_with_a_hundred_thousand_keys_is_read() -> None:
+    lines = []
+    for number in range(5000):
+        key_list = ", ".join(f"k{number}-{k}" for k in range(20))
+        lines.append(f"  - {{name: c{number}, keys: [{key_list}]}}")
+    text = DOCUMENT + "accounts:\n" + "\n".join(lines)
+    accounts = configuration.parse(text).ok.accounts
+    assert sum(len(account.key_digests) for account in accounts) == 100_000
+
+
 def test_a_forwarded_port_is_advertised() -> None:
     parsed = settings.parse(PROXY + "advertise: 10.0.0.9:77\n", "proxy").ok
     assert (parsed.peers, parsed.advertise) == ("127.0.0.1:2", "10.0.0.9:77")
--- a/libs/wire/src/trefoil_wire/frames.py
+++ b/libs/wire/src/trefoil_wire/frames.py
@@ -75,6 +75,8 @@
     messages.BodyPiece,
     messages.RepeatArrived,
     messages.EvacuateDomain,
+    messages.RevisionQuery,
+    messages.RevisionReply,
 )
 # Configurations and lists of hosts repeat the same names hundreds of times.
 # The documents that operators read and write make up a third of the bytes
--- a/libs/wire/src/trefoil_wire/gen/ttypes.py
+++ b/libs/wire/src/trefoil_wire/gen/ttypes.py
@@ -386,6 +386,7 @@
      - priority
      - max_attempts
      - latency_aim_ms
+     - open
 
     """
 
@@ -403,10 +404,11 @@
         'priority',
         'max_attempts',
         'latency_aim_ms',
+        'open',
     )
 
 
-    def __init__(self, name=None, host=None, prefix=None, methods=None, service_name=None, resource=None, tenant=None, timeout_ms=None, repeat=None, backends=None, priority=0, max_attempts=3, latency_aim_ms=0,):
+    def __init__(self, name=None, host=None, prefix=None, methods=None, service_name=None, resource=None, tenant=None, timeout_ms=None, repeat=None, backends=None, priority=0, max_attempts=3, latency_aim_ms=0, open=False,):
         self.name = name
         self.host = host
         self.prefix = prefix
@@ -420,6 +422,7 @@
         self.priority = priority
         self.max_attempts = max_attempts
         self.latency_aim_ms = latency_aim_ms
+        self.open = open
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -506,6 +509,11 @@
                     self.latency_aim_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.BOOL:
+                    self.open = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -574,6 +582,202 @@
             oprot.writeFieldBegin('latency_aim_ms', TType.I32, 13)
             oprot.writeI32(self.latency_aim_ms)
             oprot.writeFieldEnd()
+        if self.open is not None:
+            oprot.writeFieldBegin('open', TType.BOOL, 14)
+            oprot.writeBool(self.open)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Account(object):
+    """
+    Attributes:
+     - name
+     - key_digests
+     - priority
+     - rate_per_s
+     - burst
+
+    """
+
+    __slots__ = (
+        'name',
+        'key_digests',
+        'priority',
+        'rate_per_s',
+        'burst',
+    )
+
+
+    def __init__(self, name=None, key_digests=None, priority=None, rate_per_s=float(0), burst=float(0),):
+        self.name = name
+        self.key_digests = key_digests
+        self.priority = priority
+        self.rate_per_s = rate_per_s
+        self.burst = burst
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.key_digests = []
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = iprot.readBinary()
+                        self.key_digests.append(_elem26)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.priority = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.DOUBLE:
+                    self.rate_per_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.DOUBLE:
+                    self.burst = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Account')
+        if self.name is not None:
+            oprot.writeFieldBegin('name', TType.STRING, 1)
+            oprot.writeString(self.name.encode('utf-8') if sys.version_info[0] == 2 else self.name)
+            oprot.writeFieldEnd()
+        if self.key_digests is not None:
+            oprot.writeFieldBegin('key_digests', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRING, len(self.key_digests))
+            for iter27 in self.key_digests:
+                oprot.writeBinary(iter27)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.priority is not None:
+            oprot.writeFieldBegin('priority', TType.I32, 3)
+            oprot.writeI32(self.priority)
+            oprot.writeFieldEnd()
+        if self.rate_per_s is not None:
+            oprot.writeFieldBegin('rate_per_s', TType.DOUBLE, 4)
+            oprot.writeDouble(self.rate_per_s)
+            oprot.writeFieldEnd()
+        if self.burst is not None:
+            oprot.writeFieldBegin('burst', TType.DOUBLE, 5)
+            oprot.writeDouble(self.burst)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class AccessPolicy(object):
+    """
+    Attributes:
+     - keys_required
+
+    """
+
+    __slots__ = (
+        'keys_required',
+    )
+
+
+    def __init__(self, keys_required=None,):
+        self.keys_required = keys_required
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.BOOL:
+                    self.keys_required = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('AccessPolicy')
+        if self.keys_required is not None:
+            oprot.writeFieldBegin('keys_required', TType.BOOL, 1)
+            oprot.writeBool(self.keys_required)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -821,11 +1025,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.shares = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = VersionShare()
-                        _elem26.read(iprot)
-                        self.shares.append(_elem26)
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = VersionShare()
+                        _elem33.read(iprot)
+                        self.shares.append(_elem33)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -851,8 +1055,8 @@
         if self.shares is not None:
             oprot.writeFieldBegin('shares', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.shares))
-            for iter27 in self.shares:
-                iter27.write(oprot)
+            for iter34 in self.shares:
+                iter34.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.move_id is not None:
@@ -1209,11 +1413,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.items = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = Item()
-                        _elem33.read(iprot)
-                        self.items.append(_elem33)
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = Item()
+                        _elem40.read(iprot)
+                        self.items.append(_elem40)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1248,8 +1452,8 @@
         if self.items is not None:
             oprot.writeFieldBegin('items', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.items))
-            for iter34 in self.items:
-                iter34.write(oprot)
+            for iter41 in self.items:
+                iter41.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.digest is not None:
@@ -1742,11 +1946,11 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = Entry()
-                        _elem40.read(iprot)
-                        self.entries.append(_elem40)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = Entry()
+                        _elem47.read(iprot)
+                        self.entries.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1789,8 +1993,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter41 in self.entries:
-                iter41.write(oprot)
+            for iter48 in self.entries:
+                iter48.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.commit is not None:
@@ -1991,20 +2195,20 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.voters = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.voters.append(_elem47)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.voters.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.learners = []
-                    (_etype51, _size48) = iprot.readListBegin()
-                    for _i52 in range(_size48):
-                        _elem53 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.learners.append(_elem53)
+                    (_etype58, _size55) = iprot.readListBegin()
+                    for _i59 in range(_size55):
+                        _elem60 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.learners.append(_elem60)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2034,15 +2238,15 @@
         if self.voters is not None:
             oprot.writeFieldBegin('voters', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.voters))
-            for iter54 in self.voters:
-                oprot.writeString(iter54.encode('utf-8') if sys.version_info[0] == 2 else iter54)
+            for iter61 in self.voters:
+                oprot.writeString(iter61.encode('utf-8') if sys.version_info[0] == 2 else iter61)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.learners is not None:
             oprot.writeFieldBegin('learners', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.learners))
-            for iter55 in self.learners:
-                oprot.writeString(iter55.encode('utf-8') if sys.version_info[0] == 2 else iter55)
+            for iter62 in self.learners:
+                oprot.writeString(iter62.encode('utf-8') if sys.version_info[0] == 2 else iter62)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.state is not None:
@@ -2289,20 +2493,20 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.voters = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.voters.append(_elem61)
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.voters.append(_elem68)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.learners = []
-                    (_etype65, _size62) = iprot.readListBegin()
-                    for _i66 in range(_size62):
-                        _elem67 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.learners.append(_elem67)
+                    (_etype72, _size69) = iprot.readListBegin()
+                    for _i73 in range(_size69):
+                        _elem74 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.learners.append(_elem74)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2319,15 +2523,15 @@
         if self.voters is not None:
             oprot.writeFieldBegin('voters', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.voters))
-            for iter68 in self.voters:
-                oprot.writeString(iter68.encode('utf-8') if sys.version_info[0] == 2 else iter68)
+            for iter75 in self.voters:
+                oprot.writeString(iter75.encode('utf-8') if sys.version_info[0] == 2 else iter75)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.learners is not None:
             oprot.writeFieldBegin('learners', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.learners))
-            for iter69 in self.learners:
-                oprot.writeString(iter69.encode('utf-8') if sys.version_info[0] == 2 else iter69)
+            for iter76 in self.learners:
+                oprot.writeString(iter76.encode('utf-8') if sys.version_info[0] == 2 else iter76)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2627,6 +2831,7 @@
      - expected_revision
      - limits
      - document
+     - accounts
 
     """
 
@@ -2636,15 +2841,17 @@
         'expected_revision',
         'limits',
         'document',
+        'accounts',
     )
 
 
-    def __init__(self, services=None, routes=None, expected_revision=0, limits=None, document=None,):
+    def __init__(self, services=None, routes=None, expected_revision=0, limits=None, document=None, accounts=None,):
         self.services = services
         self.routes = routes
         self.expected_revision = expected_revision
         self.limits = limits
         self.document = document
+        self.accounts = accounts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2658,22 +2865,22 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.services = []
-                    (_etype73, _size70) = iprot.readListBegin()
-                    for _i74 in range(_size70):
-                        _elem75 = Service()
-                        _elem75.read(iprot)
-                        self.services.append(_elem75)
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = Service()
+                        _elem82.read(iprot)
+                        self.services.append(_elem82)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.routes = []
-                    (_etype79, _size76) = iprot.readListBegin()
-                    for _i80 in range(_size76):
-                        _elem81 = Route()
-                        _elem81.read(iprot)
-                        self.routes.append(_elem81)
+                    (_etype86, _size83) = iprot.readListBegin()
+                    for _i87 in range(_size83):
+                        _elem88 = Route()
+                        _elem88.read(iprot)
+                        self.routes.append(_elem88)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2694,6 +2901,17 @@
                     self.document.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.accounts = []
+                    (_etype92, _size89) = iprot.readListBegin()
+                    for _i93 in range(_size89):
+                        _elem94 = Account()
+                        _elem94.read(iprot)
+                        self.accounts.append(_elem94)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2707,15 +2925,15 @@
         if self.services is not None:
             oprot.writeFieldBegin('services', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.services))
-            for iter82 in self.services:
-                iter82.write(oprot)
+            for iter95 in self.services:
+                iter95.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.routes is not None:
             oprot.writeFieldBegin('routes', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.routes))
-            for iter83 in self.routes:
-                iter83.write(oprot)
+            for iter96 in self.routes:
+                iter96.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.expected_revision is not None:
@@ -2730,6 +2948,13 @@
             oprot.writeFieldBegin('document', TType.STRUCT, 5)
             self.document.write(oprot)
             oprot.writeFieldEnd()
+        if self.accounts is not None:
+            oprot.writeFieldBegin('accounts', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRUCT, len(self.accounts))
+            for iter97 in self.accounts:
+                iter97.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4179,10 +4404,10 @@
             elif fid == 14:
                 if ftype == TType.LIST:
                     self.history = []
-                    (_etype87, _size84) = iprot.readListBegin()
-                    for _i88 in range(_size84):
-                        _elem89 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.history.append(_elem89)
+                    (_etype101, _size98) = iprot.readListBegin()
+                    for _i102 in range(_size98):
+                        _elem103 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.history.append(_elem103)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4251,8 +4476,8 @@
         if self.history is not None:
             oprot.writeFieldBegin('history', TType.LIST, 14)
             oprot.writeListBegin(TType.STRING, len(self.history))
-            for iter90 in self.history:
-                oprot.writeString(iter90.encode('utf-8') if sys.version_info[0] == 2 else iter90)
+            for iter104 in self.history:
+                oprot.writeString(iter104.encode('utf-8') if sys.version_info[0] == 2 else iter104)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4472,33 +4697,33 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.items = []
-                    (_etype94, _size91) = iprot.readListBegin()
-                    for _i95 in range(_size91):
-                        _elem96 = Item()
-                        _elem96.read(iprot)
-                        self.items.append(_elem96)
+                    (_etype108, _size105) = iprot.readListBegin()
+                    for _i109 in range(_size105):
+                        _elem110 = Item()
+                        _elem110.read(iprot)
+                        self.items.append(_elem110)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.moves = []
-                    (_etype100, _size97) = iprot.readListBegin()
-                    for _i101 in range(_size97):
-                        _elem102 = MoveRecord()
-                        _elem102.read(iprot)
-                        self.moves.append(_elem102)
+                    (_etype114, _size111) = iprot.readListBegin()
+                    for _i115 in range(_size111):
+                        _elem116 = MoveRecord()
+                        _elem116.read(iprot)
+                        self.moves.append(_elem116)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.commands = []
-                    (_etype106, _size103) = iprot.readListBegin()
-                    for _i107 in range(_size103):
-                        _elem108 = PastCommand()
-                        _elem108.read(iprot)
-                        self.commands.append(_elem108)
+                    (_etype120, _size117) = iprot.readListBegin()
+                    for _i121 in range(_size117):
+                        _elem122 = PastCommand()
+                        _elem122.read(iprot)
+                        self.commands.append(_elem122)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4529,22 +4754,22 @@
         if self.items is not None:
             oprot.writeFieldBegin('items', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.items))
-            for iter109 in self.items:
-                iter109.write(oprot)
+            for iter123 in self.items:
+                iter123.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.moves is not None:
             oprot.writeFieldBegin('moves', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.moves))
-            for iter110 in self.moves:
-                iter110.write(oprot)
+            for iter124 in self.moves:
+                iter124.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.commands is not None:
             oprot.writeFieldBegin('commands', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.commands))
-            for iter111 in self.commands:
-                iter111.write(oprot)
+            for iter125 in self.commands:
+                iter125.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.document is not None:
@@ -4648,10 +4873,10 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.resources = []
-                    (_etype115, _size112) = iprot.readListBegin()
-                    for _i116 in range(_size112):
-                        _elem117 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.resources.append(_elem117)
+                    (_etype129, _size126) = iprot.readListBegin()
+                    for _i130 in range(_size126):
+                        _elem131 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.resources.append(_elem131)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4715,8 +4940,8 @@
         if self.resources is not None:
             oprot.writeFieldBegin('resources', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.resources))
-            for iter118 in self.resources:
-                oprot.writeString(iter118.encode('utf-8') if sys.version_info[0] == 2 else iter118)
+            for iter132 in self.resources:
+                oprot.writeString(iter132.encode('utf-8') if sys.version_info[0] == 2 else iter132)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.slots is not None:
@@ -4855,11 +5080,11 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.targets = []
-                    (_etype122, _size119) = iprot.readListBegin()
-                    for _i123 in range(_size119):
-                        _elem124 = TargetRecord()
-                        _elem124.read(iprot)
-                        self.targets.append(_elem124)
+                    (_etype136, _size133) = iprot.readListBegin()
+                    for _i137 in range(_size133):
+                        _elem138 = TargetRecord()
+                        _elem138.read(iprot)
+                        self.targets.append(_elem138)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4904,8 +5129,8 @@
         if self.targets is not None:
             oprot.writeFieldBegin('targets', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.targets))
-            for iter125 in self.targets:
-                iter125.write(oprot)
+            for iter139 in self.targets:
+                iter139.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5293,11 +5518,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.hosts = []
-                    (_etype129, _size126) = iprot.readListBegin()
-                    for _i130 in range(_size126):
-                        _elem131 = ControlHost()
-                        _elem131.read(iprot)
-                        self.hosts.append(_elem131)
+                    (_etype143, _size140) = iprot.readListBegin()
+                    for _i144 in range(_size140):
+                        _elem145 = ControlHost()
+                        _elem145.read(iprot)
+                        self.hosts.append(_elem145)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5318,8 +5543,8 @@
         if self.hosts is not None:
             oprot.writeFieldBegin('hosts', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.hosts))
-            for iter132 in self.hosts:
-                iter132.write(oprot)
+            for iter146 in self.hosts:
+                iter146.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5594,11 +5819,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.reports = []
-                    (_etype136, _size133) = iprot.readListBegin()
-                    for _i137 in range(_size133):
-                        _elem138 = Report()
-                        _elem138.read(iprot)
-                        self.reports.append(_elem138)
+                    (_etype150, _size147) = iprot.readListBegin()
+                    for _i151 in range(_size147):
+                        _elem152 = Report()
+                        _elem152.read(iprot)
+                        self.reports.append(_elem152)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5615,8 +5840,8 @@
         if self.reports is not None:
             oprot.writeFieldBegin('reports', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.reports))
-            for iter139 in self.reports:
-                iter139.write(oprot)
+            for iter153 in self.reports:
+                iter153.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5671,11 +5896,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.records = []
-                    (_etype143, _size140) = iprot.readListBegin()
-                    for _i144 in range(_size140):
-                        _elem145 = HostRecord()
-                        _elem145.read(iprot)
-                        self.records.append(_elem145)
+                    (_etype157, _size154) = iprot.readListBegin()
+                    for _i158 in range(_size154):
+                        _elem159 = HostRecord()
+                        _elem159.read(iprot)
+                        self.records.append(_elem159)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5692,8 +5917,8 @@
         if self.records is not None:
             oprot.writeFieldBegin('records', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.records))
-            for iter146 in self.records:
-                iter146.write(oprot)
+            for iter160 in self.records:
+                iter160.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5858,11 +6083,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.versions = []
-                    (_etype150, _size147) = iprot.readListBegin()
-                    for _i151 in range(_size147):
-                        _elem152 = RecordVersion()
-                        _elem152.read(iprot)
-                        self.versions.append(_elem152)
+                    (_etype164, _size161) = iprot.readListBegin()
+                    for _i165 in range(_size161):
+                        _elem166 = RecordVersion()
+                        _elem166.read(iprot)
+                        self.versions.append(_elem166)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5889,8 +6114,8 @@
         if self.versions is not None:
             oprot.writeFieldBegin('versions', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.versions))
-            for iter153 in self.versions:
-                iter153.write(oprot)
+            for iter167 in self.versions:
+                iter167.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reply_wanted is not None:
@@ -6065,10 +6290,10 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.voters = []
-                    (_etype157, _size154) = iprot.readListBegin()
-                    for _i158 in range(_size154):
-                        _elem159 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.voters.append(_elem159)
+                    (_etype171, _size168) = iprot.readListBegin()
+                    for _i172 in range(_size168):
+                        _elem173 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.voters.append(_elem173)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -6101,8 +6326,8 @@
         if self.voters is not None:
             oprot.writeFieldBegin('voters', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.voters))
-            for iter160 in self.voters:
-                oprot.writeString(iter160.encode('utf-8') if sys.version_info[0] == 2 else iter160)
+            for iter174 in self.voters:
+                oprot.writeString(iter174.encode('utf-8') if sys.version_info[0] == 2 else iter174)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -6130,6 +6355,154 @@
         return not (self == other)
 
 
+class RevisionQuery(object):
+    """
+    Attributes:
+     - nonce
+
+    """
+
+    __slots__ = (
+        'nonce',
+    )
+
+
+    def __init__(self, nonce=None,):
+        self.nonce = nonce
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.nonce = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RevisionQuery')
+        if self.nonce is not None:
+            oprot.writeFieldBegin('nonce', TType.I64, 1)
+            oprot.writeI64(self.nonce)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RevisionReply(object):
+    """
+    Attributes:
+     - nonce
+     - revision
+
+    """
+
+    __slots__ = (
+        'nonce',
+        'revision',
+    )
+
+
+    def __init__(self, nonce=None, revision=None,):
+        self.nonce = nonce
+        self.revision = revision
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.nonce = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RevisionReply')
+        if self.nonce is not None:
+            oprot.writeFieldBegin('nonce', TType.I64, 1)
+            oprot.writeI64(self.nonce)
+            oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 2)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class HeldNotice(object):
     """
     Attributes:
@@ -6357,11 +6730,11 @@
             elif fid == 6:
                 if ftype == TType.MAP:
                     self.latencies = {}
-                    (_ktype162, _vtype163, _size161) = iprot.readMapBegin()
-                    for _i165 in range(_size161):
-                        _key166 = iprot.readI16()
-                        _val167 = iprot.readI32()
-                        self.latencies[_key166] = _val167
+                    (_ktype176, _vtype177, _size175) = iprot.readMapBegin()
+                    for _i179 in range(_size175):
+                        _key180 = iprot.readI16()
+                        _val181 = iprot.readI32()
+                        self.latencies[_key180] = _val181
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -6398,9 +6771,9 @@
         if self.latencies is not None:
             oprot.writeFieldBegin('latencies', TType.MAP, 6)
             oprot.writeMapBegin(TType.I16, TType.I32, len(self.latencies))
-            for kiter168, viter169 in self.latencies.items():
-                oprot.writeI16(kiter168)
-                oprot.writeI32(viter169)
+            for kiter182, viter183 in self.latencies.items():
+                oprot.writeI16(kiter182)
+                oprot.writeI32(viter183)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -6490,11 +6863,11 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.tallies = []
-                    (_etype173, _size170) = iprot.readListBegin()
-                    for _i174 in range(_size170):
-                        _elem175 = Tally()
-                        _elem175.read(iprot)
-                        self.tallies.append(_elem175)
+                    (_etype187, _size184) = iprot.readListBegin()
+                    for _i188 in range(_size184):
+                        _elem189 = Tally()
+                        _elem189.read(iprot)
+                        self.tallies.append(_elem189)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -6532,8 +6905,8 @@
         if self.tallies is not None:
             oprot.writeFieldBegin('tallies', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.tallies))
-            for iter176 in self.tallies:
-                iter176.write(oprot)
+            for iter190 in self.tallies:
+                iter190.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.halted is not None:
@@ -6588,6 +6961,7 @@
      - services_key
      - repeat_permille
      - limit_per_s
+     - account
 
     """
 
@@ -6612,10 +6986,11 @@
         'services_key',
         'repeat_permille',
         'limit_per_s',
+        'account',
     )
 
 
-    def __init__(self, request_id=None, route=None, method=None, path=None, headers=None, body=None, deadline_ms=None, target=None, crashes=0, fingerprint=None, version=None, retried=False, priority=0, caller_id="", aim_ms=0, settled=False, body_bytes=0, services_key="", repeat_permille=0, limit_per_s=None,):
+    def __init__(self, request_id=None, route=None, method=None, path=None, headers=None, body=None, deadline_ms=None, target=None, crashes=0, fingerprint=None, version=None, retried=False, priority=0, caller_id="", aim_ms=0, settled=False, body_bytes=0, services_key="", repeat_permille=0, limit_per_s=None, account="",):
         self.request_id = request_id
         self.route = route
         self.method = method
@@ -6636,6 +7011,7 @@
         self.services_key = services_key
         self.repeat_permille = repeat_permille
         self.limit_per_s = limit_per_s
+        self.account = account
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -6746,6 +7122,11 @@
                     self.limit_per_s = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 21:
+                if ftype == TType.STRING:
+                    self.account = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -6836,6 +7217,10 @@
             oprot.writeFieldBegin('limit_per_s', TType.DOUBLE, 20)
             oprot.writeDouble(self.limit_per_s)
             oprot.writeFieldEnd()
+        if self.account is not None:
+            oprot.writeFieldBegin('account', TType.STRING, 21)
+            oprot.writeString(self.account.encode('utf-8') if sys.version_info[0] == 2 else self.account)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -7666,10 +8051,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.fingerprints = []
-                    (_etype180, _size177) = iprot.readListBegin()
-                    for _i181 in range(_size177):
-                        _elem182 = iprot.readI64()
-                        self.fingerprints.append(_elem182)
+                    (_etype194, _size191) = iprot.readListBegin()
+                    for _i195 in range(_size191):
+                        _elem196 = iprot.readI64()
+                        self.fingerprints.append(_elem196)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -7700,8 +8085,8 @@
         if self.fingerprints is not None:
             oprot.writeFieldBegin('fingerprints', TType.LIST, 2)
             oprot.writeListBegin(TType.I64, len(self.fingerprints))
-            for iter183 in self.fingerprints:
-                oprot.writeI64(iter183)
+            for iter197 in self.fingerprints:
+                oprot.writeI64(iter197)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.age_ms is not None:
@@ -7794,10 +8179,10 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.keepers = []
-                    (_etype187, _size184) = iprot.readListBegin()
-                    for _i188 in range(_size184):
-                        _elem189 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.keepers.append(_elem189)
+                    (_etype201, _size198) = iprot.readListBegin()
+                    for _i202 in range(_size198):
+                        _elem203 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.keepers.append(_elem203)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -7836,8 +8221,8 @@
         if self.keepers is not None:
             oprot.writeFieldBegin('keepers', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.keepers))
-            for iter190 in self.keepers:
-                oprot.writeString(iter190.encode('utf-8') if sys.version_info[0] == 2 else iter190)
+            for iter204 in self.keepers:
+                oprot.writeString(iter204.encode('utf-8') if sys.version_info[0] == 2 else iter204)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.service_name is not None:
@@ -8319,10 +8704,10 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype194, _size191) = iprot.readListBegin()
-                    for _i195 in range(_size191):
-                        _elem196 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.members.append(_elem196)
+                    (_etype208, _size205) = iprot.readListBegin()
+                    for _i209 in range(_size205):
+                        _elem210 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.members.append(_elem210)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -8351,8 +8736,8 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.members))
-            for iter197 in self.members:
-                oprot.writeString(iter197.encode('utf-8') if sys.version_info[0] == 2 else iter197)
+            for iter211 in self.members:
+                oprot.writeString(iter211.encode('utf-8') if sys.version_info[0] == 2 else iter211)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -8424,11 +8809,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype201, _size198) = iprot.readListBegin()
-                    for _i202 in range(_size198):
-                        _elem203 = LedgerEntry()
-                        _elem203.read(iprot)
-                        self.entries.append(_elem203)
+                    (_etype215, _size212) = iprot.readListBegin()
+                    for _i216 in range(_size212):
+                        _elem217 = LedgerEntry()
+                        _elem217.read(iprot)
+                        self.entries.append(_elem217)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -8464,8 +8849,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter204 in self.entries:
-                iter204.write(oprot)
+            for iter218 in self.entries:
+                iter218.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.complete is not None:
@@ -8537,6 +8922,21 @@
     (11, TType.I32, 'priority', None, 0, ),  # 11
     (12, TType.I32, 'max_attempts', None, 3, ),  # 12
     (13, TType.I32, 'latency_aim_ms', None, 0, ),  # 13
+    (14, TType.BOOL, 'open', None, False, ),  # 14
+)
+all_structs.append(Account)
+Account.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'name', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'key_digests', (TType.STRING, 'BINARY', False), None, ),  # 2
+    (3, TType.I32, 'priority', None, None, ),  # 3
+    (4, TType.DOUBLE, 'rate_per_s', None, float(0), ),  # 4
+    (5, TType.DOUBLE, 'burst', None, float(0), ),  # 5
+)
+all_structs.append(AccessPolicy)
+AccessPolicy.thrift_spec = (
+    None,  # 0
+    (1, TType.BOOL, 'keys_required', None, None, ),  # 1
 )
 all_structs.append(CallerLimits)
 CallerLimits.thrift_spec = (
@@ -8696,6 +9096,7 @@
     (3, TType.I64, 'expected_revision', None, 0, ),  # 3
     (4, TType.STRUCT, 'limits', [CallerLimits, None], None, ),  # 4
     (5, TType.STRUCT, 'document', [Document, None], None, ),  # 5
+    (6, TType.LIST, 'accounts', (TType.STRUCT, [Account, None], False), None, ),  # 6
 )
 all_structs.append(StartMove)
 StartMove.thrift_spec = (
@@ -8950,6 +9351,17 @@
     (4, TType.STRING, 'host', 'UTF8', None, ),  # 4
     (5, TType.LIST, 'voters', (TType.STRING, 'UTF8', False), None, ),  # 5
 )
+all_structs.append(RevisionQuery)
+RevisionQuery.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'nonce', None, None, ),  # 1
+)
+all_structs.append(RevisionReply)
+RevisionReply.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'nonce', None, None, ),  # 1
+    (2, TType.I64, 'revision', None, None, ),  # 2
+)
 all_structs.append(HeldNotice)
 HeldNotice.thrift_spec = (
     None,  # 0
@@ -9005,6 +9417,7 @@
     (18, TType.STRING, 'services_key', 'UTF8', "", ),  # 18
     (19, TType.I32, 'repeat_permille', None, 0, ),  # 19
     (20, TType.DOUBLE, 'limit_per_s', None, None, ),  # 20
+    (21, TType.STRING, 'account', 'UTF8', "", ),  # 21
 )
 all_structs.append(RepeatArrived)
 RepeatArrived.thrift_spec = (
--- a/libs/wire/trefoil.thrift
+++ b/libs/wire/trefoil.thrift
@@ -43,8 +43,23 @@
   11: i32 priority = 0,
   12: i32 max_attempts = 3,
   13: i32 latency_aim_ms = 0,
+  // Whether callers need no key, although the configuration has accounts.
+  14: bool open = false,
 }
 
+/* A client account. Its keys are stored as digests only. A missing priority
+   leaves that of the route; a rate of 0 is no limit. */
+struct Account {
+  1: string name,
+  2: list<binary> key_digests,
+  3: i32 priority,
+  4: double rate_per_s = 0,
+  5: double burst = 0,
+}
+/* Whether callers need the key of an account. Without this item they need
+   none; a configuration whose last account was removed still has it. */
+struct AccessPolicy { 1: bool keys_required }
+
 /* Limits for requests of callers; 0 keeps the default of the process. */
 struct CallerLimits {
   1: i32 max_head_bytes = 0,
@@ -128,6 +143,8 @@
   3: i64 expected_revision = 0,
   4: CallerLimits limits,
   5: Document document,
+  // Missing if the configuration has no accounts and callers need no keys.
+  6: list<Account> accounts,
 }
 /* An empty from_version is the version in force. If a duration is given, the
    deadline is that long after the move was agreed. */
@@ -255,6 +272,10 @@
   1: i64 nonce, 2: i64 revision, 3: bool certain, 4: string host,
   5: list<string> voters,
 }
+/* Asks a control host for the newest revision that was agreed when it got
+   this. Its answer to a proxy renews what the proxy may do by keys. */
+struct RevisionQuery { 1: i64 nonce }
+struct RevisionReply { 1: i64 nonce, 2: i64 revision }
 struct HeldNotice { 1: string host, 2: i64 revision }
 struct HeldAck { 1: string host, 2: i64 revision }
 
@@ -290,6 +311,8 @@
   // Rate limit that the target named in the answers to this entry proxy;
   // missing if none. A target's proxy that restarted learns it from here.
   20: double limit_per_s,
+  // Name of the caller's account, empty for none.
+  21: string account = "",
 }
 /* A request that its entry proxy sent again has reached its target. */
 struct RepeatArrived { 1: i64 request_id }
