--- a/libs/accounts/src/trefoil_accounts/directory.py
+++ b/libs/accounts/src/trefoil_accounts/directory.py
@@ -14,16 +14,19 @@
         keys_required: Whether callers need the key of an account, except on
             open routes.
         accounts: The accounts.
+        revision: The revision that last changed any of this.
     """
 
-    __slots__ = ("keys_required", "by_name", "name_by_digest")
+    __slots__ = ("keys_required", "by_name", "name_by_digest", "revision")
 
     def __init__(
         self,
         keys_required: bool = False,
         accounts: typing.Iterable[messages.Account] = (),
+        revision: int = 0,
     ) -> None:
         self.keys_required = keys_required
+        self.revision = revision
         self.by_name = {account.name: account for account in accounts}
         self.name_by_digest = {
             digest: account.name
@@ -32,12 +35,25 @@
         }
 
     @classmethod
-    def from_items(cls, items: item_store.Items) -> typing.Self:
-        """Return the accounts of a configuration."""
+    def from_items(
+        cls, items: item_store.Items, previous: typing.Self | None = None
+    ) -> typing.Self:
+        """Return the accounts of a configuration.
+
+        Args:
+            items: The configuration.
+            previous: The accounts of an earlier one, returned if no account
+                has changed since.
+        """
+        revision = items.newest_revision(
+            (item_store.ACCOUNT, item_store.ACCESS_POLICY)
+        )
+        if previous is not None and previous.revision == revision:
+            return previous
         policy = items.get(item_store.ACCESS_POLICY)
         if policy is None or not policy.keys_required:
-            return cls()
-        return cls(True, items.all(item_store.ACCOUNT))
+            return cls(revision=revision)
+        return cls(True, items.all(item_store.ACCOUNT), revision)
 
     def find(self, key: str) -> messages.Account | None:
         """Return the account that holds a key, None if none does."""
--- a/libs/daemon/src/trefoil_daemon/control_process.py
+++ b/libs/daemon/src/trefoil_daemon/control_process.py
@@ -24,14 +24,17 @@
 from trefoil_wire import messages
 
 from . import _fleet_process
+from . import account_metrics
 from . import durability
 from . import evacuations
+from . import exposition
 from . import facade
 from . import floor_confirmations
 from . import identities
 from . import leading_moves
 from . import operators
 from . import queries
+from . import quota_keepers
 from . import revision_answers
 
 # How often a host asks to join. Hosts that ask at the same time are added one
@@ -128,6 +131,8 @@
         self.published_controls_number = 0
         self.confirmations = floor_confirmations.FloorConfirmations(self)
         self.revision_answers = revision_answers.RevisionAnswers(self)
+        self.quotas = quota_keepers.QuotaKeepers(self)
+        self.quotas.put_in_force()
         self.unpublished = False
 
     def _open_agreement(self, driver: facade.Driver, now_ms: int) -> None:
@@ -180,6 +185,10 @@
             "disk_refuses": float(self.durability.failed),
         }
 
+    def families(self) -> list[exposition.Family]:
+        """Return the metrics of accounts in this failure domain."""
+        return account_metrics.keeper_families(self.quotas.keeper)
+
     def execute(self, effect: typing.Any) -> None:
         """Execute one effect."""
         execute(effect, self)
@@ -225,6 +234,8 @@
                 self.ask(
                     message, lambda reply: self.driver.reply(origin, reply)
                 )
+            case messages.TokenAsk():
+                self.quotas.on_ask(origin, message)
 
     def requests_lost(self, unsent: list[int], lost: list[int]) -> None:
         """Ignore: a control process sends no requests."""
@@ -469,7 +480,12 @@
         if self._sender_holds_document(query):
             return messages.QueryReply(query.query_id, True, "", confirmed)
         context = queries.QueryContext(
-            self.state, self.node, self.raft, self.clock.now_ms()
+            self.state,
+            self.node,
+            self.raft,
+            self.clock.now_ms(),
+            self.quotas.keeper,
+            self.clock.boot_ms(),
         )
         body = queries.render(statement, context, confirmed=confirmed)
         return messages.QueryReply(query.query_id, True, body, confirmed)
@@ -541,6 +557,7 @@
         starting process applies dozens, and the proxies need only the last.
         """
         self.unpublished = False
+        self.quotas.put_in_force()
         self.perform(
             self.node.publish(self.state.items.copy(), self.clock.now_ms())
         )
@@ -639,6 +656,7 @@
         self.node.set_leader(rafts.process_name(self.raft.leader))
         self.confirmations.tick()
         self.revision_answers.tick()
+        self.quotas.tick()
         self.evacuations.tick()
         leader_heard = now_ms - self.raft.last_received_ms < LEADER_TIMEOUT_MS
         self.node.set_leader_known(self.raft.is_leader or leader_heard)
@@ -847,6 +865,18 @@
     process.revision_answers.on_reply(message)
 
 
+@receive.register
+def _(message: messages.TokenAsk, process: ControlProcess, host: str) -> None:
+    process.quotas.on_ask(host, message)
+
+
+@receive.register
+def _(
+    message: messages.TokenReply, process: ControlProcess, host: str
+) -> None:
+    process.quotas.on_reply(host, message)
+
+
 @receive.register
 def _(
     message: messages.EvidenceReport, process: ControlProcess, host: str
--- a/libs/daemon/src/trefoil_daemon/key_leases.py
+++ b/libs/daemon/src/trefoil_daemon/key_leases.py
@@ -39,7 +39,7 @@
     def tick(self) -> None:
         """Renew the lease if that is due, and repeat unanswered questions."""
         if self._needs_lease():
-            lease = self.process.entry.access.lease
+            lease = self.process.entry.incoming.access.lease
             question = lease.question_due(self.process.clock.boot_ms())
             if question is not None:
                 self.rounds.add("", question.nonce)
@@ -53,11 +53,11 @@
             if waiter.host:
                 self.process.driver.link_send(waiter.host, answer)
             else:
-                self.process.entry.access.lease.on_reply(answer)
+                self.process.entry.incoming.access.lease.on_reply(answer)
 
     def _note_change(self) -> None:
         """Log when keys begin or cease to be honoured."""
-        lease = self.process.entry.access.lease
+        lease = self.process.entry.incoming.access.lease
         valid = lease.is_valid(self.process.clock.boot_ms())
         if valid == self.was_valid:
             return
@@ -83,7 +83,7 @@
     def _peers(self) -> list[str]:
         """Return the peers to ask: all control hosts when a lease runs out."""
         node = self.process.node
-        lease = self.process.entry.access.lease
+        lease = self.process.entry.incoming.access.lease
         left_ms = lease.expires_ms - self.process.clock.boot_ms()
         if lease.is_limited and left_ms < lease.term_ms * ASK_ALL_SHARE:
             controls = [
--- a/libs/daemon/src/trefoil_daemon/proxy_process.py
+++ b/libs/daemon/src/trefoil_daemon/proxy_process.py
@@ -31,6 +31,7 @@
 from trefoil_wire import messages
 
 from . import _fleet_process
+from . import account_metrics
 from . import announcements
 from . import budget_metrics
 from . import exposition
@@ -39,6 +40,7 @@
 from . import operators
 from . import relay as relays
 from . import slot_metrics
+from . import token_asks
 
 HALT_CHECK_INTERVAL_MS = 1000
 # Each reported processing time or limit is sent to every proxy of the fleet.
@@ -123,6 +125,7 @@
             ),
         )
         self.key_leases = key_leases.KeyLeases(self)
+        self.token_asks = token_asks.TokenAsks(self)
         self.entry.retry_budgets.max_ratio = settings.retry_ratio
         self.announced = announcements.Announcements(settings.lease_ms)
         self.collectors: dict[str, evidences.Collector] = {}
@@ -151,7 +154,7 @@
 
     def put_in_force(self, items: item_store.Items) -> None:
         """Replace the whole configuration in one step."""
-        table = routing.RouteTable(items)
+        table = routing.RouteTable(items, self.entry.placement.table)
         self.entry.put_in_force(table)
         self.route_service = {
             route.name: route.service_name for route in table.routes
@@ -221,7 +224,9 @@
     def reconfigure(self, settings: setting_store.ProxySettings) -> None:
         """Apply changed settings."""
         self.settings = settings
-        self.entry.access.lease.revocation_ms = settings.key_revocation_ms
+        self.entry.incoming.access.lease.revocation_ms = (
+            settings.key_revocation_ms
+        )
         self.node.overlay.set_configured(settings.known_controls)
         self.records_dirty = True
 
@@ -339,10 +344,9 @@
 
     def _on_revision_reply(self, reply: messages.RevisionReply) -> None:
         self.key_leases.on_reply(reply)
-        if self.entry.pending.by_id:
-            self.perform(
-                self.entry.start_pending(self.clock.now_ms(), self.now_us())
-            )
+        self.perform(
+            self.entry.start_pending(self.clock.now_ms(), self.now_us())
+        )
 
     def _on_crash_notice(
         self, source: str, notice: messages.CrashNotice
@@ -564,6 +568,7 @@
         now_ms, now_us = self.clock.now_ms(), self.now_us()
         self.perform(self.node.tick(now_ms))
         self.key_leases.tick()
+        self.token_asks.tick()
         if self.records_dirty:
             self.records_changed()
         for name in self.announced.expired(now_ms):
@@ -619,9 +624,11 @@
         }
 
     def families(self) -> list[exposition.Family]:
-        """Return retry metrics by service and slot metrics by target."""
+        """Return metrics of retries, slots and denied requests."""
         repeats = budget_metrics.families(self.entry.retry_budgets.budgets)
-        return repeats + slot_metrics.families(self.targets.targets.values())
+        slots = slot_metrics.families(self.targets.targets.values())
+        denied = account_metrics.denial_families(self.entry.incoming.access)
+        return repeats + slots + denied
 
     # Leaving
 
@@ -664,13 +671,13 @@
 
     def refuse_calls(self) -> None:
         """Refuse new requests as not run; running ones are finished."""
-        self.entry.draining = True
+        self.entry.incoming.draining = True
         self.targets.leaving = True
 
     @property
     def idle(self) -> bool:
         """Return whether no call is waiting and no request is running."""
-        waiting = self.entry.live or self.entry.pending.by_id
+        waiting = self.entry.live or self.entry.incoming.held.by_id
         return not waiting and not self.targets.running
 
     def may_exit(self, sending: bool = False) -> bool:
@@ -728,6 +735,11 @@
     process.request_send(effect.host, effect.address, effect.message)
 
 
+@execute.register
+def _(effect: request_effects.AskTokens, process: ProxyProcess) -> None:
+    process.token_asks.send(effect.ask)
+
+
 @execute.register
 def _(effect: request_effects.Dispatch, process: ProxyProcess) -> None:
     process.driver.dispatch(effect)
@@ -813,6 +825,13 @@
     process.entry.on_repeat_arrived(message.request_id)
 
 
+@receive.register
+def _(
+    message: messages.TokenReply, process: ProxyProcess, origin: str
+) -> None:
+    process.token_asks.on_reply(message)
+
+
 @receive.register
 def _(message: messages.BodyPull, process: ProxyProcess, origin: str) -> None:
     process.perform(process.entry.on_body_pull(message))
--- a/libs/daemon/src/trefoil_daemon/queries.py
+++ b/libs/daemon/src/trefoil_daemon/queries.py
@@ -5,6 +5,7 @@
 import json
 import typing
 
+from trefoil_accounts import quota_keeper
 from trefoil_fleet import items as item_store
 from trefoil_fleet import node as nodes
 from trefoil_language import statements
@@ -23,9 +24,11 @@
         node: The fleet core, which holds records and reports.
         raft: The agreement core.
         now_ms: The time on the runtime's clock.
+        keeper: The keeper of the quotas in this failure domain.
+        boot_ms: The time on the keeper's clock.
     """
 
-    __slots__ = ("state", "node", "raft", "now_ms")
+    __slots__ = ("state", "node", "raft", "now_ms", "keeper", "boot_ms")
 
     def __init__(
         self,
@@ -33,11 +36,15 @@
         node: nodes.Node,
         raft: rafts.Raft,
         now_ms: int,
+        keeper: quota_keeper.QuotaKeeper | None = None,
+        boot_ms: int = 0,
     ) -> None:
         self.state = state
         self.node = node
         self.raft = raft
         self.now_ms = now_ms
+        self.keeper = keeper
+        self.boot_ms = boot_ms
 
 
 def render(
@@ -193,6 +200,44 @@
     }
 
 
+@answer.register
+def _(statement: statements.ShowAccounts, context: QueryContext) -> list[Row]:
+    accounts = context.state.items.all(item_store.ACCOUNT)
+    rows = [
+        _account_row(account, context)
+        for account in accounts
+        if statement.account in ("", account.name)
+    ]
+    if statement.account and not rows:
+        return [{"problem": f"there is no account {statement.account}"}]
+    return rows
+
+
+def _account_row(account: messages.Account, context: QueryContext) -> Row:
+    """Return an account and its use in this keeper's failure domain."""
+    key = item_store.ACCOUNT + account.name
+    row: Row = {
+        "account": account.name,
+        "priority": account.priority,
+        "keys": len(account.key_digests),
+        "rate_per_s": account.rate_per_s or "unlimited",
+        "burst": account.burst,
+        "revision": context.state.items.revision_of(key),
+    }
+    keeper = context.keeper
+    purse = keeper.purses.get(account.name) if keeper is not None else None
+    if purse is not None:
+        limited = keeper.limited_accounts(context.boot_ms)
+        row |= {
+            "asked_per_s": round(purse.demand.per_s(context.boot_ms), 1),
+            "issued": purse.issued,
+            "lent": round(purse.lent, 1),
+            "refused": purse.denied,
+            "over_limit": account.name in limited,
+        }
+    return row
+
+
 @answer.register
 def _(statement: statements.ShowMoves, context: QueryContext) -> list[Row]:
     return [
--- a/libs/emulator/src/trefoil_emulator/core_fleet.py
+++ b/libs/emulator/src/trefoil_emulator/core_fleet.py
@@ -278,10 +278,13 @@
         max_timeout_ms = max(kind.caller_timeout_ms for kind in self.kinds)
         for at_ms in range(0, duration_ms + max_timeout_ms, TICK_MS):
             self._schedule(at_ms, self._tick)
+        self._run_events()
+        return self
+
+    def _run_events(self) -> None:
         while self.events:
             self.now_ms, _, action = heapq.heappop(self.events)
             action()
-        return self
 
     def credit(self, late_credit: float, kind: str = "") -> float:
         """Return the share of the possible credit that answers earned.
--- a/libs/fleet/src/trefoil_fleet/items.py
+++ b/libs/fleet/src/trefoil_fleet/items.py
@@ -115,6 +115,17 @@
         item = self.by_key.get(key)
         return item.revision if item is not None else 0
 
+    def newest_revision(self, prefixes: tuple[str, ...]) -> int:
+        """Return the revision that last changed a key with one of prefixes."""
+        return max(
+            (
+                item.revision
+                for key, item in self.by_key.items()
+                if key.startswith(prefixes)
+            ),
+            default=0,
+        )
+
     def all(self, prefix: str) -> list[typing.Any]:
         """Return the records whose keys have a prefix, sorted by key."""
         keys = sorted(
--- a/libs/language/src/trefoil_language/parser.py
+++ b/libs/language/src/trefoil_language/parser.py
@@ -167,6 +167,14 @@
         """Build ``ShowDocument``."""
         return statements.ShowDocument()
 
+    def show_accounts(self, parts: list[str]) -> typing.Any:
+        """Build ``ShowAccounts``."""
+        return statements.ShowAccounts()
+
+    def show_account(self, parts: list[str]) -> typing.Any:
+        """Build ``ShowAccounts`` for one account."""
+        return statements.ShowAccounts(parts[0])
+
     def show_evacuations(self, parts: list[str]) -> typing.Any:
         """Build ``ShowEvacuations``."""
         return statements.ShowEvacuations()
--- a/libs/language/src/trefoil_language/statements.py
+++ b/libs/language/src/trefoil_language/statements.py
@@ -81,6 +81,17 @@
     """Ask for the evacuated failure domains, with start times and reasons."""
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class ShowAccounts:
+    """Ask for all client accounts, or for one of them.
+
+    Args:
+        account: Only this account, if set.
+    """
+
+    account: str = ""
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Apply:
     """Apply the configuration document that is sent with the line.
--- a/libs/language/tests/test_parser.py
+++ b/libs/language/tests/test_parser.py
@@ -46,6 +46,8 @@
         ),
         ("readmit la-marsa", statements.Evacuate("la-marsa", False)),
         ("show evacuations", statements.ShowEvacuations()),
+        ("show accounts", statements.ShowAccounts()),
+        ("show account alice", statements.ShowAccounts("alice")),
     ],
 )
 def test_valid_lines(line: str, statement: object) -> None:
--- a/libs/model/src/trefoil_model/events.py
+++ b/libs/model/src/trefoil_model/events.py
@@ -5,6 +5,8 @@
 """
 
 CATALOGUE = {
+    "account.below_limit": "an account's requests are within its limit again",
+    "account.limited": "an account's requests reached its limit",
     "answer.cut": "a connection ended before the answer was sent completely",
     "budget.spent": "use of a service's retry budget, by cause",
     "command.agreed": "an operator's command, with its outcome and reason",
--- a/libs/moves/src/trefoil_moves/command_results.py
+++ b/libs/moves/src/trefoil_moves/command_results.py
@@ -118,14 +118,7 @@
 
 def configuration_revision(items: item_store.Items) -> int:
     """Return the revision at which the configuration last changed."""
-    return max(
-        (
-            item.revision
-            for item in items.by_key.values()
-            if item.key.startswith(item_store.DOCUMENT_PREFIXES)
-        ),
-        default=0,
-    )
+    return items.newest_revision(item_store.DOCUMENT_PREFIXES)
 
 
 def _put_configuration(
--- a/libs/requests/src/trefoil_requests/effects.py
+++ b/libs/requests/src/trefoil_requests/effects.py
@@ -32,6 +32,13 @@
     message: object
 
 
+@dataclasses.dataclass(slots=True)
+class AskTokens:
+    """Ask the keeper of a failure domain for tokens of accounts."""
+
+    ask: messages.TokenAsk
+
+
 @dataclasses.dataclass(slots=True)
 class Dispatch:
     """Run a request on a target of this host."""
--- a/libs/requests/src/trefoil_requests/entry.py
+++ b/libs/requests/src/trefoil_requests/entry.py
@@ -9,10 +9,10 @@
 import typing
 
 from trefoil_accounts import access as accesses
+from trefoil_accounts import account_tokens
 from trefoil_accounts import key_lease
 from trefoil_fleet import records as record_store
 from trefoil_model import effects as common
-from trefoil_model import errors
 from trefoil_wire import messages
 
 from . import attribution
@@ -21,11 +21,11 @@
 from . import call as calls
 from . import claims as claiming
 from . import effects
+from . import incoming as incoming_calls
 from . import ledger as ledgers
 from . import live as live_calls
 from . import observing
 from . import patience as original_deadlines
-from . import pending as pending_calls
 from . import placing as placements
 from . import quarantine as quarantines
 from . import retry_budgets as budgets
@@ -39,9 +39,10 @@
 # Refusals by targets' proxies cost no run and no retry budget, but each costs
 # its caller a round trip.
 MAX_PLACEMENTS = 5
-RETRY_AFTER_MS = 1000
 NO_TARGET_RETRY_AFTER_MS = 100
 MIN_FAILED_STATUS = 400
+# Without a keeper an account's limit can't be checked.
+NO_KEEPER_RETRY_AFTER_MS = 500
 OUTCOME_UNKNOWN = "it is not known whether the request ran"
 
 
@@ -87,12 +88,11 @@
         "placement",
         "balancer",
         "retry_budgets",
-        "access",
+        "incoming",
+        "tokens",
         "claims",
         "live",
-        "pending",
         "by_request",
-        "draining",
         "last_id",
         "pending_effects",
     )
@@ -119,12 +119,13 @@
         self.placement = placements.Placement(local_host, domain, rng)
         self.balancer = self.placement.balancer
         self.retry_budgets = budgets.RetryBudgets()
-        self.access = access or accesses.Access(key_lease.KeyLease())
+        self.incoming = incoming_calls.IncomingCalls(
+            access or accesses.Access(key_lease.KeyLease())
+        )
+        self.tokens = account_tokens.AccountTokens(rng.getrandbits(48))
         self.claims = claiming.Claims()
         self.live: dict[int, live_calls.LiveCall] = {}
-        self.pending = pending_calls.PendingCalls()
         self.by_request: dict[int, int] = {}
-        self.draining = False
         self.last_id = rng.getrandbits(61)
         self.pending_effects: list[typing.Any] = []
 
@@ -137,7 +138,8 @@
         self.original_deadlines.keep_only(names)
         self.call_shares.keep_only(names)
         self.retry_budgets.put_in_force(table.services)
-        self.access.put_in_force(table.accounts, table.revision)
+        self.incoming.put_in_force(table)
+        self.tokens.keep_only(table.accounts.by_name)
 
     def records_changed(
         self, records: record_store.Records, now_ms: int
@@ -154,14 +156,11 @@
         self, call: calls.Call, now_ms: int, now_us: int
     ) -> list[typing.Any]:
         """Start a caller's request."""
-        if self._is_starting() and not self.draining:
-            if self.pending.hold(call, now_ms):
-                return []
-        route = self._route_or_refuse(call)
-        allowed = self._authorize(call, route) if route else None
-        if allowed is None:
+        accepted = self.incoming.accept(call, now_ms)
+        if accepted is None:
             return self._flush()
-        account = allowed.account
+        route = accepted.route
+        account = accepted.account
         timeout_ms = route.timeout_ms
         if call.deadline_ms:
             timeout_ms = min(timeout_ms, call.deadline_ms)
@@ -178,59 +177,86 @@
             due_at_ms=now_ms + latency_target_ms - waited_ms,
             service=routing.draw_service(route, self.rng),
             account=account.name if account else "",
-            priority=_priority(route, account),
+            priority=accepted.priority,
         )
         self.live[call.call_id] = live
         if self.quarantine.refuses(live.fingerprint, now_ms):
             self._finish_quarantined(live)
             return self._flush()
+        if account is not None and account.rate_per_s:
+            self._take_token(live, now_ms, now_us)
+        else:
+            self._begin(live, now_ms, now_us)
+        return self._flush()
+
+    def _begin(
+        self, live: live_calls.LiveCall, now_ms: int, now_us: int
+    ) -> None:
+        """Begin to serve a call that its account's limit lets through."""
         self._add_to_budget(live)
-        if route.repeat == messages.Repeat.ONCE and call.key:
+        if live.route.repeat == messages.Repeat.ONCE and live.call.key:
             self._claim(live, now_ms)
         else:
             self._attempt(live, now_ms, now_us)
-        return self._flush()
 
-    def _is_starting(self) -> bool:
-        """Return whether this proxy has just started and can't serve yet."""
-        return self.placement.table is None or self.access.is_starting
+    # Limits of accounts
 
-    def _authorize(
-        self, call: calls.Call, route: messages.Route
-    ) -> accesses.Allowed | None:
-        """Return the caller's account, or answer the call without one."""
-        decision = self.access.check(
-            call.account_key, bool(route.open), call.received_boot_ms
-        )
-        if isinstance(decision, accesses.Denied):
-            self._note_denied(call, route, decision)
-            self._refuse(
-                call,
-                decision.status,
-                decision.denial,
-                decision.retry_after_ms,
-            )
-            return None
-        if not self.access.directory.keys_required:
-            call.headers += call.authorization
-        return decision
+    def _take_token(
+        self, live: live_calls.LiveCall, now_ms: int, now_us: int
+    ) -> None:
+        boot_ms = live.call.received_boot_ms
+        decision = self.tokens.take(live.account, live.call.call_id, boot_ms)
+        if isinstance(decision, account_tokens.Wait):
+            ask = self.tokens.ask_waiting(live.account, boot_ms)
+            if ask is not None:
+                self.pending_effects.append(effects.AskTokens(ask))
+            return
+        self._on_token_decision(live, decision, now_ms, now_us)
 
-    def _note_denied(
-        self, call: calls.Call, route: messages.Route, denied: accesses.Denied
+    def _on_token_decision(
+        self,
+        live: live_calls.LiveCall,
+        decision: account_tokens.Taken | account_tokens.OverLimit | None,
+        now_ms: int,
+        now_us: int,
     ) -> None:
-        revision = self.placement.table.revision
-        self.pending_effects.append(
-            common.Note(
-                "request.denied",
-                {
-                    "id": call.caller_id or call.call_id,
-                    "route": route.name,
-                    "status": denied.status,
-                    "why": denied.denial,
-                    "revision": revision,
-                },
-            )
-        )
+        match decision:
+            case account_tokens.Taken():
+                live.token = decision.token
+                self._begin(live, now_ms, now_us)
+            case account_tokens.OverLimit():
+                self._finish_not_run(
+                    live,
+                    429,
+                    "the account's limit is used up",
+                    decision.retry_after_ms,
+                )
+            case None:
+                self._finish_not_run(
+                    live,
+                    503,
+                    "the account's limit can't be checked now",
+                    NO_KEEPER_RETRY_AFTER_MS,
+                )
+
+    def release(
+        self,
+        released: list[account_tokens.Released],
+        now_ms: int,
+        now_us: int,
+    ) -> list[typing.Any]:
+        """Go on with calls that need not wait for tokens any more."""
+        for item in released:
+            live = self.live.get(item.call_id)
+            if live is not None:
+                self._on_token_decision(live, item.decision, now_ms, now_us)
+        return self._flush()
+
+    def _give_token_back(self, live: live_calls.LiveCall) -> None:
+        """Return the token of a call that certainly did not run."""
+        token, live.token = live.token, None
+        if token is not None:
+            self.tokens.give_back(live.account, token)
 
     def _add_to_budget(self, live: live_calls.LiveCall) -> None:
         """Credit the budget, or charge it for a call of a repeat."""
@@ -242,43 +268,12 @@
         self.retry_budgets.deposit(live)
 
     def start_pending(self, now_ms: int, now_us: int) -> list[typing.Any]:
-        """Start the calls that were buffered while this proxy started."""
-        if self._is_starting():
-            return []
+        """Start the calls that were held while this proxy started."""
         released = []
-        for call in self.pending.release(now_ms):
+        for call in self.incoming.release(now_ms):
             released.extend(self.start(call, now_ms, now_us))
         return released
 
-    def _route_or_refuse(self, call: calls.Call) -> messages.Route | None:
-        if self.draining:
-            self._refuse(call, 503, "this proxy is leaving")
-            return None
-        if self.placement.table is None:
-            self._refuse(call, 503, "no configuration is in force yet")
-            return None
-        try:
-            return self.placement.table.match(
-                call.host, call.path, call.method
-            )
-        except errors.ProtocolError as error:
-            self._refuse(call, error.status, error.reason)
-            return None
-
-    def _refuse(
-        self,
-        call: calls.Call,
-        status: int,
-        reason: str,
-        retry_after_ms: int = 0,
-    ) -> None:
-        if status == 503:
-            retry_after_ms = retry_after_ms or RETRY_AFTER_MS
-        final = calls.Final(
-            call.call_id, status, reason, retry_after_ms=retry_after_ms
-        )
-        self.pending_effects.append(effects.Finish(final))
-
     def _claim(self, live: live_calls.LiveCall, now_ms: int) -> None:
         service = live.service
         issued_ms = ledgers.issued_ms_of(live.call.key)
@@ -753,9 +748,12 @@
 
     def cancel(self, call_id: int, now_ms: int) -> list[typing.Any]:
         """Drop a call whose caller disconnected."""
-        self.pending.drop(call_id)
+        self.incoming.held.drop(call_id)
         live = self.live.get(call_id)
         if live is not None:
+            self.tokens.cancel(live.account, call_id)
+            if not live.sends:
+                self._give_token_back(live)
             self._cancel_attempt(live)
             if live.request_id:
                 self.balancer.note_cancelled(live.endpoint.key)
@@ -764,8 +762,7 @@
 
     def tick(self, now_ms: int, now_us: int) -> list[typing.Any]:
         """Hedge slow calls, and end those whose deadline has passed."""
-        for call in self.pending.expired(now_ms):
-            self._refuse(call, 503, "no configuration is in force yet")
+        self.incoming.tick(now_ms)
         self._apply_claim_results(self.claims.tick(now_ms), now_ms, now_us)
         late = [
             live
@@ -776,6 +773,7 @@
             if self._wants_hedge(live, now_ms, now_us):
                 self._hedge(live, now_ms, now_us)
         for live in late:
+            self.tokens.cancel(live.account, live.call.call_id)
             self._cancel_attempt(live)
             if live.request_id:
                 self.balancer.timed_out(live.endpoint.key, now_ms)
@@ -824,6 +822,7 @@
         reason: str,
         wait_ms: int = 0,
     ) -> None:
+        self._give_token_back(live)
         if live.claim is not None:
             self.pending_effects.extend(claiming.release(live.claim))
             live.claim = None
@@ -843,7 +842,7 @@
     ) -> None:
         if not live.may_have_run:
             self._finish_not_run(
-                live, status, reason, wait_ms or RETRY_AFTER_MS
+                live, status, reason, wait_ms or incoming_calls.RETRY_AFTER_MS
             )
             return
         self._finish(
@@ -861,6 +860,7 @@
         live = self.live.get(result.call_id)
         if live is None:
             return
+        self._give_token_back(live)
         live.claim = None
         if result.answer is None:
             self._finish(
@@ -889,7 +889,7 @@
                 call_id,
                 503,
                 "not run now; it can't be known whether the key ran before",
-                retry_after_ms=RETRY_AFTER_MS,
+                retry_after_ms=incoming_calls.RETRY_AFTER_MS,
             ),
         )
 
@@ -950,18 +950,11 @@
         return self.last_id
 
     def _flush(self) -> list[typing.Any]:
-        pending_effects = self.pending_effects
+        pending_effects = self.incoming.take_effects() + self.pending_effects
         self.pending_effects = []
         return pending_effects
 
 
-def _priority(route: messages.Route, account: messages.Account | None) -> int:
-    """Return a call's priority: its account's, or else its route's."""
-    if account is not None and account.priority is not None:
-        return account.priority
-    return route.priority or 0
-
-
 def _repeat_permille(live: live_calls.LiveCall) -> int:
     """Return the probability that an attempt is a repeat, in permille."""
     return int(1000 * (1.0 if live.paid else live.repeat))
--- a/libs/requests/src/trefoil_requests/live.py
+++ b/libs/requests/src/trefoil_requests/live.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from trefoil_accounts import expiring_tokens
 from trefoil_wire import messages
 
 from . import call as calls
@@ -40,6 +41,7 @@
         due_at_ms: When its answer exceeds its route's latency target.
         account: Name of the caller's account, empty for none.
         priority: Priority of the call; 0 is the most urgent.
+        token: The token of its account that it took, None without one.
         claim: The claim on its idempotency key, for once-only requests.
         service: The service that was drawn for it.
         drawn_version: The version that was drawn for it.
@@ -71,6 +73,7 @@
     due_at_ms: int
     account: str = ""
     priority: int = 0
+    token: expiring_tokens.Token | None = None
     claim: messages.Claim | None = None
     service: str = ""
     drawn_version: str | None = None
--- a/libs/requests/src/trefoil_requests/rate_limit.py
+++ b/libs/requests/src/trefoil_requests/rate_limit.py
@@ -6,8 +6,9 @@
 
 import math
 
+from trefoil_model import token_bucket
+
 from . import notices
-from . import token_bucket
 
 # The bucket holds what the target takes in half a second: requests arrive
 # unevenly, and a smaller bucket would leave a part of the limit unused.
--- a/libs/requests/src/trefoil_requests/routing.py
+++ b/libs/requests/src/trefoil_requests/routing.py
@@ -36,6 +36,7 @@
 
     Args:
         items: The configuration in force.
+        previous: The routes of the configuration before it, None without one.
     """
 
     __slots__ = (
@@ -49,7 +50,11 @@
         "accounts",
     )
 
-    def __init__(self, items: item_store.Items) -> None:
+    def __init__(
+        self,
+        items: item_store.Items,
+        previous: "RouteTable | None" = None,
+    ) -> None:
         self.revision = items.revision
         self.routes = sorted(items.all(item_store.ROUTE), key=_by_specificity)
         self.by_prefix: dict[tuple[str, str], list[messages.Route]] = {}
@@ -66,7 +71,9 @@
             entry.service_name: entry for entry in items.all(item_store.SHARES)
         }
         self.excluded = exclusions.Exclusions.from_items(items)
-        self.accounts = directory.Directory.from_items(items)
+        self.accounts = directory.Directory.from_items(
+            items, previous.accounts if previous is not None else None
+        )
 
     def match(self, host: str, path: str, method: str) -> messages.Route:
         """Return the route of a request.
--- a/libs/requests/src/trefoil_requests/warmup.py
+++ b/libs/requests/src/trefoil_requests/warmup.py
@@ -11,10 +11,9 @@
 import dataclasses
 import typing
 
+from trefoil_model import token_bucket
 from trefoil_wire import messages
 
-from . import token_bucket
-
 # A target's report of its remaining warm-up is slightly out of date when it
 # arrives.
 MARGIN_MS = 50
--- a/libs/settings/src/trefoil_settings/settings.py
+++ b/libs/settings/src/trefoil_settings/settings.py
@@ -158,6 +158,10 @@
             same time without a loss of acknowledged data.
         metrics: Address that serves metrics as text; empty for none.
         domains: Names of all failure domains; empty if not known.
+        quota_window_ms: Time over which the requests of an account are
+            counted.
+        quota_overage: Part by which they may exceed the account's limit.
+        quota_slack: Requests by which they may exceed it besides.
     """
 
     host: str
@@ -181,6 +185,9 @@
     metrics: str = ""
     advertise: str = ""
     domains: list[str] = dataclasses.field(default_factory=list)
+    quota_window_ms: int = 5000
+    quota_overage: float = 0.1
+    quota_slack: float = 20.0
 
     @property
     def known_controls(self) -> dict[str, str]:
@@ -301,8 +308,20 @@
         ),
         ("moves", schema.Field(MOVES, default=None)),
         ("domains", schema.Field(schema.ListOf(schema.Name()), default=[])),
+        ("quota_window", schema.Field(schema.Duration(), default=5000)),
+        (
+            "quota_overage",
+            schema.Field(schema.Number(0, 10, integer=False), default=0.1),
+        ),
+        (
+            "quota_slack",
+            schema.Field(
+                schema.Number(0, 100_000, integer=False), default=20.0
+            ),
+        ),
     ),
-    lambda heartbeat, election, moves, **rest: ControlSettings(
+    lambda heartbeat, election, moves, quota_window, **rest: ControlSettings(
+        quota_window_ms=quota_window,
         heartbeat_ms=heartbeat,
         election_ms=election,
         moves=moves or MoveSettings(),
--- a/libs/settings/tests/test_settings.py
+++ b/libs/settings/tests/test_settings.py
@@ -159,6 +159,13 @@
     assert "other" not in found
 
 
+def test_no_finding_shows_a_key() -> None:
+    text = (DOCUMENT + ACCOUNTS).replace("[sesame]", "['open sesame']")
+    found = str(configuration.parse(text).error)
+    assert "6:26" in found
+    assert "sesame" not in found
+
+
 def test_a_file_with_a_hundred_thousand_keys_is_read() -> None:
     lines = []
     for number in range(5000):
--- a/libs/wire/src/trefoil_wire/frames.py
+++ b/libs/wire/src/trefoil_wire/frames.py
@@ -77,6 +77,8 @@
     messages.EvacuateDomain,
     messages.RevisionQuery,
     messages.RevisionReply,
+    messages.TokenAsk,
+    messages.TokenReply,
 )
 # Configurations and lists of hosts repeat the same names hundreds of times.
 # The documents that operators read and write make up a third of the bytes
--- a/libs/wire/src/trefoil_wire/gen/ttypes.py
+++ b/libs/wire/src/trefoil_wire/gen/ttypes.py
@@ -6503,6 +6503,404 @@
         return not (self == other)
 
 
+class TokenWish(object):
+    """
+    Attributes:
+     - account
+     - wanted
+     - waiting
+     - arrived
+     - denied
+
+    """
+
+    __slots__ = (
+        'account',
+        'wanted',
+        'waiting',
+        'arrived',
+        'denied',
+    )
+
+
+    def __init__(self, account=None, wanted=None, waiting=None, arrived=0, denied=0,):
+        self.account = account
+        self.wanted = wanted
+        self.waiting = waiting
+        self.arrived = arrived
+        self.denied = denied
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.account = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.wanted = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.waiting = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.arrived = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.denied = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TokenWish')
+        if self.account is not None:
+            oprot.writeFieldBegin('account', TType.STRING, 1)
+            oprot.writeString(self.account.encode('utf-8') if sys.version_info[0] == 2 else self.account)
+            oprot.writeFieldEnd()
+        if self.wanted is not None:
+            oprot.writeFieldBegin('wanted', TType.I32, 2)
+            oprot.writeI32(self.wanted)
+            oprot.writeFieldEnd()
+        if self.waiting is not None:
+            oprot.writeFieldBegin('waiting', TType.I32, 3)
+            oprot.writeI32(self.waiting)
+            oprot.writeFieldEnd()
+        if self.arrived is not None:
+            oprot.writeFieldBegin('arrived', TType.I32, 4)
+            oprot.writeI32(self.arrived)
+            oprot.writeFieldEnd()
+        if self.denied is not None:
+            oprot.writeFieldBegin('denied', TType.I32, 5)
+            oprot.writeI32(self.denied)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class TokenAsk(object):
+    """
+    Attributes:
+     - ask_id
+     - wishes
+     - lend
+
+    """
+
+    __slots__ = (
+        'ask_id',
+        'wishes',
+        'lend',
+    )
+
+
+    def __init__(self, ask_id=None, wishes=None, lend=False,):
+        self.ask_id = ask_id
+        self.wishes = wishes
+        self.lend = lend
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.ask_id = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.wishes = []
+                    (_etype178, _size175) = iprot.readListBegin()
+                    for _i179 in range(_size175):
+                        _elem180 = TokenWish()
+                        _elem180.read(iprot)
+                        self.wishes.append(_elem180)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.lend = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TokenAsk')
+        if self.ask_id is not None:
+            oprot.writeFieldBegin('ask_id', TType.I64, 1)
+            oprot.writeI64(self.ask_id)
+            oprot.writeFieldEnd()
+        if self.wishes is not None:
+            oprot.writeFieldBegin('wishes', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.wishes))
+            for iter181 in self.wishes:
+                iter181.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.lend is not None:
+            oprot.writeFieldBegin('lend', TType.BOOL, 3)
+            oprot.writeBool(self.lend)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class TokenGrant(object):
+    """
+    Attributes:
+     - account
+     - granted
+     - wait_ms
+
+    """
+
+    __slots__ = (
+        'account',
+        'granted',
+        'wait_ms',
+    )
+
+
+    def __init__(self, account=None, granted=None, wait_ms=None,):
+        self.account = account
+        self.granted = granted
+        self.wait_ms = wait_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.account = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.granted = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.wait_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TokenGrant')
+        if self.account is not None:
+            oprot.writeFieldBegin('account', TType.STRING, 1)
+            oprot.writeString(self.account.encode('utf-8') if sys.version_info[0] == 2 else self.account)
+            oprot.writeFieldEnd()
+        if self.granted is not None:
+            oprot.writeFieldBegin('granted', TType.DOUBLE, 2)
+            oprot.writeDouble(self.granted)
+            oprot.writeFieldEnd()
+        if self.wait_ms is not None:
+            oprot.writeFieldBegin('wait_ms', TType.I32, 3)
+            oprot.writeI32(self.wait_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class TokenReply(object):
+    """
+    Attributes:
+     - ask_id
+     - grants
+
+    """
+
+    __slots__ = (
+        'ask_id',
+        'grants',
+    )
+
+
+    def __init__(self, ask_id=None, grants=None,):
+        self.ask_id = ask_id
+        self.grants = grants
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.ask_id = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.grants = []
+                    (_etype185, _size182) = iprot.readListBegin()
+                    for _i186 in range(_size182):
+                        _elem187 = TokenGrant()
+                        _elem187.read(iprot)
+                        self.grants.append(_elem187)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TokenReply')
+        if self.ask_id is not None:
+            oprot.writeFieldBegin('ask_id', TType.I64, 1)
+            oprot.writeI64(self.ask_id)
+            oprot.writeFieldEnd()
+        if self.grants is not None:
+            oprot.writeFieldBegin('grants', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.grants))
+            for iter188 in self.grants:
+                iter188.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class HeldNotice(object):
     """
     Attributes:
@@ -6730,11 +7128,11 @@
             elif fid == 6:
                 if ftype == TType.MAP:
                     self.latencies = {}
-                    (_ktype176, _vtype177, _size175) = iprot.readMapBegin()
-                    for _i179 in range(_size175):
-                        _key180 = iprot.readI16()
-                        _val181 = iprot.readI32()
-                        self.latencies[_key180] = _val181
+                    (_ktype190, _vtype191, _size189) = iprot.readMapBegin()
+                    for _i193 in range(_size189):
+                        _key194 = iprot.readI16()
+                        _val195 = iprot.readI32()
+                        self.latencies[_key194] = _val195
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -6771,9 +7169,9 @@
         if self.latencies is not None:
             oprot.writeFieldBegin('latencies', TType.MAP, 6)
             oprot.writeMapBegin(TType.I16, TType.I32, len(self.latencies))
-            for kiter182, viter183 in self.latencies.items():
-                oprot.writeI16(kiter182)
-                oprot.writeI32(viter183)
+            for kiter196, viter197 in self.latencies.items():
+                oprot.writeI16(kiter196)
+                oprot.writeI32(viter197)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -6863,11 +7261,11 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.tallies = []
-                    (_etype187, _size184) = iprot.readListBegin()
-                    for _i188 in range(_size184):
-                        _elem189 = Tally()
-                        _elem189.read(iprot)
-                        self.tallies.append(_elem189)
+                    (_etype201, _size198) = iprot.readListBegin()
+                    for _i202 in range(_size198):
+                        _elem203 = Tally()
+                        _elem203.read(iprot)
+                        self.tallies.append(_elem203)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -6905,8 +7303,8 @@
         if self.tallies is not None:
             oprot.writeFieldBegin('tallies', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.tallies))
-            for iter190 in self.tallies:
-                iter190.write(oprot)
+            for iter204 in self.tallies:
+                iter204.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.halted is not None:
@@ -8051,10 +8449,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.fingerprints = []
-                    (_etype194, _size191) = iprot.readListBegin()
-                    for _i195 in range(_size191):
-                        _elem196 = iprot.readI64()
-                        self.fingerprints.append(_elem196)
+                    (_etype208, _size205) = iprot.readListBegin()
+                    for _i209 in range(_size205):
+                        _elem210 = iprot.readI64()
+                        self.fingerprints.append(_elem210)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -8085,8 +8483,8 @@
         if self.fingerprints is not None:
             oprot.writeFieldBegin('fingerprints', TType.LIST, 2)
             oprot.writeListBegin(TType.I64, len(self.fingerprints))
-            for iter197 in self.fingerprints:
-                oprot.writeI64(iter197)
+            for iter211 in self.fingerprints:
+                oprot.writeI64(iter211)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.age_ms is not None:
@@ -8179,10 +8577,10 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.keepers = []
-                    (_etype201, _size198) = iprot.readListBegin()
-                    for _i202 in range(_size198):
-                        _elem203 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.keepers.append(_elem203)
+                    (_etype215, _size212) = iprot.readListBegin()
+                    for _i216 in range(_size212):
+                        _elem217 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.keepers.append(_elem217)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -8221,8 +8619,8 @@
         if self.keepers is not None:
             oprot.writeFieldBegin('keepers', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.keepers))
-            for iter204 in self.keepers:
-                oprot.writeString(iter204.encode('utf-8') if sys.version_info[0] == 2 else iter204)
+            for iter218 in self.keepers:
+                oprot.writeString(iter218.encode('utf-8') if sys.version_info[0] == 2 else iter218)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.service_name is not None:
@@ -8704,10 +9102,10 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype208, _size205) = iprot.readListBegin()
-                    for _i209 in range(_size205):
-                        _elem210 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.members.append(_elem210)
+                    (_etype222, _size219) = iprot.readListBegin()
+                    for _i223 in range(_size219):
+                        _elem224 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.members.append(_elem224)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -8736,8 +9134,8 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.members))
-            for iter211 in self.members:
-                oprot.writeString(iter211.encode('utf-8') if sys.version_info[0] == 2 else iter211)
+            for iter225 in self.members:
+                oprot.writeString(iter225.encode('utf-8') if sys.version_info[0] == 2 else iter225)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -8809,11 +9207,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype215, _size212) = iprot.readListBegin()
-                    for _i216 in range(_size212):
-                        _elem217 = LedgerEntry()
-                        _elem217.read(iprot)
-                        self.entries.append(_elem217)
+                    (_etype229, _size226) = iprot.readListBegin()
+                    for _i230 in range(_size226):
+                        _elem231 = LedgerEntry()
+                        _elem231.read(iprot)
+                        self.entries.append(_elem231)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -8849,8 +9247,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter218 in self.entries:
-                iter218.write(oprot)
+            for iter232 in self.entries:
+                iter232.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.complete is not None:
@@ -9362,6 +9760,35 @@
     (1, TType.I64, 'nonce', None, None, ),  # 1
     (2, TType.I64, 'revision', None, None, ),  # 2
 )
+all_structs.append(TokenWish)
+TokenWish.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'account', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'wanted', None, None, ),  # 2
+    (3, TType.I32, 'waiting', None, None, ),  # 3
+    (4, TType.I32, 'arrived', None, 0, ),  # 4
+    (5, TType.I32, 'denied', None, 0, ),  # 5
+)
+all_structs.append(TokenAsk)
+TokenAsk.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'ask_id', None, None, ),  # 1
+    (2, TType.LIST, 'wishes', (TType.STRUCT, [TokenWish, None], False), None, ),  # 2
+    (3, TType.BOOL, 'lend', None, False, ),  # 3
+)
+all_structs.append(TokenGrant)
+TokenGrant.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'account', 'UTF8', None, ),  # 1
+    (2, TType.DOUBLE, 'granted', None, None, ),  # 2
+    (3, TType.I32, 'wait_ms', None, None, ),  # 3
+)
+all_structs.append(TokenReply)
+TokenReply.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'ask_id', None, None, ),  # 1
+    (2, TType.LIST, 'grants', (TType.STRUCT, [TokenGrant, None], False), None, ),  # 2
+)
 all_structs.append(HeldNotice)
 HeldNotice.thrift_spec = (
     None,  # 0
--- a/libs/wire/trefoil.thrift
+++ b/libs/wire/trefoil.thrift
@@ -276,6 +276,23 @@
    this. Its answer to a proxy renews what the proxy may do by keys. */
 struct RevisionQuery { 1: i64 nonce }
 struct RevisionReply { 1: i64 nonce, 2: i64 revision }
+/* Tokens of client accounts: one lets one request of the account through.
+   An entry proxy asks a control host for them, and that host others (lend).
+   wanted: tokens that would be used soon; waiting: requests that wait for them
+   now; arrived, denied: requests that came, and that were refused, since the
+   last ask. */
+struct TokenWish {
+  1: string account, 2: i32 wanted, 3: i32 waiting, 4: i32 arrived = 0,
+  5: i32 denied = 0,
+}
+struct TokenAsk {
+  1: i64 ask_id, 2: list<TokenWish> wishes, 3: bool lend = false,
+}
+/* granted: tokens that may be used until a fixed time after the ask was sent;
+   whole ones, except where a control host lends them. wait_ms: when the next
+   token is expected; 0 if all were granted. */
+struct TokenGrant { 1: string account, 2: double granted, 3: i32 wait_ms }
+struct TokenReply { 1: i64 ask_id, 2: list<TokenGrant> grants }
 struct HeldNotice { 1: string host, 2: i64 revision }
 struct HeldAck { 1: string host, 2: i64 revision }
 
