Run pipelined requests together and answer them in order

Ruled out: starting whatever comes: a request that may not be repeated relies on the order, so it starts when all before it are answered and holds up those behind it. Starting by method: the routes' kind decides. Change: exchanges.py keeps the requests of a connection in order of arrival, 16 and 256 KiB at most; each starts when it may, answers wait for the ones before them. What was not passed on before a close is not run. handlers get an exchange instead of a connection.

--- a/libs/daemon/src/trefoil_daemon/_page.py
+++ b/libs/daemon/src/trefoil_daemon/_page.py
@@ -1,7 +1,7 @@
 """Base class of pages that answer only GET."""
 
 from . import _http
-from . import http_server
+from . import exchanges
 
 
 class Page:
@@ -11,18 +11,22 @@
 
     def handle_request(
         self,
-        connection: http_server.ServerConnection,
+        exchange: exchanges.Exchange,
         message: _http.Message,
     ) -> None:
         """Handle a request."""
         if message.method == "GET":
-            self.get(connection)
+            self.get(exchange)
         else:
-            connection.answer_text(405, "only GET")
+            exchange.answer_text(405, "only GET")
 
-    def get(self, connection: http_server.ServerConnection) -> None:
+    def get(self, exchange: exchanges.Exchange) -> None:
         """Answer a GET."""
         raise NotImplementedError
 
-    def on_disconnect(self, connection: http_server.ServerConnection) -> None:
+    def may_overlap(self, message: _http.Message) -> bool:
+        """Return False: requests are handled one after the other."""
+        return False
+
+    def on_disconnect(self, exchange: exchanges.Exchange) -> None:
         """Do nothing: no work is in progress for a closed connection."""
--- a/libs/daemon/src/trefoil_daemon/admin.py
+++ b/libs/daemon/src/trefoil_daemon/admin.py
@@ -11,7 +11,7 @@
 
 from . import _http
 from . import announcements
-from . import http_server
+from . import exchanges
 from . import metrics as metric_store
 from . import operators
 
@@ -70,43 +70,47 @@
 
     def handle_request(
         self,
-        connection: http_server.ServerConnection,
+        exchange: exchanges.Exchange,
         message: _http.Message,
     ) -> None:
         """Handle a request."""
         try:
-            self._route(connection, message)
+            self._route(exchange, message)
         except errors.ProtocolError as error:
-            connection.answer_text(error.status, error.reason)
+            exchange.answer_text(error.status, error.reason)
 
-    def on_disconnect(self, connection: http_server.ServerConnection) -> None:
+    def may_overlap(self, message: _http.Message) -> bool:
+        """Return False: requests are handled one after the other."""
+        return False
+
+    def on_disconnect(self, exchange: exchanges.Exchange) -> None:
         """Do nothing: a reply to a closed connection is discarded."""
 
     def _route(
         self,
-        connection: http_server.ServerConnection,
+        exchange: exchanges.Exchange,
         message: _http.Message,
     ) -> None:
         path = message.path.partition("?")[0]
         if path == HEALTH_PATH and message.method == "GET":
-            self._health(connection)
+            self._health(exchange)
         elif path == COMMAND_PATH and message.method == "POST":
-            self._command(connection, message)
+            self._command(exchange, message)
         elif path.startswith(TARGETS_PATH):
-            self._targets(connection, message, path)
+            self._targets(exchange, message, path)
         else:
             raise errors.ProtocolError(404, "no such interface")
 
-    def _health(self, connection: http_server.ServerConnection) -> None:
+    def _health(self, exchange: exchanges.Exchange) -> None:
         ready = getattr(self.process, "ready", True)
         status = 200 if ready else 503
-        _answer_json(connection, status, {"ready": ready, "name": self.name})
+        _answer_json(exchange, status, {"ready": ready, "name": self.name})
 
     # Targets
 
     def _targets(
         self,
-        connection: http_server.ServerConnection,
+        exchange: exchanges.Exchange,
         message: _http.Message,
         path: str,
     ) -> None:
@@ -116,16 +120,14 @@
         name = path.removeprefix(TARGETS_PATH).strip("/")
         if message.method == "GET" and not name:
             busy = self.process.targets.busy
-            _answer_json(connection, 200, announced.describe(busy))
+            _answer_json(exchange, 200, announced.describe(busy))
         elif message.method == "PUT" and name and "/" not in name:
             announcement = announcements.parse(name, message.body)
             self.process.announce(announcement)
-            _answer_json(connection, 200, {"lease_ms": announced.lease_ms})
+            _answer_json(exchange, 200, {"lease_ms": announced.lease_ms})
         elif message.method == "DELETE" and name:
             removed = self.process.drop_target(name, "deregistered")
-            _answer_json(
-                connection, 200 if removed else 404, {"left": removed}
-            )
+            _answer_json(exchange, 200 if removed else 404, {"left": removed})
         else:
             raise errors.ProtocolError(405, "PUT, DELETE or GET")
 
@@ -133,7 +135,7 @@
 
     def _command(
         self,
-        connection: http_server.ServerConnection,
+        exchange: exchanges.Exchange,
         message: _http.Message,
     ) -> None:
         # Loading the grammar takes a tenth of a second, which would delay
@@ -147,18 +149,18 @@
         statement = parsed.ok
         rows = self._local_rows(statement)
         if rows is not None:
-            _answer_json(connection, 200, _local_answer(rows, self.name))
+            _answer_json(exchange, 200, _local_answer(rows, self.name))
             return
         command = operators.command_from(statement, envelope)
         if command is not None:
             self.process.submit(
-                command, lambda reply: _answer_reply(connection, reply)
+                command, lambda reply: _answer_reply(exchange, reply)
             )
             return
         query_id = f"{self.name}-{next(self.query_numbers)}"
         self.process.ask(
             messages.Query(query_id, line, 0),
-            lambda reply: _answer_query(connection, reply),
+            lambda reply: _answer_query(exchange, reply),
         )
 
     def _local_rows(
@@ -199,22 +201,22 @@
 
 
 def _answer_json(
-    connection: http_server.ServerConnection, status: int, value: typing.Any
+    exchange: exchanges.Exchange, status: int, value: typing.Any
 ) -> None:
     body = json.dumps(value).encode() + b"\n"
-    connection.answer(status, "OK", JSON_HEADER, body)
+    exchange.answer(status, "OK", JSON_HEADER, body)
 
 
 def _answer_reply(
-    connection: http_server.ServerConnection, reply: messages.CommandReply
+    exchange: exchanges.Exchange, reply: messages.CommandReply
 ) -> None:
     body = operators.render_reply(reply).encode() + b"\n"
-    connection.answer(200, "OK", JSON_HEADER, body)
+    exchange.answer(200, "OK", JSON_HEADER, body)
 
 
 def _answer_query(
-    connection: http_server.ServerConnection, reply: messages.QueryReply
+    exchange: exchanges.Exchange, reply: messages.QueryReply
 ) -> None:
     status = 200 if reply.ok else 400
     content_type = JSON_HEADER if reply.ok else b"Content-Type: text/plain\r\n"
-    connection.answer(status, "OK", content_type, reply.body.encode() + b"\n")
+    exchange.answer(status, "OK", content_type, reply.body.encode() + b"\n")
--- /dev/null
+++ b/libs/daemon/src/trefoil_daemon/exchanges.py
@@ -0,0 +1,263 @@
+"""The requests of one client connection, answered in the order of arrival.
+
+A client may send further requests before the first one is answered. Those
+that may be repeated start at once; another one starts when all before it are
+answered, and holds up those behind it. Answers that are ready early wait for
+the ones before them.
+"""
+
+import collections
+import dataclasses
+import typing
+
+from trefoil_requests import call as calls
+
+from . import _http
+from . import transport as transports
+
+if typing.TYPE_CHECKING:
+    from . import http_server
+
+# Requests of one connection that wait for their answers. More are read when
+# one is answered; meanwhile TCP flow control stops the sender.
+MAX_EXCHANGES = 16
+# Answers that wait for earlier ones, and bodies of requests, in bytes.
+MAX_HELD_BYTES = 256 * 1024
+MAX_BUFFERED_BYTES = 256 * 1024
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Exchange:
+    """One request and its answer.
+
+    Args:
+        connection: The connection that it came on.
+        number: Its number at this process.
+        request: The request.
+        entered_ms: Time from its first byte until it was received completely.
+        may_overlap: Whether it may run beside others of its connection.
+        request_id: The client's own id of it, for logs.
+        started: Whether it was passed to the handler.
+        response: Renders the answer, given whether the connection stays open;
+            None until there is one.
+        held_bytes: Length of its body and of its answer.
+    """
+
+    connection: "ServerConnection"
+    number: int
+    request: _http.Message
+    entered_ms: int = 0
+    may_overlap: bool = False
+    request_id: str = ""
+    started: bool = False
+    response: typing.Callable[[bool], bytes] | None = None
+    held_bytes: int = 0
+
+    @property
+    def server(self) -> "http_server.HttpServer":
+        """Return the server that received it."""
+        return self.connection.server
+
+    @property
+    def is_open(self) -> bool:
+        """Return whether its client still waits for the answer."""
+        return self.response is None and not self.connection.stream.closed
+
+    def answer(
+        self,
+        status: int,
+        reason: str,
+        headers: bytes = b"",
+        body: bytes = b"",
+    ) -> None:
+        """Answer the request; ignored if the client disconnected."""
+        if not self.is_open:
+            return
+        bodiless = self.request.method == "HEAD"
+
+        def render(keep_alive: bool) -> bytes:
+            return _http.response_bytes(
+                status,
+                reason,
+                headers,
+                body,
+                keep_alive=keep_alive,
+                bodiless=bodiless,
+            )
+
+        self.response = render
+        size = len(headers) + len(body)
+        self.held_bytes += size
+        self.connection.held_bytes += size
+        self.connection.send_ready()
+
+    def answer_text(
+        self, status: int, reason: str, headers: bytes = b""
+    ) -> None:
+        """Answer in plain text, with the reason as the body."""
+        phrase = calls.STATUS_REASONS.get(status, "Error")
+        content_type = b"Content-Type: text/plain; charset=utf-8\r\n"
+        body = (reason + "\n").encode("utf-8", "replace")
+        self.answer(status, phrase, headers + content_type, body)
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class ServerConnection:
+    """One client connection.
+
+    ``exchanges`` are the requests without a sent answer, in order of arrival.
+    ``since_ms`` is when the request that is being received began to arrive,
+    or when the connection became idle or last sent data. ``last_request_id``
+    is the client's id of the request that was answered last.
+    """
+
+    server: "http_server.HttpServer"
+    stream: transports.Stream
+    reader: _http.MessageReader
+    exchanges: collections.deque[Exchange] = dataclasses.field(
+        default_factory=collections.deque
+    )
+    since_ms: int = 0
+    last_unsent: int = 0
+    held_bytes: int = 0
+    ends: bool = False
+    sending: bool = False
+    last_request_id: str = ""
+
+    @property
+    def is_idle(self) -> bool:
+        """Return whether no request waits for an answer or is received."""
+        return not self.exchanges and not self.reader.started
+
+    def elapsed_ms(self, now_ms: int) -> int:
+        """Return the time since ``since_ms`` in ms."""
+        return now_ms - self.since_ms
+
+    # Receiving
+
+    def receive(self, data: bytes) -> None:
+        """Add received bytes and start the requests that they complete."""
+        if not self.reader.started:
+            self.since_ms = self.server.clock.now_ms()
+        self.reader.buffer += data
+        self.read_next()
+        if len(self.reader.buffer) > MAX_BUFFERED_BYTES and self._is_full:
+            self.stream.set_paused(True)
+
+    @property
+    def _is_full(self) -> bool:
+        """Return whether no further request is read for now."""
+        return (
+            len(self.exchanges) >= MAX_EXCHANGES
+            or self.held_bytes >= MAX_HELD_BYTES
+        )
+
+    def read_next(self) -> None:
+        """Read the requests that are buffered, and start those that may."""
+        while self.reader.buffer and not self._is_full and not self.ends:
+            if not self._read_one():
+                break
+        self.start_due()
+
+    def _read_one(self) -> bool:
+        """Read one request; return False if none is complete."""
+        message = self.server.read(self)
+        if message is None:
+            return False
+        now_ms = self.server.clock.now_ms()
+        exchange = Exchange(
+            self,
+            next(self.server.numbers),
+            message,
+            self.elapsed_ms(now_ms),
+            held_bytes=len(message.body),
+        )
+        self.since_ms = now_ms
+        self.ends = not message.keep_alive
+        if self.exchanges:
+            # Only a pipelined request needs to know.
+            handler = self.server.handler
+            exchange.may_overlap = handler.may_overlap(message)
+            first = self.exchanges[0]
+            if len(self.exchanges) == 1:
+                first.may_overlap = handler.may_overlap(first.request)
+        self.add(exchange)
+        return True
+
+    def add(self, exchange: Exchange) -> None:
+        """Add a request behind those that wait for their answers."""
+        self.exchanges.append(exchange)
+        self.held_bytes += exchange.held_bytes
+
+    def start_due(self) -> None:
+        """Start the requests that need not wait for the ones before them."""
+        for position, exchange in enumerate(list(self.exchanges)):
+            if position and not exchange.may_overlap:
+                return
+            if not exchange.started:
+                exchange.started = True
+                self.server.handler.handle_request(exchange, exchange.request)
+            if not exchange.may_overlap:
+                return
+
+    # Sending
+
+    def send_ready(self) -> None:
+        """Send the answers that are ready, up to the first that is not."""
+        if self.sending:
+            return
+        self.sending = True
+        while self.exchanges and self.exchanges[0].response is not None:
+            self._send_first()
+            if self.stream.closed or self.stream.closing:
+                break
+        self.sending = False
+        if not (self.stream.closed or self.stream.closing):
+            self._go_on()
+
+    def _send_first(self) -> None:
+        exchange = self.exchanges.popleft()
+        self.held_bytes -= exchange.held_bytes
+        self.last_request_id = exchange.request_id
+        keep_alive = exchange.request.keep_alive and not self._is_last()
+        self.stream.write(exchange.response(keep_alive))
+        if not keep_alive:
+            self._cancel_rest()
+            self.stream.close_after_write()
+
+    def _is_last(self) -> bool:
+        """Return whether this answer is the last one before a shutdown.
+
+        Requests that were already received are answered first.
+        """
+        return self.server.closing and self.is_idle
+
+    def _go_on(self) -> None:
+        """Read on after an answer was sent."""
+        self.stream.set_paused(False)
+        if not self.exchanges:
+            self.since_ms = self.server.clock.now_ms()
+        self.read_next()
+
+    # Ends
+
+    def on_close(self) -> None:
+        """Cancel the requests of a client that disconnected."""
+        self._cancel_rest()
+
+    def _cancel_rest(self) -> None:
+        """Cancel the requests behind the last answer of the connection."""
+        rest, self.exchanges = self.exchanges, collections.deque()
+        for exchange in rest:
+            if exchange.started and exchange.response is None:
+                self.server.handler.on_disconnect(exchange)
+
+    def track_progress(self, now_ms: int) -> None:
+        """Reset the idle time if more of an answer was sent.
+
+        A client that still reads a long answer is not idle.
+        """
+        unsent = self.stream.unsent
+        if unsent != self.last_unsent:
+            self.last_unsent = unsent
+            self.since_ms = now_ms
--- a/libs/daemon/src/trefoil_daemon/exposition.py
+++ b/libs/daemon/src/trefoil_daemon/exposition.py
@@ -4,7 +4,7 @@
 import typing
 
 from . import _page
-from . import http_server
+from . import exchanges
 from . import metrics as metric_store
 
 TEXT_HEADER = b"Content-Type: text/plain; version=0.0.4; charset=utf-8\r\n"
@@ -78,9 +78,9 @@
         self.cross_domain_bytes_out = cross_domain_bytes_out
         self.engine = engine
 
-    def get(self, connection: http_server.ServerConnection) -> None:
+    def get(self, exchange: exchanges.Exchange) -> None:
         """Answer a GET."""
-        connection.answer(200, "OK", TEXT_HEADER, self.render())
+        exchange.answer(200, "OK", TEXT_HEADER, self.render())
 
     def render(self) -> bytes:
         """Return the metrics in the Prometheus text format."""
--- a/libs/daemon/src/trefoil_daemon/gateway.py
+++ b/libs/daemon/src/trefoil_daemon/gateway.py
@@ -6,7 +6,7 @@
 
 from . import _http
 from . import dialect as dialects
-from . import http_server
+from . import exchanges
 
 IDEMPOTENCY_KEY_HEADER = b"idempotency-key"
 AUTHORIZATION_HEADER = b"authorization"
@@ -22,6 +22,9 @@
     def caller_disconnected(self, call_id: int) -> None:
         """Cancel the call of a caller that disconnected."""
 
+    def may_overlap(self, host: str, path: str, method: str) -> bool:
+        """Return whether a request may run beside others of its caller."""
+
 
 class Gateway:
     """Passes callers' requests to the process and returns its answers.
@@ -38,7 +41,7 @@
         "dialect",
         "service",
         "reserved_headers",
-        "connections",
+        "exchanges",
     )
 
     def __init__(
@@ -60,26 +63,25 @@
         self.reserved_headers = frozenset(
             name.lower() for name in header_names if name
         )
-        self.connections: dict[int, http_server.ServerConnection] = {}
+        self.exchanges: dict[int, exchanges.Exchange] = {}
 
     def handle_request(
         self,
-        connection: http_server.ServerConnection,
+        exchange: exchanges.Exchange,
         message: _http.Message,
     ) -> None:
         """Start a call for a request, or reject the request."""
         host = message.field(b"host")
         if not host:
-            connection.answer_text(400, "a Host header is needed")
+            exchange.answer_text(400, "a Host header is needed")
             return
         key = message.field(IDEMPOTENCY_KEY_HEADER)
         if len(key) > MAX_KEY_CHARS:
-            connection.answer_text(400, "the idempotency key is too long")
+            exchange.answer_text(400, "the idempotency key is too long")
             return
-        now_ms = connection.server.clock.now_ms()
-        connection.request_id = message.field(self.dialect.request_id.lower())
+        exchange.request_id = message.field(self.dialect.request_id.lower())
         call = calls.Call(
-            call_id=connection.number,
+            call_id=exchange.number,
             method=message.method,
             host=host.partition(":")[0].lower(),
             path=message.path,
@@ -88,14 +90,14 @@
             key=key,
             deadline_ms=_number(message.field(self.dialect.deadline.lower())),
             retried=message.field(self.dialect.retried.lower()) == "1",
-            caller_id=connection.request_id,
-            entered_ms=connection.elapsed_ms(now_ms),
+            caller_id=exchange.request_id,
+            entered_ms=exchange.entered_ms,
             account_key=self._key_of(message),
-            received_boot_ms=connection.server.clock.boot_ms(),
+            received_boot_ms=exchange.server.clock.boot_ms(),
         )
         if AUTHORIZATION_HEADER in message.fields:
             _separate_authorization(call)
-        self.connections[connection.number] = connection
+        self.exchanges[exchange.number] = exchange
         self.process.call(call)
 
     def _key_of(self, message: _http.Message) -> str:
@@ -124,18 +126,23 @@
             headers += self.dialect.caller_service + b": " + service + b"\r\n"
         return headers
 
-    def on_disconnect(self, connection: http_server.ServerConnection) -> None:
+    def may_overlap(self, message: _http.Message) -> bool:
+        """Return whether a request may run beside others of its caller."""
+        host = message.field(b"host").partition(":")[0].lower()
+        return self.process.may_overlap(host, message.path, message.method)
+
+    def on_disconnect(self, exchange: exchanges.Exchange) -> None:
         """Cancel the call of a caller that disconnected before its answer."""
-        if self.connections.pop(connection.number, None) is not None:
-            self.process.caller_disconnected(connection.number)
+        if self.exchanges.pop(exchange.number, None) is not None:
+            self.process.caller_disconnected(exchange.number)
 
     def finish(self, final: calls.Final) -> None:
         """Send the final answer of a call."""
-        connection = self.connections.pop(final.call_id, None)
-        if connection is None:
+        exchange = self.exchanges.pop(final.call_id, None)
+        if exchange is None:
             return
         if not final.own:
-            connection.answer(
+            exchange.answer(
                 final.status, final.reason, final.headers, final.body
             )
             return
@@ -151,7 +158,7 @@
             headers += b"X-Trefoil-Retry-After-Ms: %d\r\n" % (
                 final.retry_after_ms
             )
-        connection.answer_text(final.status, final.reason, headers)
+        exchange.answer_text(final.status, final.reason, headers)
 
     def _seconds(self, wait_ms: int) -> bytes:
         if self.dialect.retry_fractions:
--- a/libs/daemon/src/trefoil_daemon/http_server.py
+++ b/libs/daemon/src/trefoil_daemon/http_server.py
@@ -6,14 +6,13 @@
 
 from trefoil_model import clock as clocks
 from trefoil_model import errors
-from trefoil_requests import call as calls
 
 from . import _http
+from . import exchanges
 from . import transport as transports
 
 MAX_CONNECTIONS = 2000
 RECEIVE_TIMEOUT_MS = 10_000
-MAX_PIPELINED_BYTES = 256 * 1024
 
 
 @dataclasses.dataclass(slots=True)
@@ -42,89 +41,15 @@
     """Handles the requests of a server."""
 
     def handle_request(
-        self, connection: "ServerConnection", message: _http.Message
+        self, exchange: exchanges.Exchange, message: _http.Message
     ) -> None:
-        """Handle a request; reply with ``connection.answer``."""
+        """Handle a request; reply with ``exchange.answer``."""
 
-    def on_disconnect(self, connection: "ServerConnection") -> None:
-        """Handle a client that disconnected before its answer."""
-
-
-@dataclasses.dataclass(slots=True, eq=False)
-class ServerConnection:
-    """One client connection, which handles one request at a time.
-
-    ``request`` is the request being handled. ``since_ms`` is when the current
-    request began to arrive, or the connection became idle or last sent data.
-    """
-
-    server: "HttpServer"
-    number: int
-    stream: transports.Stream
-    reader: _http.MessageReader
-    request: _http.Message | None = None
-    request_id: str = ""
-    since_ms: int = 0
-    last_unsent: int = 0
-
-    def elapsed_ms(self, now_ms: int) -> int:
-        """Return the time since ``since_ms`` in ms."""
-        return now_ms - self.since_ms
-
-    def answer(
-        self,
-        status: int,
-        reason: str,
-        headers: bytes = b"",
-        body: bytes = b"",
-    ) -> None:
-        """Answer the current request; ignored if the client disconnected."""
-        request = self.request
-        if request is None or self.stream.closed:
-            return
-        self.request = None
-        keep_alive = request.keep_alive and not self._is_last()
-        self.stream.write(
-            _http.response_bytes(
-                status,
-                reason,
-                headers,
-                body,
-                keep_alive=keep_alive,
-                bodiless=request.method == "HEAD",
-            )
-        )
-        if not keep_alive:
-            self.stream.close_after_write()
-            return
-        self.stream.set_paused(False)
-        self.server.read_next(self)
-
-    def _is_last(self) -> bool:
-        """Return whether this answer is the last one before a shutdown.
+    def may_overlap(self, message: _http.Message) -> bool:
+        """Return whether a request may run beside others of its connection."""
 
-        A pipelined request that was already received is answered first.
-        """
-        return self.server.closing and not self.reader.started
-
-    def track_progress(self, now_ms: int) -> None:
-        """Reset the idle time if more of an answer was sent.
-
-        A client that still reads a long answer is not idle.
-        """
-        unsent = self.stream.unsent
-        if unsent != self.last_unsent:
-            self.last_unsent = unsent
-            self.since_ms = now_ms
-
-    def answer_text(
-        self, status: int, reason: str, headers: bytes = b""
-    ) -> None:
-        """Answer in plain text, with the reason as the body."""
-        phrase = calls.STATUS_REASONS.get(status, "Error")
-        content_type = b"Content-Type: text/plain; charset=utf-8\r\n"
-        body = (reason + "\n").encode("utf-8", "replace")
-        self.answer(status, phrase, headers + content_type, body)
+    def on_disconnect(self, exchange: exchanges.Exchange) -> None:
+        """Handle a client that disconnected before its answer."""
 
 
 class HttpServer:
@@ -160,7 +85,9 @@
         *,
         limits: ConnectionLimits,
         malformed: typing.Callable[[str], None],
-        truncated: typing.Callable[[ServerConnection], None] | None = None,
+        truncated: (
+            typing.Callable[[exchanges.ServerConnection], None] | None
+        ) = None,
     ) -> None:
         self.transport = transport
         self.handler = handler
@@ -168,7 +95,7 @@
         self.limits = limits
         self.malformed = malformed
         self.truncated = truncated
-        self.connections: set[ServerConnection] = set()
+        self.connections: set[exchanges.ServerConnection] = set()
         self.numbers = itertools.count(1)
         self.closing = False
 
@@ -180,9 +107,8 @@
         if len(self.connections) >= MAX_CONNECTIONS:
             stream.close()
             return
-        connection = ServerConnection(
+        connection = exchanges.ServerConnection(
             self,
-            next(self.numbers),
             stream,
             _http.MessageReader(
                 _http.REQUEST, self.limits.max_body, self.limits.max_head
@@ -195,49 +121,41 @@
         self.connections.add(connection)
 
     def _on_data(self, stream: transports.Stream, data: bytes) -> None:
-        connection = stream.owner
-        if not connection.reader.started:
-            connection.since_ms = self.clock.now_ms()
-        if connection.request is not None:
-            # A pipelined request is buffered until the current one is
-            # answered. Beyond the limit, TCP flow control stops the sender.
-            connection.reader.buffer += data
-            if len(connection.reader.buffer) > MAX_PIPELINED_BYTES:
-                stream.set_paused(True)
-            return
-        self._feed(connection, data)
+        stream.owner.receive(data)
 
-    def read_next(self, connection: ServerConnection) -> None:
-        """Start the next request if it is already buffered."""
-        connection.since_ms = self.clock.now_ms()
-        if connection.reader.buffer:
-            self._feed(connection, b"")
+    def read(
+        self, connection: exchanges.ServerConnection
+    ) -> _http.Message | None:
+        """Return the next request of a connection, None if it is not whole.
 
-    def _feed(self, connection: ServerConnection, data: bytes) -> None:
+        A malformed one is answered, after those before it, and the last one.
+        """
         try:
-            message = connection.reader.feed(data)
+            return connection.reader.feed(b"")
         except errors.ProtocolError as error:
             self._reject_malformed(connection, error)
-            return
-        if message is None:
-            return
-        connection.request = message
-        self.handler.handle_request(connection, message)
+            return None
 
     def _reject_malformed(
-        self, connection: ServerConnection, error: errors.ProtocolError
+        self,
+        connection: exchanges.ServerConnection,
+        error: errors.ProtocolError,
     ) -> None:
         self.malformed(error.reason)
-        connection.request = _http.Message(keep_alive=False)
-        connection.answer_text(error.status, error.reason)
+        connection.ends = True
+        exchange = exchanges.Exchange(
+            connection, next(self.numbers), _http.Message(keep_alive=False)
+        )
+        exchange.started = True
+        connection.add(exchange)
+        exchange.answer_text(error.status, error.reason)
 
     def _on_close(self, stream: transports.Stream) -> None:
         connection = stream.owner
         self.connections.discard(connection)
         if stream.unsent and self.truncated is not None:
             self.truncated(connection)
-        if connection.request is not None:
-            self.handler.on_disconnect(connection)
+        connection.on_close()
 
     def tick(self) -> None:
         """Close connections whose request arrives too slowly or that idle.
@@ -247,14 +165,16 @@
         """
         now_ms = self.clock.now_ms()
         for connection in list(self.connections):
-            if connection.request is not None:
+            if connection.exchanges:
                 continue
             if connection.reader.started and not connection.stream.closing:
                 self._close_slow(connection, now_ms)
             else:
                 self._close_if_idle(connection, now_ms)
 
-    def _close_slow(self, connection: ServerConnection, now_ms: int) -> None:
+    def _close_slow(
+        self, connection: exchanges.ServerConnection, now_ms: int
+    ) -> None:
         if connection.elapsed_ms(now_ms) > self.limits.receive_timeout_ms:
             self._reject_malformed(
                 connection,
@@ -262,7 +182,7 @@
             )
 
     def _close_if_idle(
-        self, connection: ServerConnection, now_ms: int
+        self, connection: exchanges.ServerConnection, now_ms: int
     ) -> None:
         connection.track_progress(now_ms)
         idle_ms = self.limits.idle_ms
@@ -285,8 +205,8 @@
         """
         self.closing = True
         for connection in list(self.connections):
-            idle = connection.request is None and not connection.reader.started
-            if idle and connection.since_ms <= idle_since_ms:
+            long_open = connection.since_ms <= idle_since_ms
+            if connection.is_idle and long_open:
                 connection.stream.close_after_write()
 
     def has_open_transfers(self, began_by_ms: int) -> bool:
--- a/libs/daemon/src/trefoil_daemon/proxy.py
+++ b/libs/daemon/src/trefoil_daemon/proxy.py
@@ -10,6 +10,7 @@
 from trefoil_wire import messages
 
 from . import dialect as dialects
+from . import exchanges
 from . import gateway
 from . import health
 from . import http_server
@@ -148,14 +149,14 @@
             raise SystemExit(0)
 
     def log_truncated_answer(
-        self, connection: http_server.ServerConnection
+        self, connection: exchanges.ServerConnection
     ) -> None:
         """Log an answer that its caller did not receive in full."""
         self.note(
             common.Note(
                 "answer.cut",
                 {
-                    "id": connection.request_id,
+                    "id": connection.last_request_id,
                     "unsent": connection.stream.unsent,
                     "caller_left": connection.stream.eof_received,
                 },
--- a/libs/daemon/src/trefoil_daemon/proxy_process.py
+++ b/libs/daemon/src/trefoil_daemon/proxy_process.py
@@ -440,6 +440,10 @@
             self.entry.start(call, self.clock.now_ms(), self.now_us())
         )
 
+    def may_overlap(self, host: str, path: str, method: str) -> bool:
+        """Return whether a request may run beside others of its caller."""
+        return self.entry.incoming.may_overlap(host, path, method)
+
     def caller_disconnected(self, call_id: int) -> None:
         """Cancel the call of a caller that disconnected."""
         self.perform(self.entry.cancel(call_id, self.clock.now_ms()))
--- a/libs/daemon/src/trefoil_daemon/readiness.py
+++ b/libs/daemon/src/trefoil_daemon/readiness.py
@@ -3,7 +3,7 @@
 import typing
 
 from . import _page
-from . import http_server
+from . import exchanges
 
 
 class Process(typing.Protocol):
@@ -26,9 +26,9 @@
     def __init__(self, process: Process) -> None:
         self.process = process
 
-    def get(self, connection: http_server.ServerConnection) -> None:
+    def get(self, exchange: exchanges.Exchange) -> None:
         """Answer a GET."""
         if self.process.ready:
-            connection.answer(200, "OK")
+            exchange.answer(200, "OK")
         else:
-            connection.answer_text(503, "not ready")
+            exchange.answer_text(503, "not ready")
--- a/libs/daemon/tests/test_shutdown.py
+++ b/libs/daemon/tests/test_shutdown.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from trefoil_daemon import exchanges
 from trefoil_daemon import http_server
 from trefoil_daemon import transport as transports
 from trefoil_model import clock as clocks
@@ -63,15 +64,19 @@
     """Records the connections of the requests that would be run."""
 
     def __init__(self) -> None:
-        self.requests: list[http_server.ServerConnection] = []
+        self.requests: list[exchanges.Exchange] = []
 
     def handle_request(
-        self, connection: http_server.ServerConnection, message: typing.Any
+        self, exchange: exchanges.Exchange, message: typing.Any
     ) -> None:
         """Record a request."""
-        self.requests.append(connection)
+        self.requests.append(exchange)
 
-    def on_disconnect(self, connection: http_server.ServerConnection) -> None:
+    def may_overlap(self, message: typing.Any) -> bool:
+        """Return False."""
+        return False
+
+    def on_disconnect(self, exchange: exchanges.Exchange) -> None:
         """Ignore."""
 
 
@@ -81,7 +86,7 @@
     def __init__(self, idle_ms: int = 0) -> None:
         self.clock = clocks.PausedClock()
         self.handler = Handler()
-        self.truncated_connections: list[http_server.ServerConnection] = []
+        self.truncated_connections: list[exchanges.ServerConnection] = []
         self.transport = transports.Transport(
             typing.cast(transports.DirectPoller, Poller())
         )
--- a/libs/emulator/src/trefoil_emulator/target.py
+++ b/libs/emulator/src/trefoil_emulator/target.py
@@ -12,6 +12,7 @@
 import fire
 
 from trefoil_daemon import _http
+from trefoil_daemon import exchanges
 from trefoil_daemon import http_server
 from trefoil_daemon import transport as transports
 from trefoil_model import clock as clocks
@@ -61,7 +62,7 @@
         self.started_ms = self.clock.now_ms()
         self.announce_at_ms = 0
         self.state = "cold" if self.behaviour.cold_ms else "ready"
-        self.in_flight: dict[int, http_server.ServerConnection] = {}
+        self.in_flight: dict[int, exchanges.Exchange] = {}
         self.due: list[tuple[int, int, int]] = []
         self.numbers = itertools.count(1)
         self.worker_free_us: list[int] = []
@@ -81,18 +82,18 @@
 
     def handle_request(
         self,
-        connection: http_server.ServerConnection,
+        exchange: exchanges.Exchange,
         message: _http.Message,
     ) -> None:
         """Handle a request."""
         if message.path.startswith("/-/"):
-            self._control(connection, message)
+            self._control(exchange, message)
             return
         crash_word = self.behaviour.crash_word
         if crash_word and crash_word.encode() in message.body:
             os._exit(1)
         if self.behaviour.shed:
-            connection.answer(
+            exchange.answer(
                 503, "Service Unavailable", b"X-Trefoil-Not-Run: 1\r\n"
             )
             return
@@ -101,7 +102,7 @@
             self.runs[key] = self.runs.get(key, 0) + 1
             self._append_run(key)
         number = next(self.numbers)
-        self.in_flight[number] = connection
+        self.in_flight[number] = exchange
         if self.behaviour.hang:
             return
         duration_ms = self.behaviour.duration_ms(
@@ -132,18 +133,22 @@
             self.worker_free_us = [now_us] * workers
         return max(now_us, self.worker_free_us[0])
 
-    def on_disconnect(self, connection: http_server.ServerConnection) -> None:
+    def may_overlap(self, message: _http.Message) -> bool:
+        """Return False: requests are handled one after the other."""
+        return False
+
+    def on_disconnect(self, exchange: exchanges.Exchange) -> None:
         """Count the request of a closed connection as cancelled."""
         for number, running in list(self.in_flight.items()):
-            if running is connection:
+            if running is exchange:
                 del self.in_flight[number]
                 self.cancelled += 1
 
     def _finish(self, number: int) -> None:
-        connection = self.in_flight.pop(number, None)
-        if connection is None or connection.request is None:
+        exchange = self.in_flight.pop(number, None)
+        if exchange is None or not exchange.is_open:
             return
-        request = connection.request
+        request = exchange.request
         status = self.behaviour.status(
             request.path, self.age_s, len(self.in_flight) + 1, self.rng
         )
@@ -158,11 +163,11 @@
         ).encode()
         headers = b"Content-Type: application/json\r\n"
         headers += self.behaviour.headers()
-        connection.answer(status, "OK", headers, body)
+        exchange.answer(status, "OK", headers, body)
 
     def _control(
         self,
-        connection: http_server.ServerConnection,
+        exchange: exchanges.Exchange,
         message: _http.Message,
     ) -> None:
         if message.path == BEHAVE_PATH and message.method == "PUT":
@@ -170,7 +175,7 @@
                 message.body.decode()
             )
             self.started_ms = self.clock.now_ms()
-            connection.answer(200, "OK")
+            exchange.answer(200, "OK")
         elif message.path == STATS_PATH:
             body = json.dumps(
                 {
@@ -180,12 +185,12 @@
                     "runs": self.runs,
                 }
             ).encode()
-            connection.answer(200, "OK", b"", body)
+            exchange.answer(200, "OK", b"", body)
         elif message.path == HEALTH_PATH:
             is_healthy = self.behaviour.lie or not self.behaviour.hang
-            connection.answer(200 if is_healthy else 500, "OK")
+            exchange.answer(200 if is_healthy else 500, "OK")
         else:
-            connection.answer(404, "Not Found")
+            exchange.answer(404, "Not Found")
 
     # Time
 
--- a/libs/requests/src/trefoil_requests/incoming.py
+++ b/libs/requests/src/trefoil_requests/incoming.py
@@ -64,6 +64,20 @@
         """Return whether this proxy has just started and can't serve yet."""
         return self.table is None or self.access.is_starting
 
+    def may_overlap(self, host: str, path: str, method: str) -> bool:
+        """Return whether a request may run beside others of its caller.
+
+        A caller that sends a request which may not be repeated behind another
+        one relies on their order.
+        """
+        if self.table is None:
+            return False
+        try:
+            route = self.table.match(host, path, method)
+        except errors.ProtocolError:
+            return False
+        return route.repeat == messages.Repeat.ANY
+
     def accept(self, call: calls.Call, now_ms: int) -> Accepted | None:
         """Return an accepted call's route and account.
 
