Send small bodies only on request where links are narrow

Cause: in an overload nearly every request is refused by two or three full targets, and a body under 16 KiB went along each time. The refusals themselves are cheap, the bodies are not. Change: link_mbps (a setting, from the platform's own): bodies that take the link longer than a round trip, 1 KiB at least, wait at their senders until a target has room; a body behind less than a chunk is let in.

--- a/libs/daemon/src/trefoil_daemon/proxy_process.py
+++ b/libs/daemon/src/trefoil_daemon/proxy_process.py
@@ -127,6 +127,9 @@
         self.key_leases = key_leases.KeyLeases(self)
         self.token_asks = token_asks.TokenAsks(self)
         self.entry.retry_budgets.max_ratio = settings.retry_ratio
+        self.entry.placement.large_bytes = bodies.large_from(
+            settings.link_mbps
+        )
         self.announced = announcements.Announcements(settings.lease_ms)
         self.collectors: dict[str, evidences.Collector] = {}
         self.version_comparisons: dict[str, comparisons.VersionComparison] = {}
--- a/libs/requests/src/trefoil_requests/bodies.py
+++ b/libs/requests/src/trefoil_requests/bodies.py
@@ -18,6 +18,11 @@
 # Bodies from this size on wait at their senders. Smaller ones take one packet
 # or a few, and requesting them would take as long as sending them.
 LARGE_BYTES = 16 * 1024
+# On a narrow link, bodies wait at their senders if sending them takes longer
+# than this, about a round trip within a region.
+ROUND_TRIP_MS = 4
+MIN_LARGE_BYTES = 1024
+BYTES_PER_MS_PER_MBIT = 125
 # A chunk takes 12 ms on a link of 5.5 Mbit/s; two of them keep the link busy
 # while the next one is requested.
 CHUNK_BYTES = 8 * 1024
@@ -41,9 +46,19 @@
 MAX_ACTIVE_BODIES = 3
 
 
-def is_large(body: bytes) -> bool:
-    """Return whether a body is sent only on request."""
-    return len(body) >= LARGE_BYTES
+def large_from(link_mbps: float) -> int:
+    """Return the size from which on bodies are sent only on request.
+
+    In an overload a request is refused by several full targets. Its body would
+    pass the sender's link for each of them.
+
+    Args:
+        link_mbps: Rate of the sender's link in Mbit/s, 0 if unknown.
+    """
+    if not link_mbps:
+        return LARGE_BYTES
+    sent_bytes = int(link_mbps * BYTES_PER_MS_PER_MBIT * ROUND_TRIP_MS)
+    return min(max(sent_bytes, MIN_LARGE_BYTES), LARGE_BYTES)
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -266,9 +281,18 @@
         return request_id in self.waiting
 
     def is_busy(self, now_ms: int) -> bool:
-        """Return whether bodies that can be in time use the link."""
-        return any(
-            not self._is_late(body, now_ms) for body in self.waiting.values()
+        """Return whether another body would wait for those in time.
+
+        It does not wait long for what one chunk carries.
+        """
+        return self._in_time_bytes(now_ms) > CHUNK_BYTES
+
+    def _in_time_bytes(self, now_ms: int) -> int:
+        """Return what is left of the bodies that can be in time."""
+        return sum(
+            body.remaining_bytes
+            for body in self.waiting.values()
+            if not self._is_late(body, now_ms)
         )
 
     def is_deferred(self, request_id: int, now_ms: int) -> bool:
@@ -325,7 +349,8 @@
             (now_ms - self.utilization_updated_ms) / UTILIZATION_WINDOW_MS, 1.0
         )
         self.utilization_updated_ms = now_ms
-        self.utilization += weight * (self.is_busy(now_ms) - self.utilization)
+        in_use = self._in_time_bytes(now_ms) > 0
+        self.utilization += weight * (in_use - self.utilization)
 
     def _is_slow(self, body: IncomingBody, now_ms: int) -> bool:
         """Return whether its sender is slower than the link."""
--- a/libs/requests/src/trefoil_requests/entry.py
+++ b/libs/requests/src/trefoil_requests/entry.py
@@ -16,7 +16,6 @@
 from trefoil_wire import messages
 
 from . import attribution
-from . import bodies
 from . import budget
 from . import call as calls
 from . import claims as claiming
@@ -347,9 +346,8 @@
         self.by_request[live.request_id] = live.call.call_id
         self.balancer.started(endpoint.key, now_ms)
         body = live.call.body
-        body_follows = endpoint.host != self.local_host and bodies.is_large(
-            body
-        )
+        is_remote = endpoint.host != self.local_host
+        body_follows = is_remote and self.placement.is_large(body)
         request = messages.Request(
             request_id=live.request_id,
             route=route.name,
--- a/libs/requests/src/trefoil_requests/placing.py
+++ b/libs/requests/src/trefoil_requests/placing.py
@@ -50,6 +50,7 @@
         "route_mean_us",
         "route_mean_bytes",
         "service_mean_us",
+        "large_bytes",
     )
 
     def __init__(self, host: str, domain: str, rng: random.Random) -> None:
@@ -62,6 +63,11 @@
         self.route_mean_us: dict[str, float] = {}
         self.route_mean_bytes: dict[str, float] = {}
         self.service_mean_us: dict[str, float] = {}
+        self.large_bytes = bodies.LARGE_BYTES
+
+    def is_large(self, body: bytes) -> bool:
+        """Return whether a body is sent to other hosts only on request."""
+        return len(body) >= self.large_bytes
 
     def put_in_force(self, table: routing.RouteTable) -> None:
         """Switch to a new configuration and drop data of removed routes."""
@@ -91,7 +97,7 @@
         the call, so forwarding such a call again costs little.
         """
         costly = self._crossing_cost(live.route) >= COSTLY_CROSSING
-        if costly and not bodies.is_large(live.call.body):
+        if costly and not self.is_large(live.call.body):
             return self._choose_costly(live, now_ms)
         return self._choose_by_forwarding(live, now_ms)
 
@@ -183,7 +189,7 @@
                 urgency=urgency,
                 remote_penalty_us=self._mean_kib(live.route)
                 * REMOTE_US_PER_KIB,
-                large=bodies.is_large(live.call.body),
+                large=self.is_large(live.call.body),
             )
             if endpoint is not None:
                 return endpoint
--- a/libs/requests/tests/test_bodies.py
+++ b/libs/requests/tests/test_bodies.py
@@ -361,3 +361,21 @@
     assert not incoming.is_deferred(1, 0)
     incoming.add(3, "late", BODY_BYTES, 10, 0)
     assert incoming.is_deferred(3, 0)
+
+
+@pytest.mark.parametrize(
+    ("link_mbps", "size"),
+    [
+        (0, 16384),
+        (1000, 16384),
+        (5.5, 2750),
+        (2.65, 1325),
+        (2, 1024),
+        (0.1, 1024),
+    ],
+)
+def test_bodies_wait_at_their_senders_on_narrow_links(
+    link_mbps: float, size: int
+) -> None:
+    """Guards a narrow link against bodies that full targets refuse."""
+    assert bodies.large_from(link_mbps) == size
--- a/libs/settings/src/trefoil_settings/settings.py
+++ b/libs/settings/src/trefoil_settings/settings.py
@@ -57,6 +57,7 @@
             multiple of the rate in its service's configuration.
         cold_slack: Additional requests that a cold target may get in any
             second.
+        link_mbps: Rate of this host's link in Mbit/s; 0 if unknown.
         key_revocation_ms: How long after a change is acknowledged a key that
             it took away may be honoured at any host, even one that is cut
             off; 0 if only hosts in contact with the control hosts have to
@@ -84,6 +85,7 @@
     retry_slack: float = 0.0
     cold_overage: float = 1.0
     cold_slack: float = 0.0
+    link_mbps: float = 0.0
     key_revocation_ms: int = 0
     metrics: str = ""
     advertise: str = ""
@@ -253,6 +255,12 @@
             schema.Field(schema.Duration(), default=0),
         ),
         ("key_revocation", schema.Field(schema.Duration(), default=0)),
+        (
+            "link_mbps",
+            schema.Field(
+                schema.Number(0, 1_000_000, integer=False), default=0.0
+            ),
+        ),
         (
             "max_body_mib",
             schema.Field(schema.Number(1, MAX_BODY_MIB), default=1),
