Send between processes only what the receiver does not know

Cause: bytes between failure domains are the largest price on both new deployments, and a host's link of 2 Mbit/s is full of requests of 280 bytes without a body, whose headers, names and paths repeat, and of documents of 155 KB of which one route differs. Ruled out: tables of header names and routes (each kind of text needs its own; a stream's window finds all of them); a zstd window of a megabyte (a library more; a patch of the document before is 430 bytes of 147,129, deflate 9,614); a window of 4 to 32 KB for links between proxies (57 to 55 bytes instead of 64, for 5 to 40 times the memory of each of some 150 links). Change: compact frames: each direction of a connection is one deflate stream without callers' bodies, and log entries, commands and documents are patches of the one before in that direction. Histories end with their connection; a frame that does not fit closes it. Processes switch when both say that they read compact frames, so old ones beside new ones speak as before.

--- a/libs/daemon/src/trefoil_daemon/hub.py
+++ b/libs/daemon/src/trefoil_daemon/hub.py
@@ -12,6 +12,7 @@
 
 from trefoil_model import clock as clocks
 from trefoil_model import errors
+from trefoil_wire import compact
 from trefoil_wire import frames
 from trefoil_wire import messages
 
@@ -101,6 +102,7 @@
         opened_ms: When it was opened.
         last_received_ms: When the peer last sent anything.
         reader: Decodes the peer's frames.
+        encoder: Encodes compact frames once this direction has switched.
         greeted: Whether the first message has arrived.
         ready: Whether messages may be sent.
         waiting: Messages that are sent once the connection is open.
@@ -118,9 +120,8 @@
     outgoing: bool
     opened_ms: int
     last_received_ms: int
-    reader: frames.FrameReader = dataclasses.field(
-        default_factory=frames.FrameReader
-    )
+    reader: frames.FrameReader = dataclasses.field(init=False)
+    encoder: compact.Encoder | None = None
     greeted: bool = False
     ready: bool = False
     waiting: list[typing.Any] = dataclasses.field(default_factory=list)
@@ -130,6 +131,11 @@
     last_used_ms: int = 0
     unresponsive: bool = False
 
+    def __post_init__(self) -> None:
+        self.reader = frames.FrameReader(
+            make_decoder=lambda: compact.Decoder(self.subscribe)
+        )
+
     @property
     def name(self) -> str:
         """Return a name that is unique within this process."""
@@ -217,7 +223,10 @@
             self._write(connection, message)
 
     def _write(self, connection: Connection, message: typing.Any) -> None:
-        data = frames.encode(message)
+        if connection.encoder is not None:
+            data = connection.encoder.encode(message)
+        else:
+            data = frames.encode(message)
         name = type(message).__name__
         self.bytes_out[name] = self.bytes_out.get(name, 0) + len(data)
         if self.owner.is_cross_domain(connection.host):
@@ -225,6 +234,18 @@
             self.cross_domain_bytes_out[name] = cross_domain_bytes + len(data)
         connection.stream.write(data)
 
+    def _greet(self, connection: Connection) -> None:
+        """Send the first message of a connection."""
+        hello = self.owner.greeting(connection.subscribe)
+        hello.reads_compact = True
+        self._write(connection, hello)
+
+    def _switch_to_compact(self, connection: Connection) -> None:
+        """Write compact frames from now on; the peer reads them."""
+        if connection.encoder is None:
+            self._write(connection, messages.Hello(switches=True))
+            connection.encoder = compact.Encoder(connection.subscribe)
+
     def has_unsent_answers(self) -> bool:
         """Return whether answers to other proxies are still unsent."""
         return any(
@@ -305,7 +326,7 @@
     def _on_open(self, stream: transports.Stream) -> None:
         connection = stream.owner
         connection.last_received_ms = self.clock.now_ms()
-        self._write(connection, self.owner.greeting(connection.subscribe))
+        self._greet(connection)
         if not connection.subscribe:
             connection.ready = True
             # A write that fails closes the connection. What was written by
@@ -372,6 +393,9 @@
         self.bytes_in[name] = self.bytes_in.get(name, 0) + 1
         if not connection.greeted:
             self._on_first_message(connection, message)
+        elif isinstance(message, messages.Hello):
+            # The peer reads compact frames, since it writes them.
+            self._switch_to_compact(connection)
         elif isinstance(message, messages.Ping):
             self._write(connection, messages.Pong(message.nonce))
         elif isinstance(message, messages.Pong):
@@ -405,6 +429,8 @@
         connection.subscribe = bool(message.subscribe)
         if connection.subscribe:
             self._admit(connection, message)
+        if message.reads_compact and not connection.stream.closing:
+            self._switch_to_compact(connection)
 
     def _admit(self, connection: Connection, hello: messages.Hello) -> None:
         wait_ms = self.owner.admit(hello)
--- a/libs/wire/src/trefoil_wire/frames.py
+++ b/libs/wire/src/trefoil_wire/frames.py
@@ -139,7 +139,7 @@
     return HEADER.pack(len(body) + 1, code) + body
 
 
-def _decompress(data: bytes) -> bytes:
+def decompress(data: bytes) -> bytes:
     """Return a decompressed body.
 
     Raises:
@@ -176,18 +176,33 @@
     return unpack(TYPES[code], data)
 
 
+class Decoder(typing.Protocol):
+    """Reads the frames after a greeting that switches their form."""
+
+    def decode(self, code: int, data: bytes) -> typing.Any:
+        """Return the message of a frame."""
+
+
 class FrameReader:
     """Decodes messages from a byte stream, in bounded memory.
 
     Args:
         limit: Largest accepted length of a frame, in bytes.
+        make_decoder: Makes the decoder of the frames after a greeting that
+            switches their form; without one, such a greeting is an error.
     """
 
-    __slots__ = ("buffer", "limit")
+    __slots__ = ("buffer", "limit", "make_decoder", "decoder")
 
-    def __init__(self, limit: int = MAX_FRAME_BYTES) -> None:
+    def __init__(
+        self,
+        limit: int = MAX_FRAME_BYTES,
+        make_decoder: typing.Callable[[], Decoder] | None = None,
+    ) -> None:
         self.buffer = b""
         self.limit = limit
+        self.make_decoder = make_decoder
+        self.decoder: Decoder | None = None
 
     def feed(self, data: bytes) -> list[typing.Any]:
         """Add received bytes and return the messages that are now complete.
@@ -209,9 +224,19 @@
             if frame_end > end:
                 break
             body = buffer[start + HEADER_BYTES : frame_end]
-            if code & COMPRESSED_FLAG:
-                code, body = code & ~COMPRESSED_FLAG, _decompress(body)
-            decoded.append(unpack_any(code, body))
+            decoded.append(self._decode(code, body))
             start = frame_end
         self.buffer = buffer[start:]
         return decoded
+
+    def _decode(self, code: int, body: bytes) -> typing.Any:
+        if self.decoder is not None:
+            return self.decoder.decode(code, body)
+        if code & COMPRESSED_FLAG:
+            code, body = code & ~COMPRESSED_FLAG, decompress(body)
+        message = unpack_any(code, body)
+        if isinstance(message, messages.Hello) and message.switches:
+            if self.make_decoder is None:
+                raise errors.FrameError("compact frames are not read here")
+            self.decoder = self.make_decoder()
+        return message
--- a/libs/wire/src/trefoil_wire/gen/ttypes.py
+++ b/libs/wire/src/trefoil_wire/gen/ttypes.py
@@ -5168,6 +5168,8 @@
      - control
      - revision
      - subscribe
+     - reads_compact
+     - switches
 
     """
 
@@ -5179,10 +5181,12 @@
         'control',
         'revision',
         'subscribe',
+        'reads_compact',
+        'switches',
     )
 
 
-    def __init__(self, host=None, domain=None, address=None, incarnation=None, control=None, revision=None, subscribe=False,):
+    def __init__(self, host=None, domain=None, address=None, incarnation=None, control=None, revision=None, subscribe=False, reads_compact=False, switches=False,):
         self.host = host
         self.domain = domain
         self.address = address
@@ -5190,6 +5194,8 @@
         self.control = control
         self.revision = revision
         self.subscribe = subscribe
+        self.reads_compact = reads_compact
+        self.switches = switches
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -5235,6 +5241,16 @@
                     self.subscribe = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.BOOL:
+                    self.reads_compact = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.BOOL:
+                    self.switches = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -5273,6 +5289,14 @@
             oprot.writeFieldBegin('subscribe', TType.BOOL, 7)
             oprot.writeBool(self.subscribe)
             oprot.writeFieldEnd()
+        if self.reads_compact is not None:
+            oprot.writeFieldBegin('reads_compact', TType.BOOL, 8)
+            oprot.writeBool(self.reads_compact)
+            oprot.writeFieldEnd()
+        if self.switches is not None:
+            oprot.writeFieldBegin('switches', TType.BOOL, 9)
+            oprot.writeBool(self.switches)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -7336,6 +7360,187 @@
         return not (self == other)
 
 
+class PatchPiece(object):
+    """
+    Attributes:
+     - offset
+     - length
+     - literal
+
+    """
+
+    __slots__ = (
+        'offset',
+        'length',
+        'literal',
+    )
+
+
+    def __init__(self, offset=None, length=None, literal=None,):
+        self.offset = offset
+        self.length = length
+        self.literal = literal
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.offset = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.length = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.literal = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PatchPiece')
+        if self.offset is not None:
+            oprot.writeFieldBegin('offset', TType.I32, 1)
+            oprot.writeI32(self.offset)
+            oprot.writeFieldEnd()
+        if self.length is not None:
+            oprot.writeFieldBegin('length', TType.I32, 2)
+            oprot.writeI32(self.length)
+            oprot.writeFieldEnd()
+        if self.literal is not None:
+            oprot.writeFieldBegin('literal', TType.STRING, 3)
+            oprot.writeBinary(self.literal)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Patch(object):
+    """
+    Attributes:
+     - pieces
+     - digest
+
+    """
+
+    __slots__ = (
+        'pieces',
+        'digest',
+    )
+
+
+    def __init__(self, pieces=None, digest=None,):
+        self.pieces = pieces
+        self.digest = digest
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.pieces = []
+                    (_etype208, _size205) = iprot.readListBegin()
+                    for _i209 in range(_size205):
+                        _elem210 = PatchPiece()
+                        _elem210.read(iprot)
+                        self.pieces.append(_elem210)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.digest = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Patch')
+        if self.pieces is not None:
+            oprot.writeFieldBegin('pieces', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.pieces))
+            for iter211 in self.pieces:
+                iter211.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.digest is not None:
+            oprot.writeFieldBegin('digest', TType.I64, 2)
+            oprot.writeI64(self.digest)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Request(object):
     """
     Attributes:
@@ -8449,10 +8654,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.fingerprints = []
-                    (_etype208, _size205) = iprot.readListBegin()
-                    for _i209 in range(_size205):
-                        _elem210 = iprot.readI64()
-                        self.fingerprints.append(_elem210)
+                    (_etype215, _size212) = iprot.readListBegin()
+                    for _i216 in range(_size212):
+                        _elem217 = iprot.readI64()
+                        self.fingerprints.append(_elem217)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -8483,8 +8688,8 @@
         if self.fingerprints is not None:
             oprot.writeFieldBegin('fingerprints', TType.LIST, 2)
             oprot.writeListBegin(TType.I64, len(self.fingerprints))
-            for iter211 in self.fingerprints:
-                oprot.writeI64(iter211)
+            for iter218 in self.fingerprints:
+                oprot.writeI64(iter218)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.age_ms is not None:
@@ -8577,10 +8782,10 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.keepers = []
-                    (_etype215, _size212) = iprot.readListBegin()
-                    for _i216 in range(_size212):
-                        _elem217 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.keepers.append(_elem217)
+                    (_etype222, _size219) = iprot.readListBegin()
+                    for _i223 in range(_size219):
+                        _elem224 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.keepers.append(_elem224)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -8619,8 +8824,8 @@
         if self.keepers is not None:
             oprot.writeFieldBegin('keepers', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.keepers))
-            for iter218 in self.keepers:
-                oprot.writeString(iter218.encode('utf-8') if sys.version_info[0] == 2 else iter218)
+            for iter225 in self.keepers:
+                oprot.writeString(iter225.encode('utf-8') if sys.version_info[0] == 2 else iter225)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.service_name is not None:
@@ -9102,10 +9307,10 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype222, _size219) = iprot.readListBegin()
-                    for _i223 in range(_size219):
-                        _elem224 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.members.append(_elem224)
+                    (_etype229, _size226) = iprot.readListBegin()
+                    for _i230 in range(_size226):
+                        _elem231 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.members.append(_elem231)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -9134,8 +9339,8 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.members))
-            for iter225 in self.members:
-                oprot.writeString(iter225.encode('utf-8') if sys.version_info[0] == 2 else iter225)
+            for iter232 in self.members:
+                oprot.writeString(iter232.encode('utf-8') if sys.version_info[0] == 2 else iter232)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -9207,11 +9412,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype229, _size226) = iprot.readListBegin()
-                    for _i230 in range(_size226):
-                        _elem231 = LedgerEntry()
-                        _elem231.read(iprot)
-                        self.entries.append(_elem231)
+                    (_etype236, _size233) = iprot.readListBegin()
+                    for _i237 in range(_size233):
+                        _elem238 = LedgerEntry()
+                        _elem238.read(iprot)
+                        self.entries.append(_elem238)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -9247,8 +9452,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter232 in self.entries:
-                iter232.write(oprot)
+            for iter239 in self.entries:
+                iter239.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.complete is not None:
@@ -9671,6 +9876,8 @@
     (5, TType.BOOL, 'control', None, None, ),  # 5
     (6, TType.I64, 'revision', None, None, ),  # 6
     (7, TType.BOOL, 'subscribe', None, False, ),  # 7
+    (8, TType.BOOL, 'reads_compact', None, False, ),  # 8
+    (9, TType.BOOL, 'switches', None, False, ),  # 9
 )
 all_structs.append(HelloReply)
 HelloReply.thrift_spec = (
@@ -9821,6 +10028,19 @@
     (5, TType.LIST, 'tallies', (TType.STRUCT, [Tally, None], False), None, ),  # 5
     (6, TType.BOOL, 'halted', None, False, ),  # 6
 )
+all_structs.append(PatchPiece)
+PatchPiece.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'offset', None, None, ),  # 1
+    (2, TType.I32, 'length', None, None, ),  # 2
+    (3, TType.STRING, 'literal', 'BINARY', None, ),  # 3
+)
+all_structs.append(Patch)
+Patch.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'pieces', (TType.STRUCT, [PatchPiece, None], False), None, ),  # 1
+    (2, TType.I64, 'digest', None, None, ),  # 2
+)
 all_structs.append(Request)
 Request.thrift_spec = (
     None,  # 0
--- a/libs/wire/trefoil.thrift
+++ b/libs/wire/trefoil.thrift
@@ -238,9 +238,12 @@
   5: i64 incarnation, 6: i64 sequence, 7: HostState state,
   8: list<TargetRecord> targets,
 }
+/* reads_compact: the sender reads compact frames. switches: all frames after
+   this one are compact, in this direction. */
 struct Hello {
   1: string host, 2: string domain, 3: string address, 4: i64 incarnation,
   5: bool control, 6: i64 revision, 7: bool subscribe = false,
+  8: bool reads_compact = false, 9: bool switches = false,
 }
 struct HelloReply {
   1: Hello hello, 2: bool accepted, 3: i32 retry_after_ms,
@@ -307,6 +310,14 @@
   5: list<Tally> tallies, 6: bool halted = false,
 }
 
+/* ---- compact frames ---- */
+
+/* Either length bytes of the base from an offset on, or a literal. */
+struct PatchPiece { 1: i32 offset, 2: i32 length, 3: binary literal }
+/* What turns the previous message of a type into this one; digest is that of
+   the result. */
+struct Patch { 1: list<PatchPiece> pieces, 2: i64 digest }
+
 /* ---- requests ---- */
 
 /* aim_ms: time left to meet the route's latency target. settled: the target
