Tell domains' loads, and send log entries as patches

Change: proxies on narrow links report the mean load of their targets, control hosts add it up and tell each other and their proxies; calls cross only to a domain below 0.7 of its slots or three quarters of the own load. Without news of both domains nothing changes. Commands are kept plain in memory and compressed on disk, as any release reads them.

--- a/libs/daemon/src/trefoil_daemon/control_process.py
+++ b/libs/daemon/src/trefoil_daemon/control_process.py
@@ -20,6 +20,7 @@
 from trefoil_settings import settings as setting_store
 from trefoil_store import disk as disks
 from trefoil_store import store as stores
+from trefoil_wire import commands as log_commands
 from trefoil_wire import frames
 from trefoil_wire import messages
 
@@ -32,6 +33,7 @@
 from . import floor_confirmations
 from . import identities
 from . import leading_moves
+from . import load_reports
 from . import operators
 from . import queries
 from . import quota_keepers
@@ -133,6 +135,7 @@
         self.revision_answers = revision_answers.RevisionAnswers(self)
         self.quotas = quota_keepers.QuotaKeepers(self)
         self.quotas.put_in_force()
+        self.loads = load_reports.LoadRelay(self)
         self.unpublished = False
 
     def _open_agreement(self, driver: facade.Driver, now_ms: int) -> None:
@@ -516,7 +519,7 @@
 
     def apply(self, entry: messages.Entry) -> None:
         """Apply a committed entry."""
-        message = rafts.decode_command(entry)
+        message = log_commands.decode(entry.command)
         if not isinstance(message, messages.CommandRequest):
             return
         command = message.command
@@ -657,6 +660,7 @@
         self.confirmations.tick()
         self.revision_answers.tick()
         self.quotas.tick()
+        self.loads.tick(now_ms)
         self.evacuations.tick()
         leader_heard = now_ms - self.raft.last_received_ms < LEADER_TIMEOUT_MS
         self.node.set_leader_known(self.raft.is_leader or leader_heard)
@@ -865,6 +869,20 @@
     process.revision_answers.on_reply(message)
 
 
+@receive.register
+def _(
+    message: messages.LoadReport, process: ControlProcess, host: str
+) -> None:
+    process.loads.on_report(host, message)
+
+
+@receive.register
+def _(
+    message: messages.DomainLoads, process: ControlProcess, host: str
+) -> None:
+    process.loads.on_loads(host, message)
+
+
 @receive.register
 def _(message: messages.TokenAsk, process: ControlProcess, host: str) -> None:
     process.quotas.on_ask(host, message)
--- a/libs/daemon/src/trefoil_daemon/floor_confirmations.py
+++ b/libs/daemon/src/trefoil_daemon/floor_confirmations.py
@@ -4,6 +4,7 @@
 
 from trefoil_fleet import node as nodes
 from trefoil_quorum import raft as rafts
+from trefoil_wire import commands
 from trefoil_wire import frames
 from trefoil_wire import messages
 
@@ -79,7 +80,7 @@
         for entry in reversed(
             raft.log.slice_from(raft.applied + 1, ALL_ENTRIES)
         ):
-            if rafts.type_code(entry) == COMMAND_CODE:
+            if commands.type_code(entry.command) == COMMAND_CODE:
                 return entry.index
         return self.process.state.items.revision
 
--- a/libs/daemon/src/trefoil_daemon/identities.py
+++ b/libs/daemon/src/trefoil_daemon/identities.py
@@ -8,9 +8,9 @@
 import random
 
 from trefoil_model import errors
-from trefoil_quorum import raft as rafts
 from trefoil_store import disk as disks
 from trefoil_store import store as stores
+from trefoil_wire import commands
 from trefoil_wire import messages
 
 FIRST_SUFFIX = "first"
@@ -41,7 +41,7 @@
     entry = messages.Entry(
         index=1,
         term=FIRST_TERM,
-        command=rafts.encode_command(
+        command=commands.encode(
             messages.ChangeVoters(voters=sorted(voters), learners=[])
         ),
     )
--- a/libs/daemon/src/trefoil_daemon/proxy_process.py
+++ b/libs/daemon/src/trefoil_daemon/proxy_process.py
@@ -37,6 +37,7 @@
 from . import exposition
 from . import facade
 from . import key_leases
+from . import load_reports
 from . import operators
 from . import relay as relays
 from . import slot_metrics
@@ -126,6 +127,7 @@
         )
         self.key_leases = key_leases.KeyLeases(self)
         self.token_asks = token_asks.TokenAsks(self)
+        self.load_reporter = load_reports.LoadReporter(self)
         self.entry.retry_budgets.max_ratio = settings.retry_ratio
         self.entry.placement.large_bytes = bodies.large_from(
             settings.link_mbps
@@ -336,6 +338,9 @@
                 self._on_crash_notice(host, message)
             case messages.EvidenceReport():
                 self._forward_evidence(host, message)
+            case messages.DomainLoads():
+                loads = self.entry.placement.domain_loads
+                loads.hear(message, self.clock.now_ms())
             case messages.RevisionQuery():
                 self.key_leases.ask(host, message)
             case messages.RevisionReply():
@@ -576,6 +581,7 @@
         self.perform(self.node.tick(now_ms))
         self.key_leases.tick()
         self.token_asks.tick()
+        self.load_reporter.tick(now_ms)
         if self.records_dirty:
             self.records_changed()
         for name in self.announced.expired(now_ms):
--- a/libs/quorum/src/trefoil_quorum/raft.py
+++ b/libs/quorum/src/trefoil_quorum/raft.py
@@ -9,13 +9,11 @@
 import dataclasses
 import enum
 import functools
-import lzma
 import random
 import typing
-import zlib
 
 from trefoil_model import effects as common
-from trefoil_model import errors
+from trefoil_wire import commands
 from trefoil_wire import frames
 from trefoil_wire import messages
 
@@ -26,22 +24,13 @@
 ELECTION_MS = 600
 BATCH_ENTRIES = 128
 # Well below the frame size limit. A configuration of a few hundred routes
-# takes tens of kilobytes.
+# takes hundreds of kilobytes.
 BATCH_BYTES = 512 * 1024
 # Limit on the entries sent to a follower but not yet acknowledged by it.
 WINDOW_ENTRIES = 256
 # A follower with unacknowledged entries that has not replied for this long
 # gets no more until it replies. Also the interval for resending a snapshot.
 FOLLOWER_TIMEOUT_MS = 1000
-ZLIB_MIN_BYTES = 2048
-# zlib finds no repetition beyond its window of 32 KiB. A configuration names
-# each route twice, in the submitted document and in its parsed form, so larger
-# commands are compressed with LZMA.
-LZMA_MIN_BYTES = 32 * 1024
-XZ_MAGIC = b"\xfd7zXZ\x00"
-# The top bit of the type code, which is free: there are far fewer than 128
-# message types.
-COMPRESSED_FLAG = 0x80
 # A learner that lacks at most this many entries may become a voter.
 MAX_PROMOTION_LAG_ENTRIES = 2
 # After a power loss all processes connect at the same moment. Simultaneous
@@ -102,41 +91,6 @@
     index: int
 
 
-def encode_command(message: typing.Any) -> bytes:
-    """Encode a message as the command of a log entry.
-
-    Large messages are compressed. This shrinks a configuration of hundreds of
-    routes to a tenth, both on disk and on the network to each follower.
-    """
-    code, body = frames.pack_any(message)
-    if len(body) < ZLIB_MIN_BYTES:
-        return bytes((code,)) + body
-    if len(body) < LZMA_MIN_BYTES:
-        return bytes((code | COMPRESSED_FLAG,)) + zlib.compress(body, 1)
-    return bytes((code | COMPRESSED_FLAG,)) + lzma.compress(body, preset=0)
-
-
-def type_code(entry: messages.Entry) -> int:
-    """Return the type code of a log entry's message."""
-    return entry.command[0] & ~COMPRESSED_FLAG
-
-
-def decode_command(entry: messages.Entry) -> typing.Any:
-    """Decode the message in a log entry.
-
-    Raises:
-        FrameError: The entry is malformed.
-    """
-    body = entry.command[1:]
-    if entry.command[0] & COMPRESSED_FLAG:
-        try:
-            is_xz = body.startswith(XZ_MAGIC)
-            body = lzma.decompress(body) if is_xz else zlib.decompress(body)
-        except (lzma.LZMAError, zlib.error) as error:
-            raise errors.FrameError(f"cannot decompress log entry: {error}")
-    return frames.unpack_any(type_code(entry), body)
-
-
 class Raft:
     """The Raft state machine of one control process.
 
@@ -300,7 +254,7 @@
         self.now_ms = now_ms
         if not self.is_leader:
             return 0, []
-        index = self._append(encode_command(message))
+        index = self._append(commands.encode(message))
         self._broadcast()
         self._advance_commit()
         return index, self._flush()
@@ -434,7 +388,7 @@
         self.round_sent_ms = {}
         self.progress = {}
         self.quorum_check_at_ms = self.now_ms + self.election_ms
-        self._append(encode_command(messages.Noop(term=self.term)))
+        self._append(commands.encode(messages.Noop(term=self.term)))
         self._sync_progress()
         self.pending_effects.append(
             common.Note("quorum.leading", {"term": self.term})
@@ -813,8 +767,8 @@
         for entry in reversed(self.log.entries):
             if entry.index > index:
                 continue
-            if type_code(entry) == CHANGE_VOTERS_CODE:
-                change = decode_command(entry)
+            if commands.type_code(entry.command) == CHANGE_VOTERS_CODE:
+                change = commands.decode(entry.command)
                 return change.voters, change.learners
         if self.snapshot is not None:
             return self.snapshot.voters, self.snapshot.learners
@@ -826,7 +780,7 @@
             (
                 entry.index
                 for entry in reversed(self.log.entries)
-                if type_code(entry) == CHANGE_VOTERS_CODE
+                if commands.type_code(entry.command) == CHANGE_VOTERS_CODE
             ),
             self.log.base_index,
         )
@@ -852,7 +806,7 @@
         change = messages.ChangeVoters(
             voters=sorted(voters), learners=sorted(learners)
         )
-        self._append(encode_command(change))
+        self._append(commands.encode(change))
         self._update_config()
         self._broadcast()
         self._advance_commit()
--- a/libs/quorum/tests/test_raft.py
+++ b/libs/quorum/tests/test_raft.py
@@ -20,6 +20,7 @@
 from trefoil_quorum import raft as rafts
 from trefoil_store import disk as disks
 from trefoil_store import store as stores
+from trefoil_wire import commands as log_commands
 from trefoil_wire import messages
 
 NAMES = ["a", "b", "c"]
@@ -482,7 +483,7 @@
     """A crash after the reply must not lose entries counted as stored."""
     cluster = ReliableCluster()
     raft = cluster.processes["a"].raft
-    entry = messages.Entry(1, 1, rafts.encode_command(messages.Noop(1)))
+    entry = messages.Entry(1, 1, log_commands.encode(messages.Noop(1)))
     request = messages.AppendRequest(1, "b#first", 0, 0, [entry], 0, 1)
     emitted = raft.receive("b", request, 10_000)
     kinds = [type(effect) for effect in emitted]
@@ -528,7 +529,7 @@
     """
     cluster = ReliableCluster()
     raft = cluster.processes["a"].raft
-    old_entry = messages.Entry(1, 1, rafts.encode_command(messages.Noop(1)))
+    old_entry = messages.Entry(1, 1, log_commands.encode(messages.Noop(1)))
     request = messages.AppendRequest(1, "b#first", 0, 0, [old_entry], 0, 1)
     cluster.processes["a"].perform(raft.receive("b", request, 0))
     raft.tick(10_000)
@@ -590,7 +591,8 @@
     names = [rng.randbytes(12).hex() for _ in range(2000)]
     text = " ".join(names + names).encode()
     body = messages.Command("c", "op", 0, 1, text)
-    stored = rafts.encode_command(messages.CommandRequest(body, 0))
+    command = log_commands.encode(messages.CommandRequest(body, 0))
+    stored = log_commands.compress(command)
     assert len(stored) < 0.6 * len(zlib.compress(text, 1))
     entry = messages.Entry(1, 1, stored)
-    assert rafts.decode_command(entry).command.body == text
+    assert log_commands.decode(entry.command).command.body == text
--- a/libs/requests/src/trefoil_requests/placing.py
+++ b/libs/requests/src/trefoil_requests/placing.py
@@ -8,6 +8,7 @@
 from . import balancer as balancers
 from . import bodies
 from . import crossing
+from . import domain_loads
 from . import live as live_calls
 from . import routing
 from . import stated
@@ -51,6 +52,7 @@
         "route_mean_bytes",
         "service_mean_us",
         "large_bytes",
+        "domain_loads",
     )
 
     def __init__(self, host: str, domain: str, rng: random.Random) -> None:
@@ -64,6 +66,7 @@
         self.route_mean_bytes: dict[str, float] = {}
         self.service_mean_us: dict[str, float] = {}
         self.large_bytes = bodies.LARGE_BYTES
+        self.domain_loads = domain_loads.DomainLoads(domain)
 
     def is_large(self, body: bytes) -> bool:
         """Return whether a body is sent to other hosts only on request."""
@@ -175,6 +178,7 @@
             return None
         named_versions = {s.version for s in self.table.shares[service].shares}
         urgency = self._urgency(live, now_ms)
+        full_domains = self.domain_loads.full_domains(service, now_ms)
         for version in self._versions(live):
             serving = self.statements.staying(
                 self.endpoints.serving(
@@ -182,7 +186,7 @@
                 )
             )
             endpoint = self.balancer.pick(
-                serving,
+                [e for e in serving if e.domain not in full_domains],
                 self.endpoints.first_seen_ms,
                 tried=tried,
                 now_ms=now_ms,
--- a/libs/store/src/trefoil_store/store.py
+++ b/libs/store/src/trefoil_store/store.py
@@ -11,6 +11,7 @@
 import zlib
 
 from trefoil_model import errors
+from trefoil_wire import commands
 from trefoil_wire import frames
 from trefoil_wire import messages
 
@@ -132,7 +133,10 @@
         """Append entries to the log and make them durable in one sync."""
         parts = []
         for entry in entries:
-            record = encode_record(frames.pack(entry))
+            stored = messages.Entry(
+                entry.index, entry.term, commands.compress(entry.command)
+            )
+            record = encode_record(frames.pack(stored))
             self.offsets.append(self.size)
             self.entries.append(entry)
             self.size += len(record)
--- a/libs/wire/src/trefoil_wire/frames.py
+++ b/libs/wire/src/trefoil_wire/frames.py
@@ -79,6 +79,8 @@
     messages.RevisionReply,
     messages.TokenAsk,
     messages.TokenReply,
+    messages.LoadReport,
+    messages.DomainLoads,
 )
 # Configurations and lists of hosts repeat the same names hundreds of times.
 # The documents that operators read and write make up a third of the bytes
--- a/libs/wire/src/trefoil_wire/gen/ttypes.py
+++ b/libs/wire/src/trefoil_wire/gen/ttypes.py
@@ -7360,6 +7360,365 @@
         return not (self == other)
 
 
+class ServiceLoad(object):
+    """
+    Attributes:
+     - service_name
+     - load
+     - slots
+
+    """
+
+    __slots__ = (
+        'service_name',
+        'load',
+        'slots',
+    )
+
+
+    def __init__(self, service_name=None, load=None, slots=None,):
+        self.service_name = service_name
+        self.load = load
+        self.slots = slots
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.load = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.slots = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServiceLoad')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.load is not None:
+            oprot.writeFieldBegin('load', TType.DOUBLE, 2)
+            oprot.writeDouble(self.load)
+            oprot.writeFieldEnd()
+        if self.slots is not None:
+            oprot.writeFieldBegin('slots', TType.I32, 3)
+            oprot.writeI32(self.slots)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class LoadReport(object):
+    """
+    Attributes:
+     - domain
+     - services
+
+    """
+
+    __slots__ = (
+        'domain',
+        'services',
+    )
+
+
+    def __init__(self, domain=None, services=None,):
+        self.domain = domain
+        self.services = services
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.services = []
+                    (_etype208, _size205) = iprot.readListBegin()
+                    for _i209 in range(_size205):
+                        _elem210 = ServiceLoad()
+                        _elem210.read(iprot)
+                        self.services.append(_elem210)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LoadReport')
+        if self.domain is not None:
+            oprot.writeFieldBegin('domain', TType.STRING, 1)
+            oprot.writeString(self.domain.encode('utf-8') if sys.version_info[0] == 2 else self.domain)
+            oprot.writeFieldEnd()
+        if self.services is not None:
+            oprot.writeFieldBegin('services', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.services))
+            for iter211 in self.services:
+                iter211.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class DomainLoad(object):
+    """
+    Attributes:
+     - control
+     - domain
+     - services
+
+    """
+
+    __slots__ = (
+        'control',
+        'domain',
+        'services',
+    )
+
+
+    def __init__(self, control=None, domain=None, services=None,):
+        self.control = control
+        self.domain = domain
+        self.services = services
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.control = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.services = []
+                    (_etype215, _size212) = iprot.readListBegin()
+                    for _i216 in range(_size212):
+                        _elem217 = ServiceLoad()
+                        _elem217.read(iprot)
+                        self.services.append(_elem217)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('DomainLoad')
+        if self.control is not None:
+            oprot.writeFieldBegin('control', TType.STRING, 1)
+            oprot.writeString(self.control.encode('utf-8') if sys.version_info[0] == 2 else self.control)
+            oprot.writeFieldEnd()
+        if self.domain is not None:
+            oprot.writeFieldBegin('domain', TType.STRING, 2)
+            oprot.writeString(self.domain.encode('utf-8') if sys.version_info[0] == 2 else self.domain)
+            oprot.writeFieldEnd()
+        if self.services is not None:
+            oprot.writeFieldBegin('services', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.services))
+            for iter218 in self.services:
+                iter218.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class DomainLoads(object):
+    """
+    Attributes:
+     - domains
+
+    """
+
+    __slots__ = (
+        'domains',
+    )
+
+
+    def __init__(self, domains=None,):
+        self.domains = domains
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.domains = []
+                    (_etype222, _size219) = iprot.readListBegin()
+                    for _i223 in range(_size219):
+                        _elem224 = DomainLoad()
+                        _elem224.read(iprot)
+                        self.domains.append(_elem224)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('DomainLoads')
+        if self.domains is not None:
+            oprot.writeFieldBegin('domains', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.domains))
+            for iter225 in self.domains:
+                iter225.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class PatchPiece(object):
     """
     Attributes:
@@ -7482,11 +7841,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.pieces = []
-                    (_etype208, _size205) = iprot.readListBegin()
-                    for _i209 in range(_size205):
-                        _elem210 = PatchPiece()
-                        _elem210.read(iprot)
-                        self.pieces.append(_elem210)
+                    (_etype229, _size226) = iprot.readListBegin()
+                    for _i230 in range(_size226):
+                        _elem231 = PatchPiece()
+                        _elem231.read(iprot)
+                        self.pieces.append(_elem231)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -7508,8 +7867,8 @@
         if self.pieces is not None:
             oprot.writeFieldBegin('pieces', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.pieces))
-            for iter211 in self.pieces:
-                iter211.write(oprot)
+            for iter232 in self.pieces:
+                iter232.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.digest is not None:
@@ -8654,10 +9013,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.fingerprints = []
-                    (_etype215, _size212) = iprot.readListBegin()
-                    for _i216 in range(_size212):
-                        _elem217 = iprot.readI64()
-                        self.fingerprints.append(_elem217)
+                    (_etype236, _size233) = iprot.readListBegin()
+                    for _i237 in range(_size233):
+                        _elem238 = iprot.readI64()
+                        self.fingerprints.append(_elem238)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -8688,8 +9047,8 @@
         if self.fingerprints is not None:
             oprot.writeFieldBegin('fingerprints', TType.LIST, 2)
             oprot.writeListBegin(TType.I64, len(self.fingerprints))
-            for iter218 in self.fingerprints:
-                oprot.writeI64(iter218)
+            for iter239 in self.fingerprints:
+                oprot.writeI64(iter239)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.age_ms is not None:
@@ -8782,10 +9141,10 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.keepers = []
-                    (_etype222, _size219) = iprot.readListBegin()
-                    for _i223 in range(_size219):
-                        _elem224 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.keepers.append(_elem224)
+                    (_etype243, _size240) = iprot.readListBegin()
+                    for _i244 in range(_size240):
+                        _elem245 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.keepers.append(_elem245)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -8824,8 +9183,8 @@
         if self.keepers is not None:
             oprot.writeFieldBegin('keepers', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.keepers))
-            for iter225 in self.keepers:
-                oprot.writeString(iter225.encode('utf-8') if sys.version_info[0] == 2 else iter225)
+            for iter246 in self.keepers:
+                oprot.writeString(iter246.encode('utf-8') if sys.version_info[0] == 2 else iter246)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.service_name is not None:
@@ -9307,10 +9666,10 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype229, _size226) = iprot.readListBegin()
-                    for _i230 in range(_size226):
-                        _elem231 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.members.append(_elem231)
+                    (_etype250, _size247) = iprot.readListBegin()
+                    for _i251 in range(_size247):
+                        _elem252 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.members.append(_elem252)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -9339,8 +9698,8 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.members))
-            for iter232 in self.members:
-                oprot.writeString(iter232.encode('utf-8') if sys.version_info[0] == 2 else iter232)
+            for iter253 in self.members:
+                oprot.writeString(iter253.encode('utf-8') if sys.version_info[0] == 2 else iter253)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -9412,11 +9771,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype236, _size233) = iprot.readListBegin()
-                    for _i237 in range(_size233):
-                        _elem238 = LedgerEntry()
-                        _elem238.read(iprot)
-                        self.entries.append(_elem238)
+                    (_etype257, _size254) = iprot.readListBegin()
+                    for _i258 in range(_size254):
+                        _elem259 = LedgerEntry()
+                        _elem259.read(iprot)
+                        self.entries.append(_elem259)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -9452,8 +9811,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter239 in self.entries:
-                iter239.write(oprot)
+            for iter260 in self.entries:
+                iter260.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.complete is not None:
@@ -10028,6 +10387,31 @@
     (5, TType.LIST, 'tallies', (TType.STRUCT, [Tally, None], False), None, ),  # 5
     (6, TType.BOOL, 'halted', None, False, ),  # 6
 )
+all_structs.append(ServiceLoad)
+ServiceLoad.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.DOUBLE, 'load', None, None, ),  # 2
+    (3, TType.I32, 'slots', None, None, ),  # 3
+)
+all_structs.append(LoadReport)
+LoadReport.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'domain', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'services', (TType.STRUCT, [ServiceLoad, None], False), None, ),  # 2
+)
+all_structs.append(DomainLoad)
+DomainLoad.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'control', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'domain', 'UTF8', None, ),  # 2
+    (3, TType.LIST, 'services', (TType.STRUCT, [ServiceLoad, None], False), None, ),  # 3
+)
+all_structs.append(DomainLoads)
+DomainLoads.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'domains', (TType.STRUCT, [DomainLoad, None], False), None, ),  # 1
+)
 all_structs.append(PatchPiece)
 PatchPiece.thrift_spec = (
     None,  # 0
--- a/libs/wire/trefoil.thrift
+++ b/libs/wire/trefoil.thrift
@@ -310,6 +310,19 @@
   5: list<Tally> tallies, 6: bool halted = false,
 }
 
+/* ---- load of failure domains ---- */
+
+/* load: requests that run or wait at a service's targets, a mean over the
+   last moments; slots: the slots of these targets. */
+struct ServiceLoad { 1: string service_name, 2: double load, 3: i32 slots }
+/* The load of the targets on one host, told to a control host. */
+struct LoadReport { 1: string domain, 2: list<ServiceLoad> services }
+/* What the hosts that report to one control host add up to. */
+struct DomainLoad {
+  1: string control, 2: string domain, 3: list<ServiceLoad> services,
+}
+struct DomainLoads { 1: list<DomainLoad> domains }
+
 /* ---- compact frames ---- */
 
 /* Either length bytes of the base from an offset on, or a literal. */
