Trust the date of a key only as far as callers' clocks may be wrong

Cause: a replica that restarted took a key for new if it was dated 5 s after its start. A caller whose clock is 10 s ahead sent a key, two replicas restarted, and the resend was granted by them: the payment ran twice. Ruled out: refusing keys dated ahead alone (the same key is no longer ahead when it is sent again); a longer margin alone (a clock that is further ahead breaks it). Change: no replica grants a key dated more than 20 s ahead of its clock, and one that restarted trusts only keys dated more than 20 s after its start. So a key that it trusts was never granted before, whatever the caller's clock. 20 s are 10 s for callers and 10 s for hosts. Before: the new test ran a keyed request twice for clocks 10, 20 and 40 s ahead; the state machine failed. After a restart of all hosts of a service, dated keys are refused for 20 s instead of 5 s.

--- a/libs/daemon/tests/test_proxy_process.py
+++ b/libs/daemon/tests/test_proxy_process.py
@@ -5,6 +5,7 @@
 but may break at any time.
 """
 
+import itertools
 import random
 import typing
 
@@ -27,6 +28,7 @@
 from trefoil_wire import messages
 
 HOSTS = ["h1", "h2", "h3", "h4"]
+CLOCKS_AHEAD_MS = (-10_000, 0, 10_000, 20_000, 40_000)
 DOMAIN = "ariana"
 
 
@@ -141,6 +143,7 @@
         self.boots = 0
         for host in hosts:
             self.boot(host)
+        self.clock.advance(1)
 
     def boot(self, host: str) -> None:
         """Start a proxy without any state and announce its target."""
@@ -331,9 +334,11 @@
         self.drivers[host].dispatched.pop(request_id)
         self.processes[host].target_disconnected(request_id)
 
-    def fresh_key(self, name: str) -> str:
-        """Return a key that contains its time of issue."""
-        return f"{self.clock.wall_ms() + 2 * ledgers.MAX_CLOCK_SKEW_MS}-{name}"
+    def fresh_key(
+        self, name: str, ahead_ms: int = ledgers.MAX_DATE_AHEAD_MS
+    ) -> str:
+        """Return a key that contains its time of issue, by a fast clock."""
+        return f"{self.clock.wall_ms() + ahead_ms}-{name}"
 
 
 def test_a_call_is_answered_by_its_target() -> None:
@@ -505,6 +510,25 @@
     assert net.runs == {"a": 1, "b": 1}
 
 
+@pytest.mark.parametrize("ahead_ms", CLOCKS_AHEAD_MS)
+def test_a_date_does_not_let_replicas_that_restarted_grant_a_key(
+    ahead_ms: int,
+) -> None:
+    """Guards against a payment made twice by a caller whose clock is wrong."""
+    for pair in itertools.combinations(HOSTS, 2):
+        net = Net(seed=0)
+        key = net.fresh_key("a", ahead_ms)
+        net.call("h1", "/pay", "a", key)
+        net.deliver_all()
+        for host in pair:
+            net.boot(host)
+        for _ in range(2 * max(CLOCKS_AHEAD_MS) // 2000):
+            net.advance(2000)
+            net.call("h1", "/pay", "a", key)
+            net.deliver_all()
+            assert net.runs.get("a", 0) <= 1
+
+
 def test_a_refused_request_releases_its_claim() -> None:
     """The target's proxy refuses a request, so it did not run.
 
@@ -1045,14 +1069,22 @@
         if old:
             self.net.advance(ledgers.RETENTION_MS)
 
-    @stateful.rule(host=hosts, name=names, timed=st.booleans())
-    def a_caller_sends(self, host: str, name: str, timed: bool) -> None:
+    @stateful.rule(
+        host=hosts,
+        name=names,
+        ahead_ms=st.sampled_from([None, *CLOCKS_AHEAD_MS]),
+    )
+    def a_caller_sends(
+        self, host: str, name: str, ahead_ms: int | None
+    ) -> None:
         """Send a request; the same name always has the same key."""
         if host not in self.net.processes:
             return
-        key = self.keys.setdefault(
-            name, self.net.fresh_key(name) if timed else name
-        )
+        if ahead_ms is None:
+            key = name
+        else:
+            key = self.net.fresh_key(name, ahead_ms)
+        key = self.keys.setdefault(name, key)
         self.net.call(host, "/pay", name, key)
 
     @stateful.rule(at=st.integers(0, 200))
--- a/libs/requests/src/trefoil_requests/ledger.py
+++ b/libs/requests/src/trefoil_requests/ledger.py
@@ -22,7 +22,8 @@
 from . import replica_sets
 
 RETENTION_MS = replica_sets.RETENTION_MS
-MAX_CLOCK_SKEW_MS = 5000
+# Callers' clocks may be 10 s ahead, and those of hosts 10 s behind.
+MAX_DATE_AHEAD_MS = 20_000
 SYNC_INTERVAL_MS = 500
 # Hosts that have restarted too cannot confirm keys for minutes, so the
 # interval between requests to them grows up to this bound.
@@ -130,11 +131,18 @@
         """Return whether a key with no record was certainly never granted.
 
         True after a full retention period, after a sync with all other
-        hosts, or for a key issued after this process started.
+        hosts, or for a key issued after this process started. No replica
+        grants a key that is dated further ahead than ``MAX_DATE_AHEAD_MS``,
+        so a key dated that much after the start was never granted before it.
         """
+        if issued_ms > self._wall_ms(now_ms) + MAX_DATE_AHEAD_MS:
+            return False
         if self.synced or now_ms >= self.started_ms + RETENTION_MS:
             return True
-        return issued_ms > self.started_wall_ms + MAX_CLOCK_SKEW_MS
+        return issued_ms > self.started_wall_ms + MAX_DATE_AHEAD_MS
+
+    def _wall_ms(self, now_ms: int) -> int:
+        return self.started_wall_ms + now_ms - self.started_ms
 
     def claim(self, claim: messages.Claim, now_ms: int) -> messages.ClaimReply:
         """Grant a claim, report its key as taken, or abstain."""
--- a/libs/requests/tests/test_ledger.py
+++ b/libs/requests/tests/test_ledger.py
@@ -9,7 +9,7 @@
 
 def make_ledger() -> ledgers.Ledger:
     """Return the ledger of the host h1, one of three replicas."""
-    ledger = ledgers.Ledger("h1", 1, 0, 0)
+    ledger = ledgers.Ledger("h1", 1, -1, -1)
     ledger.replica_sets.update({"s": ["h1", "h2", "h3"]}, 0)
     return ledger
 
@@ -22,7 +22,7 @@
         7,
         ["h1", "h2", "h3"],
         "s",
-        10 * ledgers.MAX_CLOCK_SKEW_MS,
+        ledgers.MAX_DATE_AHEAD_MS,
     )
 
 
@@ -124,3 +124,17 @@
     entry = messages.LedgerEntry(7, 1, 2, 100, None)
     ledger.push(messages.LedgerPush(asked_hosts[0], [entry], True), 10)
     assert len(ledger.tick(50, True)) == 198
+
+
+def test_a_key_dated_too_far_ahead_is_not_granted() -> None:
+    """Guards against a key that a replica which restarted takes for new."""
+    date_ms = 1 + ledgers.MAX_DATE_AHEAD_MS
+    request = claim(1)
+    request.issued_ms = date_ms
+    ledger = make_ledger()
+    ledger.synced = True
+    assert ledger.claim(request, 0).verdict == ledgers.ABSTAIN
+    assert ledger.claim(request, 1).verdict == ledgers.GRANTED
+    restarted = ledgers.Ledger("h1", 2, 1, 1)
+    restarted.replica_sets.update({"s": ["h1", "h2", "h3"]}, 1)
+    assert restarted.claim(request, 1).verdict == ledgers.ABSTAIN
--- a/libs/requests/tests/test_replica_joins.py
+++ b/libs/requests/tests/test_replica_joins.py
@@ -123,7 +123,7 @@
 
 
 @pytest.mark.parametrize("count", [1, 2, 4])
-@pytest.mark.parametrize("date", ["", f"{STARTED_WALL_MS + 2_000_000}-"])
+@pytest.mark.parametrize("date", ["", f"{STARTED_WALL_MS + NOW_MS}-"])
 def test_a_key_is_granted_once_although_its_replicas_change(
     count: int, date: str
 ) -> None:
