Let operators say what bytes between failure domains cost

Ruled out: another figure for all (the earlier deployments are fine with this one); deriving it from the rate of a host's link (bytes within a domain pass the same link). Change: a setting of proxies, `crossing_cost`, in units of the value of an answer in time, at 0.03 by default as before. Conclusion: kept; no template sets it, since the platform's fields don't say what such bytes cost.

--- a/libs/daemon/src/trefoil_daemon/proxy_process.py
+++ b/libs/daemon/src/trefoil_daemon/proxy_process.py
@@ -132,6 +132,7 @@
         self.entry.placement.large_bytes = bodies.large_from(
             settings.link_mbps
         )
+        self.entry.placement.cost_per_kib = settings.crossing_cost
         self.announced = announcements.Announcements(settings.lease_ms)
         self.collectors: dict[str, evidences.Collector] = {}
         self.version_comparisons: dict[str, comparisons.VersionComparison] = {}
--- a/libs/requests/src/trefoil_requests/crossing.py
+++ b/libs/requests/src/trefoil_requests/crossing.py
@@ -24,15 +24,16 @@
 LOG_LOGISTIC_SHAPE = 2.5
 
 
-def cross_domain_cost(kib: float) -> float:
+def cross_domain_cost(kib: float, cost_per_kib: float = COST_PER_KIB) -> float:
     """Return the cost of sending a call to another failure domain.
 
     The unit is the value of one answer in time; at most ``MAX_COST``.
 
     Args:
         kib: Size of the call's request and response together, in KiB.
+        cost_per_kib: Cost of one KiB.
     """
-    return min(kib * COST_PER_KIB, MAX_COST)
+    return min(kib * cost_per_kib, MAX_COST)
 
 
 def late_probability(expected_us: float, limit_us: float) -> float:
--- a/libs/requests/src/trefoil_requests/placing.py
+++ b/libs/requests/src/trefoil_requests/placing.py
@@ -53,6 +53,7 @@
         "service_mean_us",
         "large_bytes",
         "domain_loads",
+        "cost_per_kib",
     )
 
     def __init__(self, host: str, domain: str, rng: random.Random) -> None:
@@ -67,6 +68,7 @@
         self.service_mean_us: dict[str, float] = {}
         self.large_bytes = bodies.LARGE_BYTES
         self.domain_loads = domain_loads.DomainLoads(domain)
+        self.cost_per_kib = crossing.COST_PER_KIB
 
     def is_large(self, body: bytes) -> bool:
         """Return whether a body is sent to other hosts only on request."""
@@ -230,7 +232,9 @@
 
     def _crossing_cost(self, route: messages.Route) -> float:
         """Return a call's cross-domain cost, in units of a timely answer."""
-        return crossing.cross_domain_cost(self._mean_kib(route))
+        return crossing.cross_domain_cost(
+            self._mean_kib(route), self.cost_per_kib
+        )
 
     def _mean_kib(self, route: messages.Route) -> float:
         """Return the mean KiB that a route's calls and answers carry."""
--- a/libs/requests/tests/test_balancer.py
+++ b/libs/requests/tests/test_balancer.py
@@ -157,6 +157,20 @@
     assert chosen.host == "a"
 
 
+@pytest.mark.parametrize(
+    ("cost_per_kib", "crosses"), [(0.0, True), (0.03, True), (0.2, False)]
+)
+def test_where_bytes_are_dear_a_call_stays_local(
+    cost_per_kib: float, crosses: bool
+) -> None:
+    """Guards an operator's bill against calls that gain little elsewhere."""
+    cost = crossing.cross_domain_cost(2, cost_per_kib)
+    urgency = crossing.Urgency(500_000, 2_000_000, cost)
+    here = urgency.loss(450_000, cross_domain=False)
+    there = urgency.loss(250_000, cross_domain=True)
+    assert (there < here) == crosses
+
+
 def test_a_target_that_fails_half_of_its_requests_is_avoided() -> None:
     """Guards against a target that reports itself healthy but fails fast.
 
--- a/libs/settings/src/trefoil_settings/settings.py
+++ b/libs/settings/src/trefoil_settings/settings.py
@@ -58,6 +58,8 @@
         cold_slack: Additional requests that a cold target may get in any
             second.
         link_mbps: Rate of this host's link in Mbit/s; 0 if unknown.
+        crossing_cost: What one KiB between failure domains costs, in units
+            of the value of an answer in time.
         key_revocation_ms: How long after a change is acknowledged a key that
             it took away may be honoured at any host, even one that is cut
             off; 0 if only hosts in contact with the control hosts have to
@@ -86,6 +88,7 @@
     cold_overage: float = 1.0
     cold_slack: float = 0.0
     link_mbps: float = 0.0
+    crossing_cost: float = 0.03
     key_revocation_ms: int = 0
     metrics: str = ""
     advertise: str = ""
@@ -261,6 +264,10 @@
                 schema.Number(0, 1_000_000, integer=False), default=0.0
             ),
         ),
+        (
+            "crossing_cost",
+            schema.Field(schema.Number(0, 10, integer=False), default=0.03),
+        ),
         (
             "max_body_mib",
             schema.Field(schema.Number(1, MAX_BODY_MIB), default=1),
