Review: a late status report brings back a deregistered upstream

A script on real processes: DELETE is acknowledged, the process that did so is killed and restarted, and a status report from before the DELETE arrives late.

--- /dev/null
+++ b/review/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the platform, its upstreams, clients and operator."""
--- /dev/null
+++ b/review/standins/client.py
@@ -0,0 +1,106 @@
+"""Clients that send requests at a steady rate, each on a new connection."""
+
+import asyncio
+import dataclasses
+import itertools
+import time
+
+from . import http
+from . import record as records
+
+NOTHING = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Attempt:
+    """One client attempt and what came of it.
+
+    Args:
+        request_id: Its ``Request-Id``.
+        machine: The machine that took it.
+        sent_s: When it was sent, on the monotonic clock.
+        status: Status of the answer; 0 if none came in full.
+        signed: Whether the answer bore the upstream's signature.
+    """
+
+    request_id: str
+    machine: str
+    sent_s: float
+    status: int = NOTHING
+    signed: bool = False
+
+    @property
+    def served(self) -> bool:
+        """Return whether it was answered by an upstream with success."""
+        return self.status // 100 == 2 and self.signed
+
+
+class Clients:
+    """Sends requests to machines in turn.
+
+    Args:
+        addresses: Outbound address of each machine, by name.
+        record: Where the attempts are written.
+    """
+
+    def __init__(
+        self,
+        addresses: dict[str, tuple[str, int]],
+        record: records.Record,
+    ) -> None:
+        self.addresses = addresses
+        self.record = record
+        self.attempts: list[Attempt] = []
+        self.numbers = itertools.count(1)
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    async def send_for(
+        self,
+        for_s: float,
+        per_s: float,
+        path: str,
+        method: str = "GET",
+    ) -> None:
+        """Send requests at a rate for some seconds."""
+        until_s = time.monotonic() + for_s
+        names = itertools.cycle(self.addresses)
+        while time.monotonic() < until_s:
+            attempt = Attempt(
+                f"r{next(self.numbers):06d}", next(names), time.monotonic()
+            )
+            self.attempts.append(attempt)
+            task = asyncio.create_task(self._send(attempt, method, path))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+            await asyncio.sleep(1 / per_s)
+
+    async def finish(self) -> None:
+        """Wait for the answers to all requests."""
+        await asyncio.gather(*self.tasks)
+
+    async def _send(self, attempt: Attempt, method: str, path: str) -> None:
+        self.record.write(
+            "sent", id=attempt.request_id, to=attempt.machine, path=path
+        )
+        fields = {
+            "Host": "kitchens.example",
+            "Request-Id": attempt.request_id,
+            "Deadline-Ms": "3000",
+        }
+        try:
+            answer = await asyncio.wait_for(
+                http.call(
+                    self.addresses[attempt.machine], method, path, fields
+                ),
+                3.0,
+            )
+        except (OSError, asyncio.TimeoutError, http.BrokenAnswer) as error:
+            self.record.write(
+                "unanswered", id=attempt.request_id, why=type(error).__name__
+            )
+            return
+        attempt.status = answer.status
+        attempt.signed = "response-signature" in answer.fields
+        self.record.write(
+            "answered", id=attempt.request_id, status=answer.status
+        )
