--- a/review/standins/client.py
+++ b/review/standins/client.py
@@ -41,13 +41,16 @@
     Args:
         addresses: Outbound address of each machine, by name.
         record: Where the attempts are written.
+        name: What the ids of their requests begin with.
     """
 
     def __init__(
         self,
         addresses: dict[str, tuple[str, int]],
         record: records.Record,
+        name: str = "r",
     ) -> None:
+        self.name = name
         self.addresses = addresses
         self.record = record
         self.attempts: list[Attempt] = []
@@ -66,7 +69,7 @@
         names = itertools.cycle(self.addresses)
         while time.monotonic() < until_s:
             attempt = Attempt(
-                f"r{next(self.numbers):06d}", next(names), time.monotonic()
+                f"{self.name}-{next(self.numbers):06d}", next(names), time.monotonic()
             )
             self.attempts.append(attempt)
             task = asyncio.create_task(self._send(attempt, method, path))
