--- a/review/3/run.py
+++ b/review/3/run.py
@@ -1,11 +1,11 @@
-"""A late status report brings back an upstream that has deregistered.
+"""An unreadable status report keeps a machine on an old configuration.
 
-An upstream deregisters with DELETE and is acknowledged. The process that gave
-the ack is killed and restarted by the platform. Seconds later a status report
-from before the DELETE arrives at the restarted process. Requests must not
-reach the upstream any more.
+Another writer sends status reports whose version can't be written as UTF-8 to
+the process of one machine, once each ``heartbeatS``. Meanwhile an operator's
+change drops a route and adds one. The machine must follow ``configApplyS``
+after the ack, as all others do.
 
-Exits with 1 if the rule DRAIN was broken, 0 if it held and 2 if the case
+Exits with 1 if the rule CONFIG was broken, 0 if it held and 2 if the case
 could not run.
 """
 
@@ -25,15 +25,46 @@
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 SERVICE = "tables-7c1"
 SIDECARS = {f"sidecar-{zone}": SERVICE for zone in platforms.ZONES}
-LEAVING = "sidecar-ariana"
-PER_S = 60.0
-PATH = "/list/kitchens"
-RESTART_DELAY_S = 0.5
-# The report arrives this long after the DELETE: ``stabilityWindowS`` after
-# the restart and a little more, so that all machines are in touch.
-REPORT_DELAY_S = RESTART_DELAY_S + platforms.BOUNDS["stabilityWindowS"] + 1.0
-SERVES_ON_S = REPORT_DELAY_S + 3.0
+AFFECTED = "sidecar-ariana"
+KEPT, DROPPED, ADDED = "/list/", "/quotes/", "/ovens/"
+PER_S = 40.0
 START_TIMEOUT_S = 20.0
+# The other writer has reported for this long when the change is sent.
+REPORTED_S = 6.0
+CHECKED_S = 6.0
+# JSON for half of a surrogate pair, which is no character.
+UNREADABLE = "v\ud800"
+
+
+class OtherWriter:
+    """Sends status reports that can't be read to one machine.
+
+    Args:
+        upstream: The upstream of that machine; what is readable in the
+            reports is taken from its own.
+        record: Where the reports are written.
+    """
+
+    def __init__(
+        self, upstream: upstreams.Upstream, record: records.Record
+    ) -> None:
+        self.upstream = upstream
+        self.record = record
+
+    async def report_regularly(self) -> None:
+        """Report once each ``heartbeatS``."""
+        writer = upstreams.Upstream(
+            "x-other-writer",
+            self.upstream.service,
+            self.upstream.address,
+            self.upstream.control,
+            self.record,
+            version=UNREADABLE,
+        )
+        while True:
+            acked = await writer.send_report(writer.report())
+            self.record.write("unreadable-report", acked=acked)
+            await asyncio.sleep(upstreams.HEARTBEAT_S)
 
 
 async def run(
@@ -41,86 +72,84 @@
 ) -> int:
     """Play the case and return the exit status."""
     platform.start_all()
-    running = []
+    running = {}
     for name in platform.sidecars:
-        upstream = upstreams.Upstream(
+        running[name] = upstreams.Upstream(
             f"i-{name}",
             SERVICE,
             platform.address(name, "app"),
             platform.address(name, "control"),
             record,
         )
-        await upstream.start()
-        running.append(upstream)
+        await running[name].start()
     orders = operator.Operator(platform, record)
-    first = operator.configuration(
-        1, 0, [operator.route("r-list", "/list/", "safe", SERVICE)]
-    )
-    answer = await orders.order("PUT", "/api/config", first)
+    answer = await orders.order("PUT", "/api/config", _document(1, 0, DROPPED))
     if answer is None or answer.status != 200:
         return NOT_RUN
     if not await platform.wait_until_ready(START_TIMEOUT_S):
         return NOT_RUN
     await asyncio.sleep(platforms.BOUNDS["stabilityWindowS"])
-    leaving = running[platform.sidecars.index(LEAVING)]
+    writer = OtherWriter(running[AFFECTED], record)
+    reports = None
+    if trouble:
+        reports = asyncio.create_task(writer.report_regularly())
+    await asyncio.sleep(REPORTED_S)
+    answer = await orders.order("PUT", "/api/config", _document(2, 1, ADDED))
+    if answer is None or answer.status != 200:
+        return NOT_RUN
+    await asyncio.sleep(platforms.BOUNDS["configApplyS"] + 0.1)
+
     addresses = {
         name: platform.address(name, "outbound") for name in platform.sidecars
     }
-    callers = clients.Clients(addresses, record)
-    await callers.send_for(2.0, PER_S, PATH)
-    if not leaving.arrivals:
-        return NOT_RUN
-
-    leaving.stop_reports()
-    late_report = leaving.report()
-    acked = await leaving.deregister()
-    acked_s = time.monotonic()
-    record.write("deregistered", at=LEAVING, acked=acked)
-    if not acked:
-        return NOT_RUN
-    if trouble:
-        platform.kill(LEAVING)
-        record.write("killed", at=LEAVING)
-        await asyncio.sleep(RESTART_DELAY_S)
-        platform.start(LEAVING)
-        record.write("restarted", at=LEAVING)
-    # Clients send again once all machines are in touch.
-    await asyncio.sleep(acked_s + REPORT_DELAY_S - time.monotonic())
-    ready = await platform.is_ready(LEAVING)
-    late = await leaving.send_report(late_report)
-    record.write("late-report", at=LEAVING, ready=ready, acked=late)
-    if not ready:
-        return NOT_RUN
-    await callers.send_for(SERVES_ON_S - REPORT_DELAY_S, PER_S, PATH)
-    await callers.finish()
-    return judge(leaving, acked_s, callers, record)
+    by_path = {
+        path: clients.Clients(addresses, record, path.strip("/"))
+        for path in (KEPT, DROPPED, ADDED)
+    }
+    await asyncio.gather(
+        *(
+            group.send_for(CHECKED_S, PER_S, path + "kitchens")
+            for path, group in by_path.items()
+        )
+    )
+    for group in by_path.values():
+        await group.finish()
+    if reports is not None:
+        reports.cancel()
+    return judge(by_path, record)
 
 
-def judge(
-    leaving: upstreams.Upstream,
-    acked_s: float,
-    callers: clients.Clients,
-    record: records.Record,
-) -> int:
-    """Apply DRAIN to what the upstream saw."""
-    late_s = [
-        at_s - acked_s
-        for at_s, _ in leaving.arrivals
-        if at_s - acked_s > platforms.BOUNDS["drainS"]
+def _document(version: int, base: int, other: str) -> dict:
+    """Return a configuration with the kept route and another one."""
+    routes = [
+        operator.route(f"r-{prefix.strip('/')}", prefix, "safe", SERVICE)
+        for prefix in (KEPT, other)
     ]
-    served = sum(attempt.served for attempt in callers.attempts)
-    record.write(
-        "verdict",
-        served=served,
-        sent=len(callers.attempts),
-        reached_late=len(late_s),
-        first_s=f"{min(late_s):.2f}" if late_s else "none",
-        last_s=f"{max(late_s):.2f}" if late_s else "none",
-    )
-    print(f"{len(late_s)} requests reached it over drainS after its ack")
-    if served < len(callers.attempts) / 2:
+    return operator.configuration(version, base, routes)
+
+
+def judge(by_path: dict[str, clients.Clients], record: records.Record) -> int:
+    """Apply CONFIG to the requests, all sent after ``configApplyS``."""
+    kept = by_path[KEPT].attempts
+    stale = {
+        "run-on-dropped-route": [
+            attempt for attempt in by_path[DROPPED].attempts if attempt.served
+        ],
+        "refused-on-added-route": [
+            attempt
+            for attempt in by_path[ADDED].attempts
+            if attempt.status == 404 and not attempt.signed
+        ],
+    }
+    for what, attempts in stale.items():
+        machines = sorted({attempt.machine for attempt in attempts})
+        record.write(
+            "verdict", what=what, count=len(attempts), at=",".join(machines)
+        )
+        print(f"{what}: {len(attempts)} at {machines}")
+    if sum(attempt.served for attempt in kept) < len(kept) / 2:
         return NOT_RUN
-    return BROKEN if late_s else HELD
+    return BROKEN if any(stale.values()) else HELD
 
 
 def main() -> int:
@@ -129,7 +158,7 @@
     record = records.Record(here / "record.txt")
     trouble = os.environ.get("TROUBLE", "1") != "0"
     with tempfile.TemporaryDirectory() as folder:
-        platform = platforms.Platform(pathlib.Path(folder), 72, SIDECARS)
+        platform = platforms.Platform(pathlib.Path(folder), 73, SIDECARS)
         try:
             return asyncio.run(run(platform, record, trouble))
         finally:
--- a/review/standins/upstream.py
+++ b/review/standins/upstream.py
@@ -9,6 +9,13 @@
 
 HEARTBEAT_S = 1.5
 QUEUE_PER_SLOT = 4
+# Additional bytes of a faulty upstream; none of them bear a ``Request-Id``.
+STRAY_SUCCESS = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray"
+STRAY_REFUSAL = (
+    b"HTTP/1.1 400 Bad Request\r\nNot-Executed: 1\r\n"
+    b"Content-Length: 0\r\n\r\n"
+)
+STRAY_DELAY_S = 0.04
 
 
 class Upstream:
@@ -53,9 +60,14 @@
         self.running = 0
         self.waiting = 0
         self.arrivals: list[tuple[float, str]] = []
+        self.runs: list[tuple[float, str]] = []
         self.slot = asyncio.Semaphore(slots)
         self.server: asyncio.Server | None = None
         self.beats: asyncio.Task[None] | None = None
+        self.writers: set[asyncio.StreamWriter] = set()
+        self.stray = b""
+        self.stray_every = 0
+        self.answers = 0
 
     async def start(self) -> None:
         """Take requests and send status reports."""
@@ -68,6 +80,15 @@
         if self.server is not None:
             self.server.close()
 
+    def crash(self) -> None:
+        """End at once: all connections are reset, nothing is reported."""
+        self.stop_reports()
+        if self.server is not None:
+            self.server.close()
+        for writer in self.writers:
+            writer.transport.abort()
+        self.record.write("crashed", at=self.name, running=self.running)
+
     def stop_reports(self) -> None:
         """Send no further status reports."""
         if self.beats is not None:
@@ -117,6 +138,7 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self.writers.add(writer)
         try:
             while True:
                 start, fields = await http.read_head(reader)
@@ -124,6 +146,9 @@
                 await reader.readexactly(length)
                 writer.write(await self._answer(start, fields))
                 await writer.drain()
+                self.answers += 1
+                if self.stray and self.answers % self.stray_every == 0:
+                    asyncio.create_task(self._send_stray(writer))
         except (
             http.BrokenAnswer,
             asyncio.CancelledError,
@@ -133,8 +158,16 @@
             # The connection or the run of the case has ended.
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
+    async def _send_stray(self, writer: asyncio.StreamWriter) -> None:
+        """Send additional bytes after a complete answer, a little late."""
+        await asyncio.sleep(STRAY_DELAY_S)
+        if not writer.is_closing():
+            writer.write(self.stray)
+            self.record.write("stray", at=self.name)
+
     async def _answer(self, start: str, fields: dict[str, str]) -> bytes:
         path = start.split(" ")[1]
         if path == "/health":
@@ -152,7 +185,12 @@
         async with self.slot:
             self.waiting -= 1
             self.record.write("runs", id=request_id, at=self.name)
-            await asyncio.sleep(self.work_s)
+            self.runs.append((time.monotonic(), request_id))
+            self.running += 1
+            try:
+                await asyncio.sleep(self.work_s)
+            finally:
+                self.running -= 1
         signature = {
             "Request-Id": request_id,
             "Response-Signature": f"sig.{self.name}.{request_id}",
