--- a/review/1/run.py
+++ b/review/1/run.py
@@ -9,70 +9,42 @@
 """
 
 import asyncio
-import os
-import pathlib
 import sys
-import tempfile
 
+from review.standins import case
 from review.standins import client as clients
 from review.standins import operator
 from review.standins import platform as platforms
 from review.standins import record as records
-from review.standins import upstream as upstreams
 
-HELD, BROKEN, NOT_RUN = 0, 1, 2
 SERVICE = "tables-7c1"
 SIDECARS = {f"sidecar-{zone}": SERVICE for zone in platforms.ZONES}
 PATH = "/list/kitchens"
+WORK_S = 0.02
 PER_S = 60.0
+# All core machines have become voters by then.
+SETTLED_S = 5.0
+LOST_DISK = "core-manouba"
 DOWN_S = 1.4
 # Machines that lost power do not all start equally fast.
 SLOWEST = "core-ben-arous"
 SLOWEST_DOWN_S = 3.0
-START_TIMEOUT_S = 20.0
-LOST_DISK = "core-manouba"
+NEEDED_SHARE = 0.25
 
 
 async def run(
     platform: platforms.Platform, record: records.Record, trouble: bool
 ) -> int:
     """Play the case and return the exit status."""
-    platform.start_all()
-    for name in platform.sidecars:
-        upstream = upstreams.Upstream(
-            f"i-{name}",
-            SERVICE,
-            platform.address(name, "app"),
-            platform.address(name, "control"),
-            record,
-        )
-        await upstream.start()
-    orders = operator.Operator(platform, record)
     routes = [operator.route("r-list", "/list/", "safe", SERVICE)]
-    answer = await orders.order(
-        "PUT", "/api/config", operator.configuration(1, 0, routes)
-    )
-    if answer is None or answer.status != 200:
-        return NOT_RUN
-    if not await platform.wait_until_ready(START_TIMEOUT_S):
-        return NOT_RUN
-    # All core machines have joined and the core is stable.
-    await asyncio.sleep(8.0)
-    addresses = {
-        name: platform.address(name, "outbound") for name in platform.sidecars
-    }
-    before = clients.Clients(addresses, record)
+    if await case.start(platform, record, routes, WORK_S) is None:
+        return case.NOT_RUN
+    await asyncio.sleep(SETTLED_S)
+    before = clients.Clients(case.outbound(platform), record, "before")
     await before.send_for(4.0, PER_S, PATH)
     await before.finish()
-    if trouble:
-        unknown = operator.configuration(2, 1, routes)
-        unknown["routes"] = [
-            operator.route("r-list", "/list/", "safe", "no-such-service")
-        ]
-        unknown["services"] = operator.configuration(2, 1, routes)["services"]
-        answer = await orders.order("PUT", "/api/config", unknown)
-        if answer is None or answer.status // 100 != 4:
-            return NOT_RUN
+    if trouble and not await _send_invalid(platform, record, routes):
+        return case.NOT_RUN
     for name in platform.machines:
         platform.kill(name)
     platform.lose_disk(LOST_DISK)
@@ -85,42 +57,44 @@
     platform.start(SLOWEST)
     record.write("machines-are-back")
     await asyncio.sleep(platforms.BOUNDS["recoveryS"])
-    after = clients.Clients(addresses, record)
+    after = clients.Clients(case.outbound(platform), record, "after")
     await after.send_for(10.0, PER_S, PATH)
     await after.finish()
     return judge(before, after, record)
 
 
+async def _send_invalid(
+    platform: platforms.Platform,
+    record: records.Record,
+    routes: list[dict],
+) -> bool:
+    """Send a route to an unknown service; return whether it was refused."""
+    invalid = operator.configuration(2, 1, routes)
+    invalid["routes"] = [
+        operator.route("r-list", "/list/", "safe", "no-such-service")
+    ]
+    answer = await operator.Operator(platform, record).order(
+        "PUT", "/api/config", invalid
+    )
+    return answer is not None and answer.status // 100 == 4
+
+
 def judge(
     before: clients.Clients, after: clients.Clients, record: records.Record
 ) -> int:
     """Apply RECOVER to the clients' attempts."""
-    shares = [
+    served_before, served_after = (
         sum(attempt.served for attempt in group.attempts) / len(group.attempts)
         for group in (before, after)
-    ]
+    )
     record.write(
-        "verdict", before=f"{shares[0]:.3f}", after=f"{shares[1]:.3f}"
+        "verdict", before=f"{served_before:.3f}", after=f"{served_after:.3f}"
     )
-    print(f"served before {shares[0]:.3f}, after {shares[1]:.3f}")
-    if shares[0] < 0.25:
-        return NOT_RUN
-    return BROKEN if shares[1] < 0.25 else HELD
-
-
-def main() -> int:
-    """Run the case in a temporary folder."""
-    here = pathlib.Path(__file__).resolve().parent
-    record = records.Record(here / "record.txt")
-    trouble = os.environ.get("TROUBLE", "1") != "0"
-    with tempfile.TemporaryDirectory() as folder:
-        platform = platforms.Platform(pathlib.Path(folder), 71, SIDECARS)
-        try:
-            return asyncio.run(run(platform, record, trouble))
-        finally:
-            platform.stop_all()
-            record.close()
+    print(f"served before {served_before:.3f}, after {served_after:.3f}")
+    if served_before < NEEDED_SHARE:
+        return case.NOT_RUN
+    return case.BROKEN if served_after < NEEDED_SHARE else case.HELD
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(case.play(__file__, 71, SIDECARS, run))
--- a/review/3/run.py
+++ b/review/3/run.py
@@ -1,170 +1,106 @@
-"""An unreadable status report keeps a machine on an old configuration.
+"""A graceful shutdown breaks off a long request at which its upstream works.
 
-Another writer sends status reports whose version can't be written as UTF-8 to
-the process of one machine, once each ``heartbeatS``. Meanwhile an operator's
-change drops a route and adds one. The machine must follow ``configApplyS``
-after the ack, as all others do.
+A machine gets SIGTERM while its upstream works on one request that takes
+1.2 s. Other requests of the same route take 0.06 s and go on until the clients
+of the machine have learned of the shutdown. The long request must be answered
+by its upstream: it ends well within ``graceS`` and its own time limit.
 
-Exits with 1 if the rule CONFIG was broken, 0 if it held and 2 if the case
-could not run.
+Exits with 1 if the rule LOST was broken, 0 if it held and 2 if the case could
+not run.
 """
 
 import asyncio
-import os
-import pathlib
+import signal
 import sys
-import tempfile
-import time
 
+from review.standins import case
 from review.standins import client as clients
 from review.standins import operator
 from review.standins import platform as platforms
 from review.standins import record as records
 from review.standins import upstream as upstreams
 
-HELD, BROKEN, NOT_RUN = 0, 1, 2
 SERVICE = "tables-7c1"
 SIDECARS = {f"sidecar-{zone}": SERVICE for zone in platforms.ZONES}
-AFFECTED = "sidecar-ariana"
-KEPT, DROPPED, ADDED = "/list/", "/quotes/", "/ovens/"
+STOPPED = "sidecar-ariana"
+SHORT, LONG = "/deposits/charge", "/deposits/settle"
+# The longest work of a deposit charge on the sheet of matbakh-mesh is 1.2 s.
+WORK_S, LONG_WORK_S = 0.06, 1.2
+TIME_LIMIT_S = 4.0
 PER_S = 40.0
-START_TIMEOUT_S = 20.0
-# The other writer has reported for this long when the change is sent.
-REPORTED_S = 6.0
-CHECKED_S = 6.0
-# JSON for half of a surrogate pair, which is no character.
-UNREADABLE = "v\ud800"
-
-
-class OtherWriter:
-    """Sends status reports that can't be read to one machine.
-
-    Args:
-        upstream: The upstream of that machine; what is readable in the
-            reports is taken from its own.
-        record: Where the reports are written.
-    """
-
-    def __init__(
-        self, upstream: upstreams.Upstream, record: records.Record
-    ) -> None:
-        self.upstream = upstream
-        self.record = record
-
-    async def report_regularly(self) -> None:
-        """Report once each ``heartbeatS``."""
-        writer = upstreams.Upstream(
-            "x-other-writer",
-            self.upstream.service,
-            self.upstream.address,
-            self.upstream.control,
-            self.record,
-            version=UNREADABLE,
-        )
-        while True:
-            acked = await writer.send_report(writer.report())
-            self.record.write("unreadable-report", acked=acked)
-            await asyncio.sleep(upstreams.HEARTBEAT_S)
+READINESS_S = 1.0
+MISSES = 2
 
 
 async def run(
     platform: platforms.Platform, record: records.Record, trouble: bool
 ) -> int:
     """Play the case and return the exit status."""
-    platform.start_all()
-    running = {}
-    for name in platform.sidecars:
-        running[name] = upstreams.Upstream(
-            f"i-{name}",
-            SERVICE,
-            platform.address(name, "app"),
-            platform.address(name, "control"),
-            record,
-        )
-        await running[name].start()
-    orders = operator.Operator(platform, record)
-    answer = await orders.order("PUT", "/api/config", _document(1, 0, DROPPED))
-    if answer is None or answer.status != 200:
-        return NOT_RUN
-    if not await platform.wait_until_ready(START_TIMEOUT_S):
-        return NOT_RUN
-    await asyncio.sleep(platforms.BOUNDS["stabilityWindowS"])
-    writer = OtherWriter(running[AFFECTED], record)
-    reports = None
+    routes = [operator.route("r-deposits", "/deposits/", "unsafe", SERVICE)]
+    running = await case.start(platform, record, routes, WORK_S)
+    if running is None:
+        return case.NOT_RUN
+    for upstream in running.values():
+        upstream.work_by_path[LONG] = LONG_WORK_S
+    address = {STOPPED: platform.address(STOPPED, "outbound")}
+    short = clients.Clients(address, record, "short", TIME_LIMIT_S)
+    load = asyncio.create_task(short.send_for(30.0, PER_S, SHORT, "POST"))
+    await asyncio.sleep(4.0)
+    long = clients.Clients(address, record, "long", TIME_LIMIT_S)
+    await long.send_one(LONG, "POST")
+    await asyncio.sleep(0.1)
     if trouble:
-        reports = asyncio.create_task(writer.report_regularly())
-    await asyncio.sleep(REPORTED_S)
-    answer = await orders.order("PUT", "/api/config", _document(2, 1, ADDED))
-    if answer is None or answer.status != 200:
-        return NOT_RUN
-    await asyncio.sleep(platforms.BOUNDS["configApplyS"] + 0.1)
-
-    addresses = {
-        name: platform.address(name, "outbound") for name in platform.sidecars
-    }
-    by_path = {
-        path: clients.Clients(addresses, record, path.strip("/"))
-        for path in (KEPT, DROPPED, ADDED)
-    }
-    await asyncio.gather(
-        *(
-            group.send_for(CHECKED_S, PER_S, path + "kitchens")
-            for path, group in by_path.items()
-        )
-    )
-    for group in by_path.values():
-        await group.finish()
-    if reports is not None:
-        reports.cancel()
-    return judge(by_path, record)
-
-
-def _document(version: int, base: int, other: str) -> dict:
-    """Return a configuration with the kept route and another one."""
-    routes = [
-        operator.route(f"r-{prefix.strip('/')}", prefix, "safe", SERVICE)
-        for prefix in (KEPT, other)
+        platform.send(STOPPED, signal.SIGTERM)
+        record.write("sigterm", at=STOPPED)
+        await _wait_for_misses(platform)
+    else:
+        await asyncio.sleep(READINESS_S * MISSES)
+    load.cancel()
+    await long.finish()
+    await short.finish()
+    return judge(long.attempts[0], list(running.values()), trouble, record)
+
+
+async def _wait_for_misses(platform: platforms.Platform) -> None:
+    """Wait until clients get no new work: two readiness checks missed."""
+    misses = 0
+    while misses < MISSES:
+        await asyncio.sleep(READINESS_S)
+        misses = 0 if await platform.is_ready(STOPPED) else misses + 1
+
+
+def judge(
+    attempt: clients.Attempt,
+    running: list[upstreams.Upstream],
+    trouble: bool,
+    record: records.Record,
+) -> int:
+    """Apply LOST to the long request."""
+    ran = [
+        at_s
+        for upstream in running
+        for at_s, request_id in upstream.runs
+        if request_id == attempt.request_id
     ]
-    return operator.configuration(version, base, routes)
-
-
-def judge(by_path: dict[str, clients.Clients], record: records.Record) -> int:
-    """Apply CONFIG to the requests, all sent after ``configApplyS``."""
-    kept = by_path[KEPT].attempts
-    stale = {
-        "run-on-dropped-route": [
-            attempt for attempt in by_path[DROPPED].attempts if attempt.served
-        ],
-        "refused-on-added-route": [
-            attempt
-            for attempt in by_path[ADDED].attempts
-            if attempt.status == 404 and not attempt.signed
-        ],
-    }
-    for what, attempts in stale.items():
-        machines = sorted({attempt.machine for attempt in attempts})
-        record.write(
-            "verdict", what=what, count=len(attempts), at=",".join(machines)
-        )
-        print(f"{what}: {len(attempts)} at {machines}")
-    if sum(attempt.served for attempt in kept) < len(kept) / 2:
-        return NOT_RUN
-    return BROKEN if any(stale.values()) else HELD
-
-
-def main() -> int:
-    """Run the case in a temporary folder."""
-    here = pathlib.Path(__file__).resolve().parent
-    record = records.Record(here / "record.txt")
-    trouble = os.environ.get("TROUBLE", "1") != "0"
-    with tempfile.TemporaryDirectory() as folder:
-        platform = platforms.Platform(pathlib.Path(folder), 73, SIDECARS)
-        try:
-            return asyncio.run(run(platform, record, trouble))
-        finally:
-            platform.stop_all()
-            record.close()
+    if not ran:
+        return case.NOT_RUN
+    took_s = attempt.ended_s - attempt.sent_s
+    at_work = attempt.ended_s < ran[0] + LONG_WORK_S
+    broken_off = at_work and not attempt.signed
+    record.write(
+        "verdict",
+        status=attempt.status,
+        signed=attempt.signed,
+        took_s=f"{took_s:.2f}",
+        broken_off=broken_off,
+    )
+    print(
+        f"the long request got {attempt.status} after {took_s:.2f} s, "
+        f"signed: {attempt.signed}"
+    )
+    # Without a SIGTERM the rule does not apply.
+    return case.BROKEN if broken_off and trouble else case.HELD
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(case.play(__file__, 73, SIDECARS, run))
--- a/review/standins/client.py
+++ b/review/standins/client.py
@@ -73,15 +73,21 @@
         until_s = time.monotonic() + for_s
         names = itertools.cycle(self.addresses)
         while time.monotonic() < until_s:
-            attempt = Attempt(
-                f"{self.name}-{next(self.numbers):06d}", next(names), time.monotonic()
-            )
-            self.attempts.append(attempt)
-            task = asyncio.create_task(self._send(attempt, method, path))
-            self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
+            self._start(next(names), path, method)
             await asyncio.sleep(1 / per_s)
 
+    async def send_one(self, path: str, method: str = "GET") -> None:
+        """Send one request to the first machine."""
+        self._start(next(iter(self.addresses)), path, method)
+
+    def _start(self, machine: str, path: str, method: str) -> None:
+        request_id = f"{self.name}-{next(self.numbers):06d}"
+        attempt = Attempt(request_id, machine, time.monotonic())
+        self.attempts.append(attempt)
+        task = asyncio.create_task(self._send(attempt, method, path))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
     async def finish(self) -> None:
         """Wait for the answers to all requests."""
         await asyncio.gather(*self.tasks)
--- a/review/standins/platform.py
+++ b/review/standins/platform.py
@@ -15,6 +15,7 @@
 import tomllib
 import typing
 
+from . import http
 from . import template
 
 REPOSITORY = pathlib.Path(__file__).resolve().parents[2]
@@ -232,8 +233,6 @@
 
     async def is_ready(self, name: str) -> bool:
         """Return whether a sidecar answers its readiness check with 200."""
-        from . import http
-
         try:
             answer = await asyncio.wait_for(
                 http.call(
--- a/review/standins/upstream.py
+++ b/review/standins/upstream.py
@@ -26,6 +26,7 @@
         service: Its service.
         address: Where it takes requests.
         control: Control address of its machine.
+        zone: Zone of its machine.
         record: Where it writes what arrives.
         version: Version of its software.
         work_s: How long a request runs.
@@ -39,6 +40,7 @@
         service: str,
         address: tuple[str, int],
         control: tuple[str, int],
+        zone: str,
         record: records.Record,
         *,
         version: str = "v1",
@@ -50,6 +52,7 @@
         self.service = service
         self.address = address
         self.control = control
+        self.zone = zone
         self.record = record
         self.version = version
         self.work_s = work_s
@@ -57,57 +60,38 @@
         self.body = body
         self.born = int(time.time() * 1000)
         self.sequence = 0
-        self.running = 0
         self.waiting = 0
-        self.arrivals: list[tuple[float, str]] = []
         self.runs: list[tuple[float, str]] = []
         self.slot = asyncio.Semaphore(slots)
         self.server: asyncio.Server | None = None
         self.beats: asyncio.Task[None] | None = None
-        self.writers: set[asyncio.StreamWriter] = set()
         self.work_by_path: dict[str, float] = {}
-        self.ended: set[str] = set()
         self.stray = b""
-        self.stray_every = 0
+        self.stray_every = 1
         self.answers = 0
 
+    def add_strays(self, stray: bytes, every: int) -> None:
+        """Send additional bytes after one complete answer in so many."""
+        self.stray = stray
+        self.stray_every = every
+
     async def start(self) -> None:
         """Take requests and send status reports."""
         self.server = await asyncio.start_server(self._serve, *self.address)
         self.beats = asyncio.create_task(self._report_regularly())
 
-    async def stop(self) -> None:
-        """End: send no reports and take no connections any more."""
-        self.stop_reports()
-        if self.server is not None:
-            self.server.close()
-
-    def crash(self) -> None:
-        """End at once: all connections are reset, nothing is reported."""
-        self.stop_reports()
-        if self.server is not None:
-            self.server.close()
-        for writer in self.writers:
-            writer.transport.abort()
-        self.record.write("crashed", at=self.name, running=self.running)
-
-    def stop_reports(self) -> None:
-        """Send no further status reports."""
-        if self.beats is not None:
-            self.beats.cancel()
-
     # Status reports
 
-    def report(self, state: str = "ready") -> dict[str, typing.Any]:
+    def report(self) -> dict[str, typing.Any]:
         """Return the next status report."""
         self.sequence += 1
         return {
             "service": self.service,
             "address": f"{self.address[0]}:{self.address[1]}",
-            "zone": "ariana",
+            "zone": self.zone,
             "version": self.version,
             "slots": self.slots,
-            "state": state,
+            "state": "ready",
             "warmupLeftS": 0,
             "sequence": self.sequence,
             "born": self.born,
@@ -120,16 +104,6 @@
         )
         return answer is not None and answer.status // 100 == 2
 
-    async def deregister(self) -> bool:
-        """Send DELETE; return whether it was acknowledged."""
-        answer = await http.call_json(
-            self.control,
-            "DELETE",
-            f"/api/instances/{self.name}",
-            {"born": self.born},
-        )
-        return answer is not None and answer.status // 100 == 2
-
     async def _report_regularly(self) -> None:
         while True:
             await self.send_report(self.report())
@@ -140,7 +114,6 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        self.writers.add(writer)
         try:
             while True:
                 start, fields = await http.read_head(reader)
@@ -160,7 +133,6 @@
             # The connection or the run of the case has ended.
             pass
         finally:
-            self.writers.discard(writer)
             writer.close()
 
     async def _send_stray(self, writer: asyncio.StreamWriter) -> None:
@@ -179,7 +151,6 @@
             return self._not_run("400 Bad Request", request_id)
         if fields.get("target-instance", self.name) != self.name:
             return self._not_run("421 Misdirected Request", request_id)
-        self.arrivals.append((time.monotonic(), request_id))
         self.record.write("arrived", id=request_id, at=self.name)
         if self.waiting >= QUEUE_PER_SLOT * self.slots:
             return self._not_run("503 Service Unavailable", request_id)
@@ -188,12 +159,7 @@
             self.waiting -= 1
             self.record.write("runs", id=request_id, at=self.name)
             self.runs.append((time.monotonic(), request_id))
-            self.running += 1
-            try:
-                await asyncio.sleep(self.work_by_path.get(path, self.work_s))
-            finally:
-                self.running -= 1
-            self.ended.add(request_id)
+            await asyncio.sleep(self.work_by_path.get(path, self.work_s))
         signature = {
             "Request-Id": request_id,
             "Response-Signature": f"sig.{self.name}.{request_id}",
