Log which revision a restarted proxy waits for

Cause: a proxy that never puts a configuration in force after a restart wrote no line between proxy.started and its end. From logs and metrics it could not be told whether its floor was unproved, above every revision, or reached by a revision that never came.

Ruled out: reading it from config.in_force and quorum.leading of other hosts; they do not say what this proxy was told.

Change: config.waiting every 3 s until a revision is in force, with the floor, the hosts that gave it and the newest revision held. A gauge revision_floor shows the same.

--- a/libs/daemon/src/trefoil_daemon/proxy_process.py
+++ b/libs/daemon/src/trefoil_daemon/proxy_process.py
@@ -627,6 +627,7 @@
         """Return the current gauge values for metrics."""
         return {
             "revision": self.node.config.in_force.revision,
+            "revision_floor": self.node.config.floor.revision,
             "calls_waiting": len(self.entry.live),
             "targets_known": len(self.entry.placement.endpoints.by_key),
             "running_here": len(self.targets.running),
--- a/libs/fleet/src/trefoil_fleet/distribution.py
+++ b/libs/fleet/src/trefoil_fleet/distribution.py
@@ -20,6 +20,8 @@
 REPAIR_DELAY_MS = 500
 PULL_INTERVAL_MS = 300
 FLOOR_QUERY_INTERVAL_MS = 400
+# Longer than an election and a transfer of the configuration after a restart.
+WAIT_NOTE_INTERVAL_MS = 3000
 
 
 class Distribution:
@@ -48,6 +50,7 @@
         "peer_lag_since_ms",
         "last_pull_ms",
         "floor_queried_ms",
+        "wait_noted_ms",
         "pending_effects",
     )
 
@@ -72,6 +75,7 @@
         self.peer_lag_since_ms: dict[str, int] = {}
         self.last_pull_ms: dict[str, int] = {}
         self.floor_queried_ms = 0
+        self.wait_noted_ms = 0
         self.pending_effects: list[typing.Any] = []
 
     # Input
@@ -156,6 +160,24 @@
             self.floor_queried_ms = now_ms
             self._query_floor(links)
         self._put_in_force_if_due(now_ms)
+        self._note_wait(now_ms)
+
+    def _note_wait(self, now_ms: int) -> None:
+        """Log which revision this process waits for before it can serve."""
+        waiting = not self.control and not self.in_force.revision
+        if not self.wait_noted_ms or not waiting:
+            self.wait_noted_ms = now_ms
+        if now_ms < self.wait_noted_ms + WAIT_NOTE_INTERVAL_MS:
+            return
+        self.wait_noted_ms = now_ms
+        floor = self.floor
+        fields = {
+            "floor": floor.revision if floor.proved else None,
+            "given_by": ",".join(floor.given_by),
+            "newest": self.held.revision,
+        }
+        note = common.Note("config.waiting", fields, "warning")
+        self.pending_effects.append(note)
 
     # Floor
 
--- a/libs/fleet/src/trefoil_fleet/floor.py
+++ b/libs/fleet/src/trefoil_fleet/floor.py
@@ -41,6 +41,9 @@
         local_host: Name of this host.
         seeds: Names of the domain's seeds.
         proved: True for control processes, whose floor Raft guarantees.
+
+    Attributes:
+        given_by: The hosts whose replies proved the floor.
     """
 
     __slots__ = (
@@ -48,6 +51,7 @@
         "seeds",
         "revision",
         "proved",
+        "given_by",
         "seed_revisions",
         "voter_revisions",
     )
@@ -59,6 +63,7 @@
         self.seeds = sorted(seeds)
         self.revision = 0
         self.proved = proved
+        self.given_by: list[str] = []
         self.seed_revisions: dict[str, int] = {}
         self.voter_revisions: dict[str, int] = {}
 
@@ -86,8 +91,7 @@
             self._add_voter_reply(host, revision, voters)
             return
         if confirmed_by_leader:
-            self.revision = max(self.revision, revision)
-            self.proved = True
+            self._prove(revision, [host])
             return
         if revision < 0 or host not in self.seeds or host == self.local_host:
             return
@@ -95,8 +99,8 @@
             self.seed_revisions.get(host, 0), revision
         )
         if len(self.seed_revisions) >= confirmations_needed(len(self.seeds)):
-            self.revision = max(self.seed_revisions.values())
-            self.proved = True
+            highest = max(self.seed_revisions.values())
+            self._prove(highest, sorted(self.seed_revisions))
 
     def _add_voter_reply(
         self,
@@ -105,14 +109,15 @@
         voters: collections.abc.Collection[str],
     ) -> None:
         self.voter_revisions[host] = revision
-        revisions = [
-            self.voter_revisions[v]
-            for v in voters
-            if v in self.voter_revisions
-        ]
-        if len(revisions) >= confirmations_needed(len(voters)):
-            self.revision = max(revisions)
-            self.proved = True
+        replied = [voter for voter in voters if voter in self.voter_revisions]
+        if len(replied) >= confirmations_needed(len(voters)):
+            highest = max(self.voter_revisions[voter] for voter in replied)
+            self._prove(highest, replied)
+
+    def _prove(self, revision: int, given_by: list[str]) -> None:
+        self.revision = revision
+        self.proved = True
+        self.given_by = given_by
 
     def reached_by(self, revision: int) -> bool:
         """Return whether the floor allows a revision to be put in force."""
--- a/libs/fleet/tests/test_floor.py
+++ b/libs/fleet/tests/test_floor.py
@@ -2,7 +2,9 @@
 
 import pytest
 
+from trefoil_fleet import distribution as distributions
 from trefoil_fleet import floor as floors
+from trefoil_wire import messages
 
 VOTERS = ["c1", "c2", "c3", "c4"]
 
@@ -36,3 +38,18 @@
     floor.add_reply("c1", 5, True)
     assert floor.reached_by(5)
     assert not floor.reached_by(4)
+
+
+def test_a_waiting_proxy_logs_which_revision_it_waits_for() -> None:
+    """Callers get 503 for as long as the floor is above every revision."""
+    copy = distributions.Distribution(
+        floors.Floor("p1", []), is_seed=False, other_seeds=[], control=False
+    )
+    for voter in VOTERS[:2]:
+        reply = messages.FloorReply(0, 9, False, voter, VOTERS)
+        copy.on_floor_reply(reply, 0)
+    for now_ms in range(100, 6000, 100):
+        copy.tick([], now_ms)
+    (note,) = copy.pending_effects
+    assert note.event == "config.waiting"
+    assert note.fields == {"floor": 9, "given_by": "c1,c2", "newest": 0}
--- a/libs/model/src/trefoil_model/events.py
+++ b/libs/model/src/trefoil_model/events.py
@@ -12,6 +12,7 @@
     "command.agreed": "an operator's command, with its outcome and reason",
     "config.in_force": "the revision that requests are now served by",
     "config.rejected": "an invalid revision; the previous one stays in force",
+    "config.waiting": "nothing is served yet: the newest revision is too old",
     "control.left": "the control process ends after a request to shut down",
     "control.started": "a control process runs, with identity and revision",
     "evacuation.begun": "the targets of this host get no requests from now on",
