Ignore floor replies to a process that ran here before

Cause: all floor queries of proxies bore the number 0, and relays counted theirs from 1 in every process. A reply that a suspended relay delivers after the asking proxy has restarted proved the floor of the new process, although its revision was read before the old process put newer ones in force. The new process could then serve an older configuration than its host had served.

Ruled out: the link's own identity. Replies are relayed by host name, so a new link of the same host gets them.

Change: each process draws a random number for its queries, and counts the queries that it relays from there.

Before: test_a_floor_reply_to_an_earlier_process_is_ignored fails (the floor is proved by the first reply). After: it passes; libs/fleet 39 passed. Old processes still send 0 and get 0 back; relays echo the number, so both releases serve each other.

--- a/libs/fleet/src/trefoil_fleet/distribution.py
+++ b/libs/fleet/src/trefoil_fleet/distribution.py
@@ -34,6 +34,9 @@
         other_seeds: Names of the domain's other seeds.
         control: Whether this is a control process, which gets the
             configuration from Raft.
+        floor_nonce: Number of this process's floor queries, not 0. Replies to
+            another number answer a process that ran here before: the floor
+            that they prove may be older than what it put in force since.
     """
 
     __slots__ = (
@@ -49,6 +52,7 @@
         "peer_held",
         "peer_lag_since_ms",
         "last_pull_ms",
+        "floor_nonce",
         "floor_queried_ms",
         "wait_noted_ms",
         "pending_effects",
@@ -61,8 +65,10 @@
         is_seed: bool,
         other_seeds: list[str],
         control: bool,
+        floor_nonce: int,
     ) -> None:
         self.floor = floor
+        self.floor_nonce = floor_nonce
         self.is_seed = is_seed
         self.other_seeds = other_seeds
         self.control = control
@@ -191,7 +197,7 @@
             self._query_floor([peer])
 
     def _query_floor(self, links: list[str]) -> None:
-        query = messages.FloorQuery(nonce=0, host=self.floor.local_host)
+        query = messages.FloorQuery(self.floor_nonce, self.floor.local_host)
         for peer in links:
             self.pending_effects.append(common.Send(peer, query))
 
@@ -202,7 +208,7 @@
         return self.held.revision
 
     def on_floor_reply(self, reply: messages.FloorReply, now_ms: int) -> None:
-        """Add a reply to a floor query."""
+        """Add a reply to one of this process's floor queries."""
         self.floor.add_reply(
             reply.host, reply.revision, reply.certain, reply.voters or ()
         )
--- a/libs/fleet/src/trefoil_fleet/node.py
+++ b/libs/fleet/src/trefoil_fleet/node.py
@@ -35,6 +35,7 @@
 SUMMARY_INTERVAL_MS = 5000
 RECORDS_STABLE_MS = 1500
 MAX_FLOOR_RELAYS = 256
+FLOOR_NONCE_BITS = 48
 JOINS_PER_S = 50
 JOIN_BURST = 50
 
@@ -108,7 +109,7 @@
         "updates",
         "updates_due_ms",
         "floor_relays",
-        "floor_nonce",
+        "relay_nonce",
         "join_tokens",
         "join_ms",
         "joins_per_s",
@@ -154,6 +155,7 @@
                 name for name in sorted(seeds) if name != self.local_host
             ],
             control=control,
+            floor_nonce=1 + rng.getrandbits(FLOOR_NONCE_BITS),
         )
         self.reports = report_store.Reports()
         self.links: dict[str, Link] = {}
@@ -165,7 +167,7 @@
         self.updates: dict[str, RecordUpdate] = {}
         self.updates_due_ms = now_ms
         self.floor_relays: dict[int, messages.FloorQuery] = {}
-        self.floor_nonce = 0
+        self.relay_nonce = self.config.floor_nonce
         self.join_tokens = float(JOIN_BURST)
         self.join_ms = now_ms
         self.joins_per_s = joins_per_s
@@ -683,18 +685,18 @@
     def on_floor_query(self, peer: str, query: messages.FloorQuery) -> None:
         """Reply with a seed's own confirmation and query the leader."""
         if self.control or self._control_link():
-            self.floor_nonce += 1
-            self.floor_relays[self.floor_nonce] = messages.FloorQuery(
+            self.relay_nonce += 1
+            self.floor_relays[self.relay_nonce] = messages.FloorQuery(
                 nonce=query.nonce, host=peer
             )
-            self.floor_relays.pop(self.floor_nonce - MAX_FLOOR_RELAYS, None)
+            self.floor_relays.pop(self.relay_nonce - MAX_FLOOR_RELAYS, None)
             if self.control:
                 self.pending_effects.append(
-                    effects.AskFloor(self.floor_nonce, self.local_host)
+                    effects.AskFloor(self.relay_nonce, self.local_host)
                 )
             else:
                 forwarded = messages.FloorQuery(
-                    self.floor_nonce, self.local_host
+                    self.relay_nonce, self.local_host
                 )
                 self._send(self._control_link(), forwarded)
         revision = self.config.confirmed_revision()
@@ -714,7 +716,7 @@
 
     def on_floor_reply(self, reply: messages.FloorReply) -> None:
         """Use a floor reply for this process, or relay it."""
-        if reply.nonce == 0:
+        if reply.nonce == self.config.floor_nonce:
             self.config.on_floor_reply(reply, self.now_ms)
         elif reply.certain:
             self._relay_floor(reply.nonce, reply.revision)
--- a/libs/fleet/tests/test_floor.py
+++ b/libs/fleet/tests/test_floor.py
@@ -43,10 +43,14 @@
 def test_a_waiting_proxy_logs_which_revision_it_waits_for() -> None:
     """Callers get 503 for as long as the floor is above every revision."""
     copy = distributions.Distribution(
-        floors.Floor("p1", []), is_seed=False, other_seeds=[], control=False
+        floors.Floor("p1", []),
+        is_seed=False,
+        other_seeds=[],
+        control=False,
+        floor_nonce=5,
     )
     for voter in VOTERS[:2]:
-        reply = messages.FloorReply(0, 9, False, voter, VOTERS)
+        reply = messages.FloorReply(5, 9, False, voter, VOTERS)
         copy.on_floor_reply(reply, 0)
     for now_ms in range(100, 6000, 100):
         copy.tick([], now_ms)
--- a/libs/fleet/tests/test_node.py
+++ b/libs/fleet/tests/test_node.py
@@ -278,6 +278,34 @@
     assert not net.nodes["p1"].ready
 
 
+def floor_messages(emitted: list[typing.Any], kind: type) -> list[typing.Any]:
+    """Return the messages of one kind that effects send."""
+    sent = [e.message for e in emitted if isinstance(e, common.Send)]
+    return [message for message in sent if isinstance(message, kind)]
+
+
+def test_a_floor_reply_to_an_earlier_process_is_ignored() -> None:
+    """A relay that was suspended delivers a floor from before the restart."""
+    net = Net()
+    relay = net.nodes["c1"]
+    replies = []
+    for _ in range(2):
+        net.boot("p1")
+        emitted = net.nodes["p1"].linked(
+            "c1", control=True, served=False, revision=0, now_ms=0
+        )
+        (query,) = floor_messages(emitted, messages.FloorQuery)
+        asked = relay.receive("p1", query, 0)
+        (ask,) = [e for e in asked if isinstance(e, effects.AskFloor)]
+        emitted = relay.send_leader_confirmation(ask.nonce, 7, 0)
+        replies += floor_messages(emitted, messages.FloorReply)
+    floor = net.nodes["p1"].config.floor
+    net.nodes["p1"].receive("c1", replies[0], 0)
+    assert not floor.proved
+    net.nodes["p1"].receive("c1", replies[1], 0)
+    assert (floor.proved, floor.revision) == (True, 7)
+
+
 def test_older_snapshot_does_not_replace_a_newer_revision() -> None:
     """A delta of the whole configuration arrives after a newer revision."""
     net = Net()
