Let the leader correct a floor that voters gave

Cause: while no leader is known, voters confirm the floor of a restarted proxy, the revision below which it must not serve. A voter names the newest command of its log that it has not applied, by its index, which is an upper bound: a refused command makes no revision, and an entry may never be agreed on. The proxy froze the first proof, so the leader's confirmation, which came milliseconds later and names a revision that exists, changed nothing.

Ruled out: a configuration that was lost or not sent (newest=8 is the newest revision); an unproved floor; no leader (elected within 0.5 s).

Change: each proof covers all that was in force before the process started, so the lowest counts, and a proxy asks until a revision in force reaches its floor. The leader's confirmation ends each such wait.

--- a/libs/emulator/src/trefoil_emulator/control_net.py
+++ b/libs/emulator/src/trefoil_emulator/control_net.py
@@ -3,12 +3,16 @@
 import random
 import typing
 
+from trefoil_daemon import _fleet_process
 from trefoil_daemon import control_process
+from trefoil_fleet import effects as fleet_effects
+from trefoil_fleet import node as nodes
 from trefoil_model import clock as clocks
 from trefoil_model import effects as common
 from trefoil_quorum import raft as rafts
 from trefoil_settings import settings as setting_store
 from trefoil_store import disk as disks
+from trefoil_wire import messages
 
 FOUNDERS = ["10.0.0.1", "10.0.0.2", "10.0.0.3"]
 STEP_MS = 50
@@ -54,6 +58,49 @@
         """Ignore the count."""
 
 
+class FleetMember(_fleet_process.FleetProcess):
+    """A proxy without requests: its fleet core alone.
+
+    Args:
+        node: The fleet core.
+        driver: Does the input and output of effects.
+        clock: The runtime's clock.
+
+    Attributes:
+        in_force: Every revision that was in force since its start, in order.
+    """
+
+    def __init__(
+        self, node: nodes.Node, driver: Driver, clock: clocks.Clock
+    ) -> None:
+        super().__init__(node, driver, clock)
+        self.in_force: list[int] = []
+
+    @property
+    def revision(self) -> int:
+        """Return the revision in force, 0 if there is none."""
+        return self.in_force[-1] if self.in_force else 0
+
+    def execute(self, effect: typing.Any) -> None:
+        """Execute one effect."""
+        match effect:
+            case fleet_effects.PutInForce():
+                self.in_force.append(effect.items.revision)
+            case fleet_effects.RecordsChanged():
+                pass
+            case _:
+                super().execute(effect)
+
+    def link_message(self, host: str, message: typing.Any) -> None:
+        """Handle a message from a subscribed link."""
+        now_ms = self.clock.now_ms()
+        self.perform(self.node.receive(host, message, now_ms))
+
+    def tick(self) -> None:
+        """Run the periodic work."""
+        self.perform(self.node.tick(self.clock.now_ms()))
+
+
 class Network:
     """Control processes on a network that can be partitioned.
 
@@ -64,6 +111,7 @@
         self.clock = clocks.PausedClock()
         self.rng = random.Random(5)
         self.processes: dict[str, control_process.ControlProcess] = {}
+        self.proxies: dict[str, FleetMember] = {}
         self.disks: dict[str, disks.MemoryDisk] = {}
         self.links: set[frozenset[str]] = set()
         self.in_transit: list[tuple[str, str, typing.Any]] = []
@@ -96,9 +144,37 @@
             disk=disk,
         )
 
+    def start_proxy(self, name: str) -> None:
+        """Start a proxy, which knows the founders and has no disk."""
+        record = messages.HostRecord(
+            host=name,
+            domain="d",
+            region="",
+            address=f"{name}:7000",
+            incarnation=self.clock.wall_ms(),
+            sequence=1,
+            state=messages.HostState.ALIVE,
+            targets=[],
+        )
+        node = nodes.Node(
+            record,
+            control=False,
+            seeds={},
+            controls={founder: f"{founder}:7000" for founder in FOUNDERS},
+            now_ms=self.clock.now_ms(),
+            rng=self.rng,
+        )
+        driver = Driver(self, name)
+        self.proxies[name] = FleetMember(node, driver, self.clock)
+
+    def members(self) -> dict[str, _fleet_process.FleetProcess]:
+        """Return the control processes and proxies that run, by name."""
+        return self.processes | self.proxies
+
     def stop(self, name: str) -> None:
         """Stop a process and break its links; its disk remains."""
-        del self.processes[name]
+        self.processes.pop(name, None)
+        self.proxies.pop(name, None)
         for pair in [pair for pair in self.links if name in pair]:
             self.unlink(*pair)
 
@@ -107,27 +183,26 @@
         is_connected = not self.partitions or any(
             {one, other} <= group for group in self.partitions
         )
-        return (
-            is_connected and one in self.processes and other in self.processes
-        )
+        return is_connected and {one, other} <= self.members().keys()
 
     def dial(self, one: str, other: str) -> None:
         """Link two processes, or report a failed dial to the first."""
+        members = self.members()
         if not self.can_reach(one, other):
-            self.processes[one].link_down(other, 0)
+            members[one].link_down(other, 0)
             return
         self.links.add(frozenset((one, other)))
         for name, peer, served in ((one, other, False), (other, one, True)):
-            hello = self.processes[peer].greeting(True)
-            self.processes[name].link_up(peer, hello, served)
+            hello = members[peer].greeting(True)
+            members[name].link_up(peer, hello, served)
 
     def unlink(self, one: str, other: str) -> None:
         """Break the link between two processes, if any."""
         if frozenset((one, other)) in self.links:
             self.links.remove(frozenset((one, other)))
             for name, peer in ((one, other), (other, one)):
-                if name in self.processes:
-                    self.processes[name].link_down(peer, 0)
+                if name in self.members():
+                    self.members()[name].link_down(peer, 0)
 
     def partition(self, *partitions: set[str]) -> None:
         """Partition the network until ``partitions`` is reset.
@@ -144,14 +219,14 @@
         """Advance the time in steps and deliver messages."""
         for _ in range(duration_ms // STEP_MS):
             self.clock.advance(STEP_MS)
-            for process in list(self.processes.values()):
+            for process in list(self.members().values()):
                 process.tick()
             for _ in range(20):
                 batch, self.in_transit = self.in_transit, []
                 for source, destination, message in batch:
                     if frozenset((source, destination)) in self.links:
                         self.delivered.append(message)
-                        self.processes[destination].link_message(
+                        self.members()[destination].link_message(
                             source, message
                         )
 
--- a/libs/fleet/src/trefoil_fleet/distribution.py
+++ b/libs/fleet/src/trefoil_fleet/distribution.py
@@ -162,7 +162,7 @@
         for peer in links:
             self._repair(peer, now_ms)
         due_ms = self.floor_queried_ms + FLOOR_QUERY_INTERVAL_MS
-        if links and not self.floor.proved and now_ms >= due_ms:
+        if links and not self.floor_reached and now_ms >= due_ms:
             self.floor_queried_ms = now_ms
             self._query_floor(links)
         self._put_in_force_if_due(now_ms)
@@ -187,13 +187,18 @@
 
     # Floor
 
-    def query_floor_if_unproved(self, peer: str) -> None:
-        """Query a peer immediately if the floor is not proved yet.
+    @property
+    def floor_reached(self) -> bool:
+        """Return whether the revision in force reaches the floor."""
+        return self.floor.reached_by(self.in_force.revision)
 
-        Until it is proved a proxy refuses its callers, so it does not wait
-        for the next regular query.
+    def query_floor_if_needed(self, peer: str) -> None:
+        """Query a peer immediately unless the floor is reached.
+
+        Until then a proxy refuses its callers, so it does not wait for the
+        next regular query.
         """
-        if not self.floor.proved:
+        if not self.floor_reached:
             self._query_floor([peer])
 
     def _query_floor(self, links: list[str]) -> None:
@@ -209,6 +214,8 @@
 
     def on_floor_reply(self, reply: messages.FloorReply, now_ms: int) -> None:
         """Add a reply to one of this process's floor queries."""
+        if self.floor_reached:
+            return
         self.floor.add_reply(
             reply.host, reply.revision, reply.certain, reply.voters or ()
         )
--- a/libs/fleet/src/trefoil_fleet/floor.py
+++ b/libs/fleet/src/trefoil_fleet/floor.py
@@ -18,6 +18,12 @@
 ``n - majority + 1`` voters one has it in its log. This lets proxies serve
 callers while no leader is known, or while the control hosts are partitioned
 into two halves.
+
+What seeds and voters confirm is an upper bound. A voter cannot know whether
+the newest entries of its log will be agreed on, or whether their commands
+will be refused, so its bound may be a revision that never exists. Each proof
+covers all that was in force before this process started. Therefore the lowest
+one counts, and replies are collected until a revision in force reaches it.
 """
 
 import collections.abc
@@ -35,7 +41,7 @@
 
 
 class Floor:
-    """Collects the proof of the floor from a process's start to its end.
+    """Collects the proofs of the floor until a revision reaches it.
 
     Args:
         local_host: Name of this host.
@@ -85,8 +91,6 @@
             voters: The Raft voters, if one of them replied on its own
                 behalf.
         """
-        if self.proved:
-            return
         if host in voters and revision >= 0:
             self._add_voter_reply(host, revision, voters)
             return
@@ -115,6 +119,9 @@
             self._prove(highest, replied)
 
     def _prove(self, revision: int, given_by: list[str]) -> None:
+        """Use a proof if it is the first one or lower than all others."""
+        if self.proved and revision >= self.revision:
+            return
         self.revision = revision
         self.proved = True
         self.given_by = given_by
--- a/libs/fleet/src/trefoil_fleet/node.py
+++ b/libs/fleet/src/trefoil_fleet/node.py
@@ -264,7 +264,7 @@
         self.overlay.linked(host, now_ms)
         self.members.mark_responsive(host)
         self.config.peer_held[host] = revision
-        self.config.query_floor_if_unproved(host)
+        self.config.query_floor_if_needed(host)
         if not served:
             summary = self.members.records.summary(
                 now_ms, recent_only=False, reply_wanted=True
@@ -617,7 +617,7 @@
         if link is not None:
             if heartbeat.led and not link.leader_known:
                 # Queries sent before a leader was known got no reply.
-                self.config.query_floor_if_unproved(peer)
+                self.config.query_floor_if_needed(peer)
             link.leader_known = bool(heartbeat.led)
             self._compare_records(link, heartbeat.records_digest)
 
--- a/libs/fleet/tests/test_floor.py
+++ b/libs/fleet/tests/test_floor.py
@@ -57,3 +57,16 @@
     (note,) = copy.pending_effects
     assert note.event == "config.waiting"
     assert note.fields == {"floor": 9, "given_by": "c1,c2", "newest": 0}
+
+
+def test_the_leader_lowers_a_floor_that_voters_gave() -> None:
+    """Voters named an entry that will never be a revision."""
+    floor = floors.Floor("p1", [])
+    for voter in VOTERS[:2]:
+        floor.add_reply(voter, 9, False, VOTERS)
+    assert not floor.reached_by(8)
+    floor.add_reply("c3", 8, True)
+    assert floor.reached_by(8)
+    assert not floor.reached_by(7)
+    floor.add_reply("c3", 10, True)
+    assert floor.reached_by(8)
