--- a/libs/emulator/src/trefoil_emulator/control_net.py
+++ b/libs/emulator/src/trefoil_emulator/control_net.py
@@ -118,18 +118,27 @@
         self.delivered: list[typing.Any] = []
         self.partitions: tuple[set[str], ...] = ()
 
-    def start(self, name: str, *, found: bool, lost_disks: int = 1) -> None:
+    def start(
+        self,
+        name: str,
+        *,
+        found: bool,
+        lost_disks: int = 1,
+        snapshot_entries: int = 500,
+    ) -> None:
         """Start a process, on its previous disk if it has one.
 
         Args:
             name: Name of the process, which is its host.
             found: Whether it may take part in founding the cluster.
             lost_disks: Control hosts that may lose their disks together.
+            snapshot_entries: Log entries after which a snapshot is taken.
         """
         parsed = setting_store.parse(
             f"host: {name}\ndomain: d\npeers: {name}:7000\n"
             f"admin: {name}:8000\ndata_folder: x\nfound: {str(found).lower()}"
             f"\nlost_disks: {lost_disks}"
+            f"\nsnapshot_entries: {snapshot_entries}"
             f"\njoin: [{', '.join(f'{s}:8000' for s in FOUNDERS)}]\n",
             "control",
         )
