Let a restarted seed confirm no less than its own floor

Cause: a seed whose floor was proved confirmed the revision that it held, which may still be older, even none. Counted among the confirmations of a cut-off domain's seeds, it let a proxy that restarts too return to a revision older than what was in force there. Found by reading, next to the floors that voters give.

Ruled out: no confirmation until the revision is held; proxies would wait longer, and the proved floor covers all that was in force.

Before: test_a_restarted_seed_confirms_no_less_than_its_floor fails (0, not 9). After: it passes, libs/fleet 41 passed.

Also: imports and types of test_floors.py as the linter wants them.

--- a/libs/daemon/tests/test_floors.py
+++ b/libs/daemon/tests/test_floors.py
@@ -1,9 +1,11 @@
 """The floors of restarted proxies, given by real agreement cores."""
 
-import hypothesis
-import pytest
+import collections.abc
+
+from hypothesis import settings
 from hypothesis import stateful
 from hypothesis import strategies as st
+import pytest
 
 from trefoil_emulator import control_net
 from trefoil_store import disk as disks
@@ -18,6 +20,8 @@
 # Elections, joins of wiped hosts and the longest retry of a link.
 RECOVERY_MS = 15000
 
+MakeCommand = collections.abc.Callable[[int], messages.Command]
+
 
 def command(number: int, body: object) -> messages.Command:
     """Return an operator's command."""
@@ -75,7 +79,7 @@
 
 @pytest.mark.parametrize("unchanging", [refused, without_effect])
 def test_proxies_serve_after_a_power_loss_behind_a_refused_command(
-    unchanging,
+    unchanging: MakeCommand,
 ) -> None:
     """Voters give a floor that no revision reaches; the leader corrects it."""
     net = running_fleet()
@@ -127,7 +131,7 @@
         at=st.sampled_from(HOSTS),
         make=st.sampled_from([accepted, refused, without_effect, moved]),
     )
-    def send_command(self, at: str, make) -> None:
+    def send_command(self, at: str, make: MakeCommand) -> None:
         """Send a new command to any control host that runs."""
         self.commands.append(make(len(self.commands)))
         self._send(at, self.commands[-1])
@@ -202,7 +206,11 @@
         last=st.sampled_from([accepted, refused, without_effect]),
     )
     def lose_power(
-        self, order: list[str], pauses_ms: list[int], wipe: bool, last
+        self,
+        order: list[str],
+        pauses_ms: list[int],
+        wipe: bool,
+        last: MakeCommand,
     ) -> None:
         """Restart all after a command; control hosts come back one by one."""
         self.send_command(order[-1], last)
@@ -265,6 +273,4 @@
 
 
 TestFloors = Floors.TestCase
-TestFloors.settings = hypothesis.settings(
-    max_examples=25, stateful_step_count=25
-)
+TestFloors.settings = settings(max_examples=25, stateful_step_count=25)
--- a/libs/fleet/src/trefoil_fleet/distribution.py
+++ b/libs/fleet/src/trefoil_fleet/distribution.py
@@ -207,10 +207,15 @@
             self.pending_effects.append(common.Send(peer, query))
 
     def confirmed_revision(self) -> int:
-        """Return the revision that this seed confirms, -1 for none."""
+        """Return the revision that this seed confirms, -1 for none.
+
+        A seed whose floor is proved may not hold that revision yet. If it
+        confirmed the older one that it holds, a proxy that restarts as well
+        could return to it.
+        """
         if not self.is_seed or not self.floor.proved:
             return -1
-        return self.held.revision
+        return max(self.held.revision, self.floor.revision)
 
     def on_floor_reply(self, reply: messages.FloorReply, now_ms: int) -> None:
         """Add a reply to one of this process's floor queries."""
--- a/libs/fleet/tests/test_floor.py
+++ b/libs/fleet/tests/test_floor.py
@@ -40,6 +40,20 @@
     assert not floor.reached_by(4)
 
 
+def test_a_restarted_seed_confirms_no_less_than_its_floor() -> None:
+    """It has proved its floor and does not hold that revision yet."""
+    seed = distributions.Distribution(
+        floors.Floor("s1", ["s1", "s2", "s3"]),
+        is_seed=True,
+        other_seeds=["s2", "s3"],
+        control=False,
+        floor_nonce=5,
+    )
+    assert seed.confirmed_revision() == -1
+    seed.on_floor_reply(messages.FloorReply(5, 9, True, "c1"), 0)
+    assert seed.confirmed_revision() == 9
+
+
 def test_a_waiting_proxy_logs_which_revision_it_waits_for() -> None:
     """Callers get 503 for as long as the floor is above every revision."""
     copy = distributions.Distribution(
