Leave a request at work on a connection that may be silent

Cause: the detector of silent connections compares a request with recent ones of its route. A long request among short ones looks like one on a dead connection, and its connection was closed: a guess treated as a fact.

Evidence: the reason in request.lost, "the connection to the target went silent", is given in one place only.

Ruled out: the shutdown itself (the request is broken off without SIGTERM as well), the time limit (4 s).

Change: a suspect connection keeps its request, whose late answer goes out. Idle connections that have not answered since that request was sent are closed, so that no further caller waits on one. target.silent tells of it. Safe requests are asked for elsewhere as before (hedges).

--- a/libs/daemon/src/trefoil_daemon/pools.py
+++ b/libs/daemon/src/trefoil_daemon/pools.py
@@ -38,6 +38,9 @@
     def target_disconnected(self, request_id: int) -> None:
         """Handle a connection that broke during a request."""
 
+    def target_silent(self, request_id: int, waited_ms: int) -> None:
+        """Handle a request whose connection may have gone silent."""
+
     def target_checked(self, target: str, accepts: bool) -> None:
         """Handle the result of a connection check."""
 
@@ -46,7 +49,9 @@
 class TargetConnection:
     """One connection to a target, which carries one request at a time.
 
-    ``unsent_request`` is the request to send once the connection is open.
+    ``unsent_request`` is the request to send once the connection is open,
+    ``answered_ms`` the time of its last answer, and ``suspect`` tells whether
+    it may have gone silent under its request.
     """
 
     stream: transports.Stream
@@ -56,6 +61,8 @@
     unsent_request: bytes = b""
     idle_until_ms: int = 0
     started_ms: int = 0
+    answered_ms: int = 0
+    suspect: bool = False
 
 
 class DetectorKey(typing.NamedTuple):
@@ -140,6 +147,7 @@
         connection = self._acquire(effect.port, now_ms)
         connection.request = request
         connection.started_ms = now_ms
+        connection.suspect = False
         connection.reader.bodiless = request.method == "HEAD"
         self.busy[request.request_id] = connection
         self._detector(effect.port, request).sent_at(
@@ -160,7 +168,7 @@
             connection.stream.close()
 
     def tick(self) -> None:
-        """Close expired idle connections and silent ones."""
+        """Close expired idle connections and look for silent ones."""
         now_ms = self.clock.now_ms()
         for connections in self.idle.values():
             for connection in list(connections):
@@ -170,27 +178,22 @@
                     connection.stream.close()
         for detector in self.detectors.values():
             for request_id in detector.silent(now_ms):
-                self._close_silent(request_id, detector)
+                connection = self.busy.get(request_id)
+                if connection is not None and not connection.suspect:
+                    self._suspect(connection, now_ms)
 
-    def _close_silent(
-        self,
-        request_id: int,
-        detector: silent_connections.SilentConnectionDetector,
-    ) -> None:
-        connection = self.busy.pop(request_id, None)
-        detector.dropped(request_id)
-        if connection is None:
-            return
-        connection.request = None
-        connection.stream.close()
-        self.owner.target_answered(
-            messages.Answer(
-                request_id=request_id,
-                status=502,
-                reason="the connection to the target went silent",
-                ran=True,
-                unusable=True,
-            )
+    def _suspect(self, connection: TargetConnection, now_ms: int) -> None:
+        """Use no idle connection that may have gone silent with this one.
+
+        The request is left at work: that it takes longer than others does not
+        show that its connection is silent. A late answer is still passed on.
+        """
+        connection.suspect = True
+        for idle in list(self.idle.get(connection.port, ())):
+            if idle.answered_ms <= connection.started_ms:
+                idle.stream.close()
+        self.owner.target_silent(
+            connection.request.request_id, now_ms - connection.started_ms
         )
 
     def check(self, target: str, port: int) -> None:
@@ -307,6 +310,7 @@
         detector = self._detector(connection.port, request)
         detector.answered(request.request_id, now_ms)
         clean = not connection.reader.started
+        connection.answered_ms = now_ms
         if message.keep_alive and clean and not connection.stream.closed:
             connection.idle_until_ms = now_ms + _idle_ms(message)
             self.idle.setdefault(connection.port, []).append(connection)
--- a/libs/daemon/src/trefoil_daemon/proxy_process.py
+++ b/libs/daemon/src/trefoil_daemon/proxy_process.py
@@ -567,6 +567,10 @@
         """Handle the result of a local target's connection check."""
         self.perform(self.targets.on_target_checked(target, accepts))
 
+    def target_silent(self, request_id: int, waited_ms: int) -> None:
+        """Handle a request whose connection may have gone silent."""
+        self.perform(self.targets.on_target_silent(request_id, waited_ms))
+
     def target_disconnected(self, request_id: int) -> None:
         """Handle a local target's connection that broke during a request."""
         self.perform(
--- a/libs/model/src/trefoil_model/events.py
+++ b/libs/model/src/trefoil_model/events.py
@@ -57,6 +57,7 @@
     "target.limit_malformed": "a target names a limit that is no number",
     "target.load": "use of a target's slots and of its host's link",
     "target.refused": "not sent to the target: the request did not run",
+    "target.silent": "a request waits far longer than later ones of its route",
     "target.timed_out": "a target did not answer in time",
     "version.adopted": "a version that no document names is put in force",
     "version.halted": "this proxy stopped sending to a version on its own",
--- a/libs/requests/src/trefoil_requests/silence.py
+++ b/libs/requests/src/trefoil_requests/silence.py
@@ -1,4 +1,4 @@
-"""Detection of connections that stopped delivering answers.
+"""Detection of connections that may have stopped delivering answers.
 
 New connections to the same target may work meanwhile.
 """
@@ -15,10 +15,11 @@
 
     A device between the two ends may lose its state of a connection: no data
     arrives on it and no error is reported, while new connections work. The
-    connection of a request is considered silent when the request has waited
-    far longer than others take and enough requests sent after it were
-    answered. On a slow target few later requests are answered first, so it is
-    not mistaken for a silent connection.
+    connection of a request may be silent when the request has waited far
+    longer than others take and enough requests sent after it were answered.
+    On a slow target few later requests are answered first, so it is not
+    mistaken for a silent connection. A request that takes long beside short
+    ones is, so this is never a reason to end a request.
     """
 
     __slots__ = ("sent", "overtaken_by", "recent_ms")
@@ -53,7 +54,7 @@
         self.overtaken_by.pop(request_id, None)
 
     def silent(self, now_ms: int) -> list[int]:
-        """Return the ids of requests whose connections are silent."""
+        """Return the ids of requests whose connections may be silent."""
         if not self.recent_ms:
             return []
         threshold_ms = max(SLOW_FACTOR * max(self.recent_ms), MIN_AGE_MS)
--- a/libs/requests/src/trefoil_requests/target_side.py
+++ b/libs/requests/src/trefoil_requests/target_side.py
@@ -715,6 +715,15 @@
             self._refuse(tracked, "the target does not accept connections")
         return self._flush()
 
+    def on_target_silent(
+        self, request_id: int, waited_ms: int
+    ) -> list[typing.Any]:
+        """Log a request that is left at work on a suspect connection."""
+        tracked = self.running.get(request_id)
+        if tracked is not None:
+            self._note("target.silent", tracked, waited_ms=waited_ms)
+        return self._flush()
+
     def on_target_disconnected(
         self, request_id: int, now_ms: int
     ) -> list[typing.Any]:
