Take no answer without an id for the answer to a request

Cause: an answer without an id was accepted for a request that has one.

Ruled out: sound targets that leave the id out.

Change: such an answer is discarded, the request waits for its own, and its connection is closed behind that.

--- a/libs/daemon/src/trefoil_daemon/pools.py
+++ b/libs/daemon/src/trefoil_daemon/pools.py
@@ -51,7 +51,8 @@
 
     ``unsent_request`` is the request to send once the connection is open,
     ``answered_ms`` the time of its last answer, and ``suspect`` tells whether
-    it may have gone silent under its request.
+    it may have gone silent under its request. ``strayed`` is set once it has
+    carried an answer that names no request.
     """
 
     stream: transports.Stream
@@ -63,6 +64,7 @@
     started_ms: int = 0
     answered_ms: int = 0
     suspect: bool = False
+    strayed: bool = False
 
 
 class DetectorKey(typing.NamedTuple):
@@ -268,19 +270,20 @@
     ) -> bool:
         """Return whether a message answers the request in flight.
 
-        A duplicate or late answer arrives where the answer to the next
-        request is expected, and would reach the wrong caller.
+        A duplicate, late or additional answer arrives where the answer to the
+        next request is expected, and would reach the wrong caller. Targets
+        return the id of each request that has one, so an answer without an id
+        belongs to no request, also if it states that it did not run.
         """
         if message.status < 200:
             return False
         expected_id = connection.request.caller_id
         if not expected_id or not self.dialect.request_id:
             return True
-        name = self.dialect.request_id.lower()
-        answer_id = message.fields.get(name)
-        return answer_id is None or answer_id == expected_id.encode(
-            "latin-1", "replace"
-        )
+        answer_id = message.fields.get(self.dialect.request_id.lower())
+        if answer_id is None:
+            connection.strayed = True
+        return answer_id == expected_id.encode("latin-1", "replace")
 
     def _on_malformed_answer(
         self, connection: TargetConnection, error: errors.ProtocolError
@@ -309,7 +312,7 @@
         self.busy.pop(request.request_id, None)
         detector = self._detector(connection.port, request)
         detector.answered(request.request_id, now_ms)
-        clean = not connection.reader.started
+        clean = not connection.reader.started and not connection.strayed
         connection.answered_ms = now_ms
         if message.keep_alive and clean and not connection.stream.closed:
             connection.idle_until_ms = now_ms + _idle_ms(message)
--- a/libs/daemon/tests/test_edges.py
+++ b/libs/daemon/tests/test_edges.py
@@ -180,6 +180,36 @@
     assert [a.body for a in target.owner.answers] == [b"one", b"two"]
 
 
+@pytest.mark.parametrize(
+    "stray",
+    [
+        b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray",
+        b"HTTP/1.1 400 Bad\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+    ],
+)
+def test_an_answer_without_an_id_answers_no_request(stray: bytes) -> None:
+    """A caller got a target's additional bytes, or its payment ran twice."""
+    target = Target()
+    stream = target.send(1, "first")
+    stream.peer_sends(stray)
+    assert target.owner.answers == []
+    stream.peer_sends(answer("first", "one"))
+    assert [a.body for a in target.owner.answers] == [b"one"]
+    assert stream.closed
+
+
+@pytest.mark.parametrize("reset", [True, False])
+def test_a_stray_answer_without_a_length_hides_the_answer(reset: bool) -> None:
+    """All later bytes belong to it, so the request's outcome is unknown."""
+    target = Target()
+    stream = target.send(1, "first")
+    stream.peer_sends(b"HTTP/1.1 200 OK\r\n\r\nstray")
+    stream.peer_sends(answer("first", "one"))
+    stream.peer_ends(reset=reset)
+    assert target.owner.answers == []
+    assert target.owner.broken == [1]
+
+
 def test_bytes_after_an_answer_close_the_connection() -> None:
     target = Target()
     stream = target.send(1, "first")
