Read the answer behind an informational one

What callers saw: a target that sends 100 Continue, 102 or 103 before its answer got its caller a 504 at the time limit, though it had answered.

Cause: the reader took such an answer for one whose body ends with its connection, so all that followed belonged to it and was dropped. Informational answers never have a body (RFC 9110, 15.2).

Ruled out: that it was discarded as meant (it was, with the answer behind it).

Change: informational answers end with their head. 101 is malformed: requests ask for no other protocol, and what follows it is no HTTP.

Before: the five new tests fail. After: they pass, libs/daemon passes.

--- a/libs/daemon/src/trefoil_daemon/_http.py
+++ b/libs/daemon/src/trefoil_daemon/_http.py
@@ -33,6 +33,7 @@
     )
 )
 BODILESS_STATUSES = (204, 304)
+SWITCHING_PROTOCOLS = 101
 REQUEST = 0
 RESPONSE = 1
 
@@ -180,6 +181,9 @@
                 raise errors.ProtocolError(400, "the path must start with /")
             return
         message.status = parser.get_status_code()
+        if message.status == SWITCHING_PROTOCOLS:
+            # Requests ask for no other protocol, and what follows is none.
+            raise errors.ProtocolError(400, "the protocol was switched")
         message.reason = (parser._status or "")[4:]
 
     def _parse_header_lines(self, message: Message, head: bytes) -> None:
@@ -227,7 +231,10 @@
             raise errors.ProtocolError(413, "the body is too large")
 
     def _has_no_body(self, message: Message) -> bool:
-        return self.bodiless or message.status in BODILESS_STATUSES
+        if self.bodiless or message.status in BODILESS_STATUSES:
+            return True
+        # Informational answers never have a body (RFC 9110, 15.2).
+        return 100 <= message.status < 200
 
     def _read_body(self) -> Message | None:
         message = self.message
--- a/libs/daemon/tests/test_edges.py
+++ b/libs/daemon/tests/test_edges.py
@@ -198,6 +198,17 @@
     assert stream.closed
 
 
+def test_an_informational_answer_precedes_the_answer() -> None:
+    """A caller waited for its answer until its time limit."""
+    target = Target()
+    stream = target.send(1, "first")
+    stream.peer_sends(b"HTTP/1.1 100 Continue\r\n\r\n")
+    assert target.owner.answers == []
+    stream.peer_sends(answer("first", "one"))
+    assert [a.body for a in target.owner.answers] == [b"one"]
+    assert not stream.closed
+
+
 @pytest.mark.parametrize("reset", [True, False])
 def test_a_stray_answer_without_a_length_hides_the_answer(reset: bool) -> None:
     """All later bytes belong to it, so the request's outcome is unknown."""
--- a/libs/daemon/tests/test_http.py
+++ b/libs/daemon/tests/test_http.py
@@ -121,6 +121,25 @@
     assert message_reader.feed_eof() is None
 
 
+@pytest.mark.parametrize("status", [100, 102, 103])
+def test_an_informational_answer_has_no_body(status: int) -> None:
+    """Read up to the end of its connection, it hid the answer behind it."""
+    message_reader = reader(_http.RESPONSE)
+    first = message_reader.feed(
+        b"HTTP/1.1 %d Early\r\nLink: a\r\n\r\n"
+        b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok" % status
+    )
+    assert (first.status, first.body) == (status, b"")
+    second = message_reader.next()
+    assert (second.status, second.body) == (200, b"ok")
+
+
+def test_a_switch_of_protocols_is_malformed() -> None:
+    """What follows it is no HTTP."""
+    with pytest.raises(errors.ProtocolError):
+        reader(_http.RESPONSE).feed(b"HTTP/1.1 101 Up\r\n\r\n\x00")
+
+
 def test_an_answer_without_a_length_ends_with_its_connection() -> None:
     message_reader = reader(_http.RESPONSE)
     assert message_reader.feed(b"HTTP/1.1 200 OK\r\n\r\nabc") is None
