End health checks that are answered without end

What was wrong: a target that answers a health check in drips, or with informational answers without end, kept the check and one of the target's connections open for good; each further check opened another. An informational answer before the answer was taken for it, so its warm-up was not read.

Cause: checks had no time limit and took the first message for the answer.

Ruled out: unbounded memory; the reader's limits hold.

Change: one check a target, ten seconds long at most; up to eight informational answers are skipped.

Before: the three new tests of health checks fail. After: they pass.

--- a/libs/daemon/src/trefoil_daemon/health.py
+++ b/libs/daemon/src/trefoil_daemon/health.py
@@ -1,7 +1,9 @@
 """Health checks of the targets of this host."""
 
+import dataclasses
 import typing
 
+from trefoil_model import clock as clocks
 from trefoil_model import errors
 
 from . import _http
@@ -9,6 +11,10 @@
 from . import transport as transports
 
 MAX_BODY_BYTES = 64 * 1024
+# A check waits for a slot like any other request.
+TIMEOUT_MS = 10_000
+# Informational answers before the answer to a check.
+MAX_DISCARDED = 8
 
 
 class Owner(typing.Protocol):
@@ -18,6 +24,25 @@
         """Handle a target's report of how many milliseconds it stays cold."""
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class Check:
+    """One health check in flight.
+
+    Args:
+        target: Name of the target.
+        stream: Its connection.
+        reader: Reads the answer.
+        asked_ms: When it began.
+        discarded: Number of informational answers so far.
+    """
+
+    target: str
+    stream: transports.Stream
+    reader: _http.MessageReader
+    asked_ms: int
+    discarded: int = 0
+
+
 class HealthChecks:
     """Asks targets how much longer they are cold.
 
@@ -27,24 +52,28 @@
     Args:
         transport: Opens the streams.
         owner: The process.
+        clock: The runtime's clock.
         ip: Address of this host, where its targets accept requests.
         dialect: The header names.
     """
 
-    __slots__ = ("transport", "owner", "ip", "dialect")
+    __slots__ = ("transport", "owner", "clock", "ip", "dialect", "checks")
 
     def __init__(
         self,
         transport: transports.Transport,
         owner: Owner,
+        clock: clocks.Clock,
         *,
         ip: str,
         dialect: dialects.Dialect,
     ) -> None:
         self.transport = transport
         self.owner = owner
+        self.clock = clock
         self.ip = ip
         self.dialect = dialect
+        self.checks: dict[str, Check] = {}
 
     def ask(self, target: str, port: int, path: str) -> None:
         """Send a health check to a target.
@@ -54,25 +83,54 @@
             port: Its port.
             path: Path of its health check.
         """
-        reader = _http.MessageReader(_http.RESPONSE, MAX_BODY_BYTES)
+        old = self.checks.pop(target, None)
+        if old is not None:
+            old.stream.close()
         request = f"GET {path} HTTP/1.1\r\nHost: {self.ip}:{port}\r\n\r\n"
 
         def send_request(stream: transports.Stream) -> None:
             stream.write(request.encode("latin-1", "replace"))
 
-        def read_response(stream: transports.Stream, data: bytes) -> None:
-            try:
-                message = reader.feed(data)
-            except errors.ProtocolError:
-                # A malformed answer leaves the estimate unchanged.
-                stream.close()
-                return
-            if message is not None:
-                stream.close()
-                self._on_response(target, message)
-
         stream = self.transport.connect(f"{self.ip}:{port}", send_request)
-        stream.on_data = read_response
+        reader = _http.MessageReader(_http.RESPONSE, MAX_BODY_BYTES)
+        check = Check(target, stream, reader, self.clock.now_ms())
+        stream.owner = check
+        stream.on_data = self._on_data
+        stream.on_close = self._on_close
+        self.checks[target] = check
+
+    def tick(self) -> None:
+        """End the checks that take too long.
+
+        A target in trouble may answer in drips without end. Each check would
+        keep a connection of the target open for good.
+        """
+        now_ms = self.clock.now_ms()
+        for check in list(self.checks.values()):
+            if now_ms - check.asked_ms >= TIMEOUT_MS:
+                check.stream.close()
+
+    def _on_data(self, stream: transports.Stream, data: bytes) -> None:
+        check = stream.owner
+        try:
+            message = check.reader.feed(data)
+            while message is not None and message.status < 200:
+                check.discarded += 1
+                if check.discarded > MAX_DISCARDED:
+                    raise errors.ProtocolError(400, "too many other answers")
+                message = check.reader.next()
+        except errors.ProtocolError:
+            # A malformed answer leaves the estimate unchanged.
+            stream.close()
+            return
+        if message is not None:
+            stream.close()
+            self._on_response(check.target, message)
+
+    def _on_close(self, stream: transports.Stream) -> None:
+        check = stream.owner
+        if self.checks.get(check.target) is check:
+            del self.checks[check.target]
 
     def _on_response(self, target: str, message: _http.Message) -> None:
         header = message.field(self.dialect.warmup_left.lower())
--- a/libs/daemon/src/trefoil_daemon/proxy.py
+++ b/libs/daemon/src/trefoil_daemon/proxy.py
@@ -54,6 +54,7 @@
         self.health = health.HealthChecks(
             self.transport,
             self.engine,
+            clock,
             ip=settings.admin.rpartition(":")[0],
             dialect=self.dialect,
         )
@@ -124,6 +125,7 @@
             SystemExit: The shutdown is complete.
         """
         self.pools.tick()
+        self.health.tick()
         since_ms = self.engine.leaving_since_ms
         if not since_ms:
             return
--- a/libs/daemon/tests/test_edges.py
+++ b/libs/daemon/tests/test_edges.py
@@ -473,10 +473,11 @@
     assert 'quantile="0.99",tenant="browse"' in text
 
 
-CHUNKED = (
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+CHUNKED_HEAD = (
     b"HTTP/1.1 200 OK\r\nCall-Id: x\r\nTransfer-Encoding: chunked\r\n\r\n"
-    b"3\r\none\r\n4\r\ntwo!\r\n0\r\n\r\n"
 )
+CHUNKED = CHUNKED_HEAD + b"3\r\none\r\n4\r\ntwo!\r\n0\r\n\r\n"
 
 
 @pytest.mark.parametrize("cut", range(70, len(CHUNKED)))
@@ -537,18 +538,56 @@
     response_head: bytes, reported: list[tuple[str, int]]
 ) -> None:
     """Without a valid value, the proxy keeps its own assumption."""
-    transport, owner = Transport(), HealthOwner()
-    checks = health.HealthChecks(
-        typing.cast(transports.Transport, transport),
-        owner,
-        ip="10.0.0.1",
-        dialect=dialects.Dialect(warmup_left=b"Warm-In"),
-    )
-    checks.ask("t1", 8080, "/health")
-    (stream,) = transport.streams
-    stream.on_open(stream)
+    check = HealthCheck()
+    stream = check.stream
     assert stream.sent.startswith(b"GET /health HTTP/1.1\r\nHost: 10.0.0.1")
-    stream.on_close = lambda stream: None
     stream.peer_sends(response_head + b"Content-Length: 0\r\n\r\n")
-    assert owner.reported == reported
+    assert check.owner.reported == reported
     assert stream.closed
+
+
+class HealthCheck:
+    """One health check of a fake target."""
+
+    def __init__(self) -> None:
+        self.clock = clocks.PausedClock()
+        self.owner = HealthOwner()
+        transport = Transport()
+        self.checks = health.HealthChecks(
+            typing.cast(transports.Transport, transport),
+            self.owner,
+            self.clock,
+            ip="10.0.0.1",
+            dialect=dialects.Dialect(warmup_left=b"Warm-In"),
+        )
+        self.checks.ask("t1", 8080, "/health")
+        (self.stream,) = transport.streams
+        self.stream.on_open(self.stream)
+
+
+def test_a_health_check_answered_in_drips_ends() -> None:
+    """It kept one of the target's connections open for good."""
+    check = HealthCheck()
+    for byte in b"HTTP/1.1 200 OK\r\nA: " + b"x" * 20:
+        check.stream.peer_sends(bytes((byte,)))
+        check.clock.advance(250)
+        check.checks.tick()
+    assert check.stream.closed
+    assert check.checks.checks == {}
+    assert check.owner.reported == []
+
+
+def test_a_health_check_reads_the_answer_behind_informational_ones() -> None:
+    check = HealthCheck()
+    check.stream.peer_sends(CONTINUE * 2)
+    check.stream.peer_sends(
+        b"HTTP/1.1 200 OK\r\nWarm-In: 7\r\nContent-Length: 0\r\n\r\n"
+    )
+    assert check.owner.reported == [("t1", 7)]
+
+
+def test_a_health_check_ends_at_endless_informational_answers() -> None:
+    check = HealthCheck()
+    check.stream.peer_sends(CONTINUE * 20)
+    assert check.stream.closed
+    assert check.owner.reported == []
