Bound what an answer without end takes of a proxy

What callers saw: a target that sends chunks of one byte, or informational answers, without end kept its proxy's loop busy.

Cause: the body's limit counts decoded bytes, and a chunk costs the loop 12 us whatever it holds; all chunks of a read were decoded in one turn. Complete messages that answer another request were discarded without being counted. Bodies grew by copies of what had come, and a body that came byte by byte kept one object for each.

Ruled out: the other streams of the lead (heads, trailers, sizes of chunks); the parsers bound them.

Change: bounds on small chunks, on discarded messages and on the memory of all incomplete answers; a body in small chunks is decoded 1 KiB a turn of the loop, over all answers. Then the connection closes and the caller gets 502, "may have run", at once; drips end at the time limit. Sound targets: up to 1,024 small chunks, and any number of 64 bytes on the mean, pass as before.

--- a/libs/daemon/src/trefoil_daemon/_chunked.py
+++ b/libs/daemon/src/trefoil_daemon/_chunked.py
@@ -8,6 +8,16 @@
     b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
 )
 RESPONSE_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+# A chunk takes the loop as long as kilobytes of its content. A body may have
+# this many chunks of any size; beyond them they must hold some bytes each.
+MAX_SMALL_CHUNKS = 1024
+MIN_MEAN_BYTES = 64
+# A body is dense if it has at least as many chunks and they hold less on the
+# mean: decoding it takes longer than all else that the loop does.
+MIN_DENSE_CHUNKS = 16
+DENSE_MEAN_BYTES = 512
+# Few enough bytes that the limits are noticed before many chunks are decoded.
+SLICE_BYTES = 4096
 
 
 class ChunkedBody:
@@ -17,7 +27,7 @@
         is_request: Whether the body belongs to a request or to a response.
     """
 
-    __slots__ = ("connection", "parts", "size", "remainder")
+    __slots__ = ("connection", "body", "chunks", "remainder")
 
     def __init__(self, is_request: bool) -> None:
         # Imported lazily: most processes never receive a chunked body.
@@ -35,32 +45,55 @@
             REQUEST_HEAD if is_request else RESPONSE_HEAD
         )
         self.connection.next_event()
-        self.parts: list[bytes] = []
-        self.size = 0
+        self.body = bytearray()
+        self.chunks = 0
         self.remainder = b""
 
     @property
-    def body(self) -> bytes:
-        """Return the part of the body decoded so far."""
-        return b"".join(self.parts)
+    def is_dense(self) -> bool:
+        """Return whether its chunks are so small that they take long."""
+        if self.chunks < MIN_DENSE_CHUNKS:
+            return False
+        return len(self.body) < DENSE_MEAN_BYTES * self.chunks
 
-    def feed(self, data: bytes) -> bool:
+    def feed(self, data: bytes, max_size: int) -> bool:
         """Decode bytes; return whether the body is complete.
 
         Bytes that follow a complete body are then in ``remainder``.
 
+        Args:
+            data: The bytes.
+            max_size: Maximum size of the decoded body, in bytes.
+
         Raises:
-            ProtocolError: The bytes are not a valid chunked body.
+            ProtocolError: The bytes are not a valid chunked body, or the body
+                is too large or has too many small chunks.
         """
+        for start in range(0, len(data), SLICE_BYTES):
+            end = start + SLICE_BYTES
+            complete = self._decode(data[start:end])
+            if len(self.body) > max_size:
+                raise errors.ProtocolError(413, "the body is too large")
+            if self.chunks > self._max_chunks:
+                raise errors.ProtocolError(400, "too many small chunks")
+            if complete:
+                self.remainder += data[end:]
+                return True
+        return False
+
+    @property
+    def _max_chunks(self) -> int:
+        return MAX_SMALL_CHUNKS + len(self.body) // MIN_MEAN_BYTES
+
+    def _decode(self, data: bytes) -> bool:
         import h11
 
         try:
-            if data:
-                self.connection.receive_data(data)
+            self.connection.receive_data(data)
             event = self.connection.next_event()
             while isinstance(event, h11.Data):
-                self.parts.append(bytes(event.data))
-                self.size += len(event.data)
+                self.body += event.data
+                self.chunks += 1
                 event = self.connection.next_event()
         except h11.RemoteProtocolError as error:
             raise errors.ProtocolError(400, f"bad chunk: {error}")
--- a/libs/daemon/src/trefoil_daemon/_http.py
+++ b/libs/daemon/src/trefoil_daemon/_http.py
@@ -76,7 +76,8 @@
         max_head: Maximum head size in bytes.
 
     ``length`` is -1 for a chunked body and for one that ends with its
-    connection. Set ``bodiless`` before the response to a HEAD request.
+    connection, ``body`` what has been received of a body without chunks. Set
+    ``bodiless`` before the response to a HEAD request.
     """
 
     __slots__ = (
@@ -86,6 +87,7 @@
         "buffer",
         "message",
         "length",
+        "body",
         "chunks",
         "bodiless",
     )
@@ -99,6 +101,7 @@
         self.buffer = b""
         self.message: Message | None = None
         self.length = 0
+        self.body = bytearray()
         self.chunks: _chunked.ChunkedBody | None = None
         self.bodiless = False
 
@@ -122,15 +125,23 @@
         """Return whether part of a message has been received."""
         return bool(self.buffer) or self.message is not None
 
+    @property
+    def held_bytes(self) -> int:
+        """Return how many bytes of an incomplete message are held."""
+        decoded = self.chunks.body if self.chunks is not None else self.body
+        return len(self.buffer) + len(decoded)
+
+    @property
+    def is_dense(self) -> bool:
+        """Return whether a body comes in chunks that take long to decode."""
+        return self.chunks is not None and self.chunks.is_dense
+
     def feed_eof(self) -> Message | None:
         """Handle the end of the stream, which ends a body without a length."""
         message = self.message
         if message is not None and self.length < 0 and self.chunks is None:
-            message.body = self.buffer
             message.keep_alive = False
-            self.message = None
-            self.buffer = b""
-            return message
+            return self._complete(self.body, b"")
         return None
 
     def _read_head(self) -> bool:
@@ -237,28 +248,29 @@
         return 100 <= message.status < 200
 
     def _read_body(self) -> Message | None:
-        message = self.message
+        data, self.buffer = self.buffer, b""
         if self.chunks is not None:
-            return self._read_chunks(message)
-        if len(self.buffer) > self.max_body and self.length < 0:
-            raise errors.ProtocolError(413, "the body is too large")
-        if self.length < 0 or len(self.buffer) < self.length:
+            if not self.chunks.feed(data, self.max_body):
+                return None
+            return self._complete(self.chunks.body, self.chunks.remainder)
+        if self.length < 0:
+            self.body += data
+            if len(self.body) > self.max_body:
+                raise errors.ProtocolError(413, "the body is too large")
             return None
-        message.body = self.buffer[: self.length]
-        self.buffer = self.buffer[self.length :]
-        self.message = None
-        return message
-
-    def _read_chunks(self, message: Message) -> Message | None:
-        data, self.buffer = self.buffer, b""
-        complete = self.chunks.feed(data)
-        if self.chunks.size > self.max_body:
-            raise errors.ProtocolError(413, "the body is too large")
-        if not complete:
+        missing = self.length - len(self.body)
+        self.body += data[:missing]
+        if len(data) < missing:
             return None
-        message.body = self.chunks.body
-        self.buffer = self.chunks.remainder
-        self.message = None
+        return self._complete(self.body, data[missing:])
+
+    def _complete(self, body: bytearray, remainder: bytes) -> Message:
+        """Return the message; keep the bytes that follow it."""
+        message, self.message = self.message, None
+        message.body = bytes(body)
+        self.body = bytearray()
+        self.chunks = None
+        self.buffer = remainder
         return message
 
 
--- a/libs/daemon/src/trefoil_daemon/pools.py
+++ b/libs/daemon/src/trefoil_daemon/pools.py
@@ -20,6 +20,14 @@
 # request in flight at that moment is lost. The margin covers one tick and a
 # slow event loop.
 KEEP_ALIVE_MARGIN_MS = 1000
+# All incomplete answers together; a tenth of what a small host has.
+MAX_HELD_BYTES = 32 * 1024 * 1024
+# Informational answers and answers to other requests that are discarded while
+# a request waits for its own. A sound target sends one or two.
+MAX_DISCARDED = 8
+# How much of a body in small chunks is decoded in one turn of the loop; chunks
+# of one byte take 2 ms.
+DENSE_SLICE_BYTES = 1024
 
 
 class Owner(typing.Protocol):
@@ -52,7 +60,9 @@
     ``unsent_request`` is the request to send once the connection is open,
     ``answered_ms`` the time of its last answer, and ``suspect`` tells whether
     it may have gone silent under its request. ``strayed`` is set once it has
-    carried an answer that names no request.
+    carried an answer that names no request, ``discarded`` counts what was
+    discarded since its request was sent, and ``undecoded`` was received and
+    waits for its turn to be decoded.
     """
 
     stream: transports.Stream
@@ -65,6 +75,8 @@
     answered_ms: int = 0
     suspect: bool = False
     strayed: bool = False
+    discarded: int = 0
+    undecoded: bytes = b""
 
 
 class DetectorKey(typing.NamedTuple):
@@ -150,6 +162,7 @@
         connection.request = request
         connection.started_ms = now_ms
         connection.suspect = False
+        connection.discarded = 0
         connection.reader.bodiless = request.method == "HEAD"
         self.busy[request.request_id] = connection
         self._detector(effect.port, request).sent_at(
@@ -253,18 +266,83 @@
             # for the answer to the next request, and reach another caller.
             stream.close()
             return
+        self._decode(connection, data)
+
+    def _decode(self, connection: TargetConnection, data: bytes) -> None:
+        """Decode received bytes; defer what would take the loop too long.
+
+        A target in trouble may send chunks of a byte without end. Decoded at
+        once, what is read in one turn would keep all other callers waiting.
+        """
+        connection.undecoded = data
+        is_short = len(data) <= DENSE_SLICE_BYTES
+        if is_short or not connection.reader.is_dense:
+            self._decode_slice(connection)
+        if connection.undecoded and connection.reader.is_dense:
+            connection.stream.set_paused(True)
+            self.transport.defer(lambda: self._decode_deferred(connection))
+
+    def _decode_slice(self, connection: TargetConnection) -> None:
+        """Decode one slice, and the rest if that takes no longer."""
+        request = connection.request
+        data = connection.undecoded
+        connection.undecoded = data[DENSE_SLICE_BYTES:]
+        self._feed(connection, data[:DENSE_SLICE_BYTES])
+        rest = connection.undecoded
+        still_waits = connection.request is request
+        if rest and still_waits and not connection.reader.is_dense:
+            connection.undecoded = b""
+            self._feed(connection, rest)
+
+    def _decode_deferred(self, connection: TargetConnection) -> None:
+        if connection.request is None or connection.stream.closed:
+            return
+        self._decode_slice(connection)
+        if connection.undecoded and not connection.stream.closed:
+            self.transport.defer(lambda: self._decode_deferred(connection))
+        else:
+            connection.stream.set_paused(False)
+
+    def _feed(self, connection: TargetConnection, data: bytes) -> None:
         try:
             message = connection.reader.feed(data)
             while message is not None and not self._is_expected_answer(
                 connection, message
             ):
+                self._discard(connection)
                 message = connection.reader.next()
+            self._check_held_bytes(connection)
         except errors.ProtocolError as error:
             self._on_malformed_answer(connection, error)
             return
         if message is not None:
             self._on_answer(connection, message)
 
+    def _discard(self, connection: TargetConnection) -> None:
+        """Count a message that is not the answer that is waited for.
+
+        Raises:
+            ProtocolError: There were too many of them.
+        """
+        connection.discarded += 1
+        if connection.discarded > MAX_DISCARDED:
+            raise errors.ProtocolError(400, "too many other answers")
+
+    def _check_held_bytes(self, connection: TargetConnection) -> None:
+        """Bound the memory that incomplete answers take.
+
+        Raises:
+            ProtocolError: Together they hold too much.
+        """
+        reader = connection.reader
+        if reader.held_bytes <= transports.READ_BYTES:
+            return
+        held_bytes = sum(
+            other.reader.held_bytes for other in self.busy.values()
+        )
+        if held_bytes > MAX_HELD_BYTES:
+            raise errors.ProtocolError(413, "too many large answers at once")
+
     def _is_expected_answer(
         self, connection: TargetConnection, message: _http.Message
     ) -> bool:
@@ -312,9 +390,13 @@
         self.busy.pop(request.request_id, None)
         detector = self._detector(connection.port, request)
         detector.answered(request.request_id, now_ms)
-        clean = not connection.reader.started and not connection.strayed
+        is_clean = not (
+            connection.reader.started
+            or connection.undecoded
+            or connection.strayed
+        )
         connection.answered_ms = now_ms
-        if message.keep_alive and clean and not connection.stream.closed:
+        if message.keep_alive and is_clean and not connection.stream.closed:
             connection.idle_until_ms = now_ms + _idle_ms(message)
             self.idle.setdefault(connection.port, []).append(connection)
         else:
--- a/libs/daemon/src/trefoil_daemon/transport.py
+++ b/libs/daemon/src/trefoil_daemon/transport.py
@@ -5,6 +5,7 @@
 (its read) instead of one for each processing step.
 """
 
+import collections
 import collections.abc
 import errno
 import select
@@ -12,6 +13,7 @@
 import typing
 
 import circuits
+from circuits.core import handlers
 from circuits.core import pollers
 
 from trefoil_model import ports
@@ -24,6 +26,7 @@
 OnData = collections.abc.Callable[["Stream", bytes], None]
 OnClose = collections.abc.Callable[["Stream"], None]
 OnOpen = collections.abc.Callable[["Stream"], None]
+Deferred = collections.abc.Callable[[], None]
 
 
 class Stream:
@@ -159,6 +162,10 @@
             raise
 
 
+class run_deferred(circuits.Event):
+    """Calls the function that was deferred first."""
+
+
 class Transport(circuits.BaseComponent):
     """The component that handles all streams of a process."""
 
@@ -170,6 +177,24 @@
         poller.transport = self
         self.streams: dict[socket.socket, Stream] = {}
         self.listeners: dict[socket.socket, OnOpen] = {}
+        self.deferred: collections.deque[Deferred] = collections.deque()
+
+    def defer(self, function: Deferred) -> None:
+        """Call a function in a later turn of the loop.
+
+        One function is called in each turn, however many are deferred, so
+        that all sockets are served in between.
+        """
+        self.deferred.append(function)
+        if len(self.deferred) == 1:
+            self.fire(run_deferred())
+
+    @handlers.handler("run_deferred")
+    def _run_deferred(self) -> None:
+        function = self.deferred.popleft()
+        if self.deferred:
+            self.fire(run_deferred())
+        function()
 
     def listen(self, address: str, on_open: OnOpen) -> int:
         """Accept connections at an address; return the port."""
--- a/libs/daemon/tests/test_edges.py
+++ b/libs/daemon/tests/test_edges.py
@@ -40,6 +40,7 @@
         self.closing = False
         self.eof_received = False
         self.unsent = 0
+        self.paused = False
         self.sent = b""
         self.owner: typing.Any = None
         self.on_data: typing.Any = None
@@ -51,7 +52,8 @@
         self.sent += data
 
     def set_paused(self, paused: bool) -> None:
-        """Ignore."""
+        """Record whether the stream is read."""
+        self.paused = paused
 
     def close_after_write(self) -> None:
         """Close."""
@@ -78,6 +80,11 @@
 
     def __init__(self) -> None:
         self.streams: list[Stream] = []
+        self.deferred: list[typing.Callable[[], None]] = []
+
+    def defer(self, function: typing.Callable[[], None]) -> None:
+        """Keep a function that the test calls."""
+        self.deferred.append(function)
 
     def connect(self, address: str, on_open: typing.Any) -> Stream:
         """Return a stream that is connected immediately."""
@@ -121,7 +128,7 @@
 class Target:
     """The pools of a proxy, with a fake target."""
 
-    def __init__(self) -> None:
+    def __init__(self, max_body: int = 1 << 20) -> None:
         self.transport = Transport()
         self.owner = Owner()
         self.clock = clocks.PausedClock()
@@ -130,7 +137,7 @@
             self.owner,
             self.clock,
             ip="10.0.0.1",
-            max_body=1 << 20,
+            max_body=max_body,
             dialect=DIALECT,
         )
 
@@ -591,3 +598,79 @@
     check.stream.peer_sends(CONTINUE * 20)
     assert check.stream.closed
     assert check.owner.reported == []
+
+
+# Bytes of a target in trouble that come without end: the first ones, and
+# those that repeat.
+ENDLESS = {
+    "a head line": (b"", b"x" * 1000),
+    "header lines": (b"HTTP/1.1 200 OK\r\n", b"a: b\r\n" * 100),
+    "a body without a length": (b"HTTP/1.1 200 OK\r\n\r\n", b"x" * 50_000),
+    "a body in chunks": (CHUNKED_HEAD, b"1000\r\n" + b"x" * 4096 + b"\r\n"),
+    "chunks of one byte": (CHUNKED_HEAD, b"1\r\nx\r\n" * 100),
+    "the size of a chunk": (CHUNKED_HEAD, b"0" * 1000),
+    "an extension of a chunk": (CHUNKED_HEAD + b"1;", b"x" * 1000),
+    "trailers": (CHUNKED_HEAD + b"0\r\n", b"a: b\r\n" * 100),
+    "informational answers": (b"", CONTINUE),
+    "answers to other requests": (b"", answer("other", "")),
+    "answers without an id": (b"", answer("x", "").replace(b"Call", b"Odd")),
+}
+
+
+@pytest.mark.parametrize("case", ENDLESS)
+def test_a_caller_is_answered_though_bytes_come_without_end(case: str) -> None:
+    """They took memory, or the loop's time, until the time limit."""
+    first, repeated = ENDLESS[case]
+    target = Target()
+    stream = target.send(1, "x")
+    stream.peer_sends(first)
+    sent = len(first)
+    while not stream.closed and sent <= 2 * target.pools.max_body:
+        stream.peer_sends(repeated)
+        sent += len(repeated)
+        while target.transport.deferred:
+            target.transport.deferred.pop(0)()
+    assert stream.closed
+    (final,) = target.owner.answers
+    assert (final.status, final.ran, final.unusable) == (502, True, True)
+
+
+def test_all_incomplete_answers_together_hold_bounded_memory() -> None:
+    """Each is within its limit; together they took all of the host's."""
+    target = Target()
+    streams = [target.send(number, "x") for number in range(100)]
+    for stream in streams:
+        stream.peer_sends(b"HTTP/1.1 200 OK\r\n\r\n" + b"x" * 1_000_000)
+    held = [c.reader.held_bytes for c in target.pools.busy.values()]
+    assert sum(held) <= pools.MAX_HELD_BYTES
+    assert len(target.owner.answers) == len(streams) - len(held) > 0
+
+
+def test_a_body_in_small_chunks_is_decoded_in_small_parts() -> None:
+    """Decoded at once, it would keep the loop from all other callers."""
+    target = Target()
+    stream = target.send(1, "x")
+    stream.peer_sends(CHUNKED_HEAD + b"4\r\nfour\r\n" * 300)
+    reader = target.pools.busy[1].reader
+    decoded = []
+    while target.transport.deferred:
+        assert stream.paused
+        decoded.append(len(reader.chunks.body))
+        target.transport.deferred.pop(0)()
+    assert decoded[-1] - decoded[-2] <= pools.DENSE_SLICE_BYTES
+    assert not stream.paused
+    stream.peer_sends(b"0\r\n\r\n")
+    assert target.owner.answers[0].body == b"four" * 300
+    assert not stream.closed
+
+
+def test_what_follows_a_body_in_small_chunks_closes_its_connection() -> None:
+    """Bytes that wait to be decoded could reach the next caller."""
+    target = Target()
+    stream = target.send(1, "x")
+    body = b"4\r\nfour\r\n" * 300 + b"0\r\n\r\n"
+    stream.peer_sends(CHUNKED_HEAD + body + CHUNKED)
+    while target.transport.deferred:
+        target.transport.deferred.pop(0)()
+    assert [a.body for a in target.owner.answers] == [b"four" * 300]
+    assert stream.closed
