Refuse at its target an answer that exceeds a frame

What callers saw (by reading, shown by a test): an answer of more than 4 MiB from a target on another host exceeded the largest frame between processes. The receiver closed the link, and all requests under way on it were lost. Where max_body_mib is 64, as on the platform, one such answer harmed every caller of that pair of hosts.

Cause: the limit of an answer's body is a setting, that of a frame a constant, and nothing kept the first below the second.

Ruled out: the request's way; large bodies of requests are sent in pieces.

Change: an answer may be as large as a frame allows beside its head (3.9 MiB), wherever its request came in; a larger one is a 502 at its target, alone. Weighed: answers in several frames (a proxy of 200 MB would hold some copies of 64 MiB each).

Before: test_the_largest_answer_fits_into_a_frame and test_an_answer_that_exceeds_a_frame_is_refused_at_its_target fail. After: they pass.

Answers above 3.9 MiB from a target on the caller's own host were passed on before and are refused now.

--- a/libs/daemon/src/trefoil_daemon/pools.py
+++ b/libs/daemon/src/trefoil_daemon/pools.py
@@ -8,6 +8,7 @@
 from trefoil_requests import effects
 from trefoil_requests import notices
 from trefoil_requests import silence as silent_connections
+from trefoil_wire import frames
 from trefoil_wire import messages
 
 from . import _http
@@ -20,6 +21,8 @@
 # request in flight at that moment is lost. The margin covers one tick and a
 # slow event loop.
 KEEP_ALIVE_MARGIN_MS = 1000
+# An answer to another proxy must fit into one frame, with its head.
+MAX_ANSWER_BYTES = frames.MAX_FRAME_BYTES - 64 * 1024
 # All incomplete answers together; a tenth of what a small host has.
 MAX_HELD_BYTES = 32 * 1024 * 1024
 # Informational answers and answers to other requests that are discarded while
@@ -99,7 +102,8 @@
         owner: Receives the results; the process engine.
         clock: The runtime's clock.
         ip: Address of this host, at which its targets listen.
-        max_body: Maximum body size of an answer, in bytes.
+        max_body: Maximum body size of an answer, in bytes, up to
+            ``MAX_ANSWER_BYTES``.
         dialect: Header names.
     """
 
@@ -130,7 +134,7 @@
         self.transport = transport
         self.owner = owner
         self.clock = clock
-        self.max_body = max_body
+        self.max_body = min(max_body, MAX_ANSWER_BYTES)
         self.idle: dict[int, list[TargetConnection]] = {}
         self.busy: dict[int, TargetConnection] = {}
         self.detectors: dict[
--- a/libs/daemon/tests/test_edges.py
+++ b/libs/daemon/tests/test_edges.py
@@ -1,5 +1,6 @@
 """Tests of a proxy's HTTP interfaces to callers and targets, in memory."""
 
+import random
 import typing
 
 import pytest
@@ -18,6 +19,7 @@
 from trefoil_requests import call as calls
 from trefoil_requests import effects
 from trefoil_requests import notices
+from trefoil_wire import frames
 from trefoil_wire import messages
 
 DIALECT = dialects.Dialect(
@@ -674,3 +676,27 @@
         target.transport.deferred.pop(0)()
     assert [a.body for a in target.owner.answers] == [b"four" * 300]
     assert stream.closed
+
+
+def test_the_largest_answer_fits_into_a_frame() -> None:
+    """A larger one broke the link, with all requests under way on it."""
+    target = Target(max_body=64 << 20)
+    size = target.pools.max_body
+    stream = target.send(1, "x")
+    head = f"HTTP/1.1 200 OK\r\nCall-Id: x\r\nX: {'y' * 30_000}\r\n"
+    length = f"Content-Length: {size}\r\n\r\n"
+    stream.peer_sends((head + length).encode())
+    stream.peer_sends(random.Random(1).randbytes(size))
+    (largest,) = target.owner.answers
+    (received,) = frames.FrameReader().feed(frames.encode(largest))
+    assert received.body == largest.body
+
+
+def test_an_answer_that_exceeds_a_frame_is_refused_at_its_target() -> None:
+    target = Target(max_body=64 << 20)
+    stream = target.send(1, "x")
+    length = frames.MAX_FRAME_BYTES
+    stream.peer_sends(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n" % length)
+    stream.peer_sends(b"Call-Id: x\r\n\r\n")
+    assert [a.status for a in target.owner.answers] == [502]
+    assert stream.closed
