Log a proxy that serves an older revision than peers name

Ruled out: config.waiting (only before the first revision); gauges alone (read too rarely for a lag of seconds). Change: config.behind, once a second while callers get an older revision than a peer has named, with what is served, in force and held, the links and how many were opened; gauges revision_served and revision_newest.

--- a/libs/daemon/src/trefoil_daemon/proxy_process.py
+++ b/libs/daemon/src/trefoil_daemon/proxy_process.py
@@ -34,6 +34,7 @@
 from . import account_metrics
 from . import announcements
 from . import budget_metrics
+from . import config_lag
 from . import exposition
 from . import facade
 from . import key_leases
@@ -128,6 +129,7 @@
         self.key_leases = key_leases.KeyLeases(self)
         self.token_asks = token_asks.TokenAsks(self)
         self.load_reporter = load_reports.LoadReporter(self)
+        self.config_lag = config_lag.ConfigLag(self)
         self.entry.retry_budgets.max_ratio = settings.retry_ratio
         self.entry.placement.large_bytes = bodies.large_from(
             settings.link_mbps
@@ -333,6 +335,11 @@
 
     # Links
 
+    def link_up(self, host: str, hello: messages.Hello, served: bool) -> None:
+        """Handle a subscribed link that was established."""
+        self.config_lag.links_opened += 1
+        super().link_up(host, hello, served)
+
     def link_message(self, host: str, message: typing.Any) -> None:
         """Handle a message from a subscribed link."""
         match message:
@@ -588,6 +595,7 @@
         self.key_leases.tick()
         self.token_asks.tick()
         self.load_reporter.tick(now_ms)
+        self.config_lag.tick(now_ms)
         if self.records_dirty:
             self.records_changed()
         for name in self.announced.expired(now_ms):
@@ -632,6 +640,8 @@
         return {
             "revision": self.node.config.in_force.revision,
             "revision_floor": self.node.config.floor.revision,
+            "revision_served": self.config_lag.served_revision,
+            "revision_newest": self.config_lag.newest,
             "calls_waiting": len(self.entry.live),
             "targets_known": len(self.entry.placement.endpoints.by_key),
             "running_here": len(self.targets.running),
--- a/libs/fleet/src/trefoil_fleet/distribution.py
+++ b/libs/fleet/src/trefoil_fleet/distribution.py
@@ -37,6 +37,8 @@
         floor_nonce: Number of this process's floor queries, not 0. Replies to
             another number answer a process that ran here before: the floor
             that they prove may be older than what it put in force since.
+
+    ``newest_named`` is the newest revision that any peer has named.
     """
 
     __slots__ = (
@@ -50,6 +52,7 @@
         "rejected",
         "rejected_revision",
         "peer_held",
+        "newest_named",
         "peer_lag_since_ms",
         "last_pull_ms",
         "floor_nonce",
@@ -78,6 +81,7 @@
         self.rejected = ""
         self.rejected_revision = 0
         self.peer_held: dict[str, int] = {}
+        self.newest_named = 0
         self.peer_lag_since_ms: dict[str, int] = {}
         self.last_pull_ms: dict[str, int] = {}
         self.floor_queried_ms = 0
@@ -147,6 +151,11 @@
             if digest != self.held.digest:
                 self._pull(peer, now_ms, whole=True)
 
+    def add_peer(self, peer: str, revision: int) -> None:
+        """Record the revision that a newly linked peer holds."""
+        self.peer_held[peer] = revision
+        self.newest_named = max(self.newest_named, revision)
+
     def drop_peer(self, peer: str) -> None:
         """Remove a peer's revision; a restarted peer may hold an older one."""
         self.peer_held.pop(peer, None)
@@ -286,6 +295,7 @@
     def _record_peer_revision(
         self, peer: str, revision: int, now_ms: int
     ) -> None:
+        self.newest_named = max(self.newest_named, revision)
         if revision > self.peer_held.get(peer, 0):
             self.peer_held[peer] = revision
             self._put_in_force_if_due(now_ms)
--- a/libs/fleet/src/trefoil_fleet/node.py
+++ b/libs/fleet/src/trefoil_fleet/node.py
@@ -263,7 +263,7 @@
         self.links[host] = Link(host, control, served, now_ms)
         self.overlay.linked(host, now_ms)
         self.members.mark_responsive(host)
-        self.config.peer_held[host] = revision
+        self.config.add_peer(host, revision)
         self.config.query_floor_if_needed(host)
         if not served:
             summary = self.members.records.summary(
--- a/libs/model/src/trefoil_model/events.py
+++ b/libs/model/src/trefoil_model/events.py
@@ -10,6 +10,7 @@
     "answer.cut": "a connection ended before the answer was sent completely",
     "budget.spent": "use of a service's retry budget, by cause",
     "command.agreed": "an operator's command, with its outcome and reason",
+    "config.behind": "callers get an older revision than peers have named",
     "config.in_force": "the revision that requests are now served by",
     "config.rejected": "an invalid revision; the previous one stays in force",
     "config.waiting": "nothing is served yet: the newest revision is too old",
