Check what enters against what frames can hold

What callers saw: a proxy ran requests on a dropped route and refused an added one for as long as another writer's status reports came to it, and until their lease ended.

Cause: a value from outside (half of a surrogate pair; 1e300, 2**31) became part of the host's own record, and no frame can hold it. Each exchange of records raised; the hub took that for a malformed message of the peer and closed the link, 1 to 5 ms after it had come up, before a change was read. Effects after the failed send were lost too.

Change: what enters by status reports, documents, orders, statements and callers' deadlines is refused there with 400, or cut (deadlines).

--- a/bench/safeguards.py
+++ b/bench/safeguards.py
@@ -78,7 +78,8 @@
     """
     with tempfile.TemporaryDirectory() as scratch:
         copy = pathlib.Path(scratch)
-        shutil.copytree(ROOT / "libs", copy / "libs")
+        for name in ("libs", "platform"):
+            shutil.copytree(ROOT / name, copy / name)
         for name in ("conftest.py", "pyproject.toml"):
             shutil.copy(ROOT / name, copy / name)
         if file:
@@ -94,6 +95,7 @@
 def environment_for(copy: pathlib.Path) -> dict[str, str]:
     """Return the environment in which Python imports a copy's sources."""
     sources = sorted(str(path) for path in copy.glob("libs/*/src"))
+    sources.append(str(copy / "platform"))
     return os.environ | {
         "PYTHONPATH": os.pathsep.join(sources),
         "TREFOIL_PROFILE": "no-shrink",
--- a/libs/daemon/src/trefoil_daemon/admin.py
+++ b/libs/daemon/src/trefoil_daemon/admin.py
@@ -14,6 +14,7 @@
 from . import exchanges
 from . import metrics as metric_store
 from . import operators
+from . import sendable
 
 COMMAND_PATH = "/v1/command"
 TARGETS_PATH = "/v1/targets"
@@ -159,7 +160,7 @@
             return
         query_id = f"{self.name}-{next(self.query_numbers)}"
         self.process.ask(
-            messages.Query(query_id, line, 0),
+            sendable.checked(messages.Query(query_id, line, 0)),
             lambda reply: _answer_query(exchange, reply),
         )
 
@@ -187,7 +188,13 @@
             issued_ms=int(fields.get("issued_ms", 0)),
             document=str(fields.get("document", "")),
         )
-    except (ValueError, KeyError, TypeError, RecursionError) as error:
+    except (
+        ValueError,
+        KeyError,
+        TypeError,
+        OverflowError,
+        RecursionError,
+    ) as error:
         raise errors.ProtocolError(400, f"not a command: {error!r}")
     if not isinstance(line, str):
         raise errors.ProtocolError(400, "line must be text")
--- a/libs/daemon/src/trefoil_daemon/announcements.py
+++ b/libs/daemon/src/trefoil_daemon/announcements.py
@@ -8,6 +8,8 @@
 from trefoil_settings import schema
 from trefoil_wire import messages
 
+from . import sendable
+
 MAX_SLOTS = 10_000
 STATES = {
     "cold": messages.TargetState.COLD,
@@ -95,6 +97,7 @@
         raise errors.ProtocolError(400, "too many resources")
     if reader.findings:
         raise errors.ProtocolError(400, str(reader.findings))
+    sendable.checked_target(announcement.record)
     return announcement
 
 
--- a/libs/daemon/src/trefoil_daemon/gateway.py
+++ b/libs/daemon/src/trefoil_daemon/gateway.py
@@ -11,6 +11,9 @@
 IDEMPOTENCY_KEY_HEADER = b"idempotency-key"
 AUTHORIZATION_HEADER = b"authorization"
 MAX_KEY_CHARS = 256
+# Routes' own timeouts are far shorter.
+MAX_DEADLINE_MS = 24 * 3600 * 1000
+MAX_DEADLINE_DIGITS = 18
 
 
 class Process(typing.Protocol):
@@ -88,7 +91,9 @@
             headers=self._headers_of(message),
             body=message.body,
             key=key,
-            deadline_ms=_number(message.field(self.dialect.deadline.lower())),
+            deadline_ms=_deadline(
+                message.field(self.dialect.deadline.lower())
+            ),
             retried=message.field(self.dialect.retried.lower()) == "1",
             caller_id=exchange.request_id,
             entered_ms=exchange.entered_ms,
@@ -181,5 +186,10 @@
     return line.partition(b":")[0].lower()
 
 
-def _number(text: str) -> int:
-    return int(text) if text.isascii() and text.isdigit() else 0
+def _deadline(text: str) -> int:
+    """Return a stated deadline in milliseconds, 0 if there is none."""
+    if not (text.isascii() and text.isdigit()):
+        return 0
+    if len(text) > MAX_DEADLINE_DIGITS:
+        return MAX_DEADLINE_MS
+    return min(int(text), MAX_DEADLINE_MS)
--- a/libs/daemon/src/trefoil_daemon/hub.py
+++ b/libs/daemon/src/trefoil_daemon/hub.py
@@ -88,6 +88,9 @@
     def origin_lost(self, connection: "Connection") -> None:
         """Handle the loss of an incoming request link."""
 
+    def message_unsendable(self, host: str, kind: str, why: str) -> None:
+        """Log a message of this process that no frame can hold."""
+
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Connection:
@@ -201,7 +204,8 @@
         """Send on a request link; open one if there is none.
 
         Returns:
-            False if there is neither a link nor an address.
+            False if there is neither a link nor an address, or if no frame
+            can hold the message.
         """
         connection = self.requests.get(host)
         if connection is None:
@@ -210,29 +214,40 @@
             connection = self._dial(host, address, subscribe=False)
             self.requests[host] = connection
         connection.last_used_ms = self.clock.now_ms()
-        _track_sent(connection, message)
-        if connection.ready:
-            self._write(connection, message)
-        else:
+        if not connection.ready:
             connection.waiting.append(message)
-        return True
+            _track_sent(connection, message)
+            return True
+        # Before the write, which may fail and then counts it as lost.
+        _track_sent(connection, message)
+        if self._write(connection, message):
+            return True
+        _forget_unsent(connection, message)
+        return False
 
     def reply(self, connection: Connection, message: typing.Any) -> None:
         """Reply on the connection that a message was received on."""
         if not connection.stream.closed:
             self._write(connection, message)
 
-    def _write(self, connection: Connection, message: typing.Any) -> None:
-        if connection.encoder is not None:
-            data = connection.encoder.encode(message)
-        else:
-            data = frames.encode(message)
+    def _write(self, connection: Connection, message: typing.Any) -> bool:
+        """Write a message; return False if no frame can hold it.
+
+        That is a fault of this process. It costs the message, not the link:
+        the peer is sound, and other messages share the link.
+        """
         name = type(message).__name__
+        try:
+            data = _encode(connection, message)
+        except errors.EncodeError as error:
+            self.owner.message_unsendable(connection.host, name, str(error))
+            return False
         self.bytes_out[name] = self.bytes_out.get(name, 0) + len(data)
         if self.owner.is_cross_domain(connection.host):
             cross_domain_bytes = self.cross_domain_bytes_out.get(name, 0)
             self.cross_domain_bytes_out[name] = cross_domain_bytes + len(data)
         connection.stream.write(data)
+        return True
 
     def _greet(self, connection: Connection) -> None:
         """Send the first message of a connection."""
@@ -332,7 +347,16 @@
             # A write that fails closes the connection. What was written by
             # then may run, so only the rest counts as unsent.
             while connection.waiting and not stream.closed:
-                self._write(connection, connection.waiting.pop(0))
+                self._write_waiting(connection, connection.waiting.pop(0))
+
+    def _write_waiting(
+        self, connection: Connection, message: typing.Any
+    ) -> None:
+        if self._write(connection, message):
+            return
+        _forget_unsent(connection, message)
+        if isinstance(message, messages.Request):
+            self.owner.requests_lost([message.request_id], [])
 
     def _on_close(self, stream: transports.Stream) -> None:
         connection = stream.owner
@@ -542,6 +566,19 @@
             connection.outstanding.discard(message.request_id)
 
 
+def _forget_unsent(connection: Connection, message: typing.Any) -> None:
+    """Await no answer to a request that was never written."""
+    if isinstance(message, messages.Request):
+        connection.outstanding.discard(message.request_id)
+
+
+def _encode(connection: Connection, message: typing.Any) -> bytes:
+    """Return a message as a frame in the form that the peer reads."""
+    if connection.encoder is not None:
+        return connection.encoder.encode(message)
+    return frames.encode(message)
+
+
 def _open_limit_ms(connection: Connection) -> int:
     """Return how long a connection may take to open, in milliseconds.
 
--- a/libs/daemon/src/trefoil_daemon/operators.py
+++ b/libs/daemon/src/trefoil_daemon/operators.py
@@ -13,6 +13,8 @@
 from trefoil_wire import frames
 from trefoil_wire import messages
 
+from . import sendable
+
 COMMAND_TIMEOUT_MS = 2500
 RETRY_AFTER_MS = 500
 QUERY_TIMEOUT_MS = 1500
@@ -144,20 +146,21 @@
     """Return the command for a statement; None if the statement is a query.
 
     Raises:
-        ProtocolError: The document or deadline is invalid; the command was
-            not run.
+        ProtocolError: The document or deadline is invalid, or no message
+            can hold the command; it was not run.
     """
     body = _body_of(statement, envelope)
     if body is None:
         return None
-    kind, data = frames.pack_any(body)
-    return messages.Command(
+    kind, data = frames.pack_any(sendable.checked(body))
+    command = messages.Command(
         command_id=envelope.command_id,
         operator_name=envelope.operator,
         issued_ms=envelope.issued_ms,
         kind=kind,
         body=data,
     )
+    return sendable.checked(command)
 
 
 def _body_of(statement: typing.Any, envelope: Envelope) -> typing.Any:
@@ -206,9 +209,9 @@
         return issued_ms + statement.deadline_in_ms
     try:
         deadline = datetime.datetime.fromisoformat(statement.deadline)
-    except ValueError as error:
+        return int(deadline.timestamp() * 1000)
+    except (ValueError, OverflowError) as error:
         raise errors.ProtocolError(400, f"bad deadline: {error}")
-    return int(deadline.timestamp() * 1000)
 
 
 def render_reply(reply: messages.CommandReply) -> str:
--- a/libs/daemon/src/trefoil_daemon/proxy_process.py
+++ b/libs/daemon/src/trefoil_daemon/proxy_process.py
@@ -41,6 +41,7 @@
 from . import load_reports
 from . import operators
 from . import relay as relays
+from . import sendable
 from . import slot_metrics
 from . import token_asks
 
@@ -530,7 +531,21 @@
         records = [
             self.targets.advertised_record(name, now_ms) for name in names
         ]
-        self.perform(self.node.set_targets(records, now_ms))
+        sound = [record for record in records if self._can_publish(record)]
+        self.perform(self.node.set_targets(sound, now_ms))
+
+    def _can_publish(self, record: messages.TargetRecord) -> bool:
+        """Return whether other processes can be told of a target.
+
+        All targets of a host share one record: with one that no frame can
+        hold, none of them would be known elsewhere.
+        """
+        if sendable.can_send(record):
+            return True
+        self.driver.note(
+            common.Note("target.unsendable", {"target": record.name}, "error")
+        )
+        return False
 
     def _publish_target_changes(self, now_ms: int) -> None:
         """Publish changed states, processing times and rate limits."""
--- a/libs/daemon/src/trefoil_daemon/runtime.py
+++ b/libs/daemon/src/trefoil_daemon/runtime.py
@@ -320,6 +320,11 @@
             )
         )
 
+    def message_unsendable(self, host: str, kind: str, why: str) -> None:
+        """Log a message of this process that no frame can hold."""
+        fields = {"peer": host, "kind": kind, "why": why}
+        self.note(common.Note("message.unsendable", fields, "error"))
+
     def log_malformed_http(self, why: str) -> None:
         """Log and count a malformed request to an HTTP listener."""
         self.metrics.count("http.malformed")
--- a/libs/model/src/trefoil_model/errors.py
+++ b/libs/model/src/trefoil_model/errors.py
@@ -9,6 +9,10 @@
     """A frame is too large, malformed or of an unknown type."""
 
 
+class EncodeError(TrefoilError):
+    """No frame can hold a message: a fault of the process that made it."""
+
+
 class StoreDamaged(TrefoilError):
     """A synced record of the store cannot be read back.
 
--- a/libs/moves/src/trefoil_moves/state.py
+++ b/libs/moves/src/trefoil_moves/state.py
@@ -169,7 +169,12 @@
         try:
             body = frames.unpack_any(command.kind, command.body)
             return command_results.run(body, self, index, command)
-        except (errors.FrameError, KeyError, TypeError) as error:
+        except (
+            errors.FrameError,
+            errors.EncodeError,
+            KeyError,
+            TypeError,
+        ) as error:
             return command_results.CommandResult(
                 Outcome.NOT_RUN, f"malformed command: {error}"
             )
--- a/libs/wire/src/trefoil_wire/compact.py
+++ b/libs/wire/src/trefoil_wire/compact.py
@@ -72,13 +72,20 @@
         self.last: dict[type, bytes] = {}
 
     def encode(self, message: typing.Any) -> bytes:
-        """Return a message as one compact frame."""
+        """Return a message as one compact frame.
+
+        A message that fails leaves the shared history as it is.
+
+        Raises:
+            EncodeError: No frame can hold it.
+        """
         kind = type(message)
         if kind in TYPES_WITH_BODY:
             return self._streamed(message)
         data = frames.pack(message)
         if len(data) <= MAX_STREAMED_BYTES:
             return _frame(kind, Form.STREAMED, self._deflate(data))
+        frames.check_size(kind, len(data))
         base = self.last.get(kind)
         if kind in PATCHED_TYPES:
             self.last[kind] = data
@@ -91,8 +98,11 @@
         """Return a message whose body stays as it is."""
         kind = type(message)
         body, message.body = message.body, b""
-        data = frames.pack(message)
-        message.body = body
+        try:
+            data = frames.pack(message)
+        finally:
+            message.body = body
+        frames.check_size(kind, len(data) + len(body or b""))
         if len(data) > MAX_STREAMED_BYTES:
             return _frame(kind, Form.PLAIN, frames.pack(message))
         head = self._deflate(data)
--- a/libs/wire/src/trefoil_wire/frames.py
+++ b/libs/wire/src/trefoil_wire/frames.py
@@ -21,6 +21,8 @@
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 HEADER = struct.Struct(">IB")
 HEADER_BYTES = HEADER.size
+# The length of a frame also counts what is before and around the message.
+MAX_MESSAGE_BYTES = MAX_FRAME_BYTES - 1024
 
 # The index of a type is its code on the wire: append, never reorder.
 TYPES: tuple[type, ...] = (
@@ -107,9 +109,19 @@
 
 
 def pack(record: typing.Any) -> bytes:
-    """Return a struct in Thrift's compact protocol, without a frame."""
+    """Return a struct in Thrift's compact protocol, without a frame.
+
+    Raises:
+        EncodeError: A field holds text that is no Unicode, a number that is
+            too large for it or a value of another type.
+    """
     buffer = TTransport.TMemoryBuffer()
-    record.write(PROTOCOL_FACTORY.getProtocol(buffer))
+    try:
+        record.write(PROTOCOL_FACTORY.getProtocol(buffer))
+    except (ValueError, TypeError, OverflowError) as error:
+        raise errors.EncodeError(
+            f"{type(record).__name__} cannot be encoded: {error}"
+        )
     return buffer.getvalue()
 
 
@@ -131,9 +143,24 @@
     return record
 
 
+def check_size(kind: type, size: int) -> None:
+    """Check that a receiver accepts this many bytes of a message.
+
+    Raises:
+        EncodeError: There are too many.
+    """
+    if size > MAX_MESSAGE_BYTES:
+        raise errors.EncodeError(f"{kind.__name__} has {size} bytes")
+
+
 def encode(message: typing.Any) -> bytes:
-    """Return a message as one frame."""
+    """Return a message as one frame.
+
+    Raises:
+        EncodeError: No frame can hold it.
+    """
     body = pack(message)
+    check_size(type(message), len(body))
     code = CODES[type(message)]
     if type(message) in COMPRESSED_TYPES and len(body) >= COMPRESS_MIN_BYTES:
         body = zlib.compress(body, 1)
