Count crashes at one moment under a request once

What callers saw: two targets of one rack crashed together, each with one request of the same path at work; all hosts denied that path with 422, 1128 of 1128, for up to 600 s.

Cause: a request is denied once targets crashed under it twice, and two crashes at one moment counted as two.

Ruled out: the reach of the mark (it is meant for all hosts); its duration (a cause must stay denied).

Change: crash notices tell how long each request had run; a crash counts only if its run began after the one counted before. An older release does not tell, and its crashes count if they come one after the other. In test_success_clears_a_suspected_request the second crash now comes a second after the first: at the same moment it would count for neither request, and the test is on what a success clears.

--- a/libs/daemon/tests/test_proxy_process.py
+++ b/libs/daemon/tests/test_proxy_process.py
@@ -592,6 +592,7 @@
         net.target_answers(host, request_id)
     net.deliver_all()
     second = messages.CrashNotice(2, fingerprints, 0, False)
+    now_ms += 1000
     process.quarantine.receive(second, now_ms)
     assert not process.quarantine.refuses(call.fingerprint(), now_ms)
     assert process.quarantine.refuses(1, now_ms)
--- a/libs/requests/src/trefoil_requests/target_side.py
+++ b/libs/requests/src/trefoil_requests/target_side.py
@@ -27,7 +27,6 @@
 
 # Address of this proxy as the origin of requests that it sends to itself.
 LOCAL = "local"
-CRASH_WINDOW_MS = 50
 RECENT_REQUESTS = 4096
 DEFAULT_RETRY_MS = 100
 MIN_RETRY_MS = 20
@@ -757,7 +756,7 @@
             self._expire(tracked, now_ms)
         self.pending_effects += self.incoming_bodies.tick(now_ms)
         for name, crash in list(self.crashes.items()):
-            if now_ms - crash.first_break_ms >= CRASH_WINDOW_MS:
+            if now_ms - crash.first_break_ms >= quarantines.CRASH_WINDOW_MS:
                 self._check_crash(name, crash)
         for target in self.targets.values():
             moment = self._moment(target)
@@ -862,15 +861,20 @@
         )
 
     def _report_crash(self, crash: Crash) -> None:
-        fingerprints = sorted({t.request.fingerprint for t in crash.requests})
+        ran_ms: dict[int, int] = {}
+        for tracked in crash.requests:
+            fingerprint = tracked.request.fingerprint
+            run_ms = max(crash.first_break_ms - tracked.dispatched_ms, 0)
+            ran_ms[fingerprint] = max(run_ms, ran_ms.get(fingerprint, 0))
         sole = len(crash.requests) == 1
         notice = messages.CrashNotice(
             notice_id=self.rng.getrandbits(62),
-            fingerprints=fingerprints,
-            age_ms=0,
+            fingerprints=list(ran_ms),
+            age_ms=self.now_ms - crash.first_break_ms,
             cleared=False,
+            ran_ms=list(ran_ms.values()),
         )
-        self.quarantine.receive(notice, crash.first_break_ms)
+        self.quarantine.receive(notice, self.now_ms)
         self.pending_effects.append(effects.BroadcastNotice(notice))
         for tracked in crash.requests:
             self._note("target.crashed", tracked, sole=sole)
--- a/libs/wire/src/trefoil_wire/gen/ttypes.py
+++ b/libs/wire/src/trefoil_wire/gen/ttypes.py
@@ -8991,6 +8991,7 @@
      - fingerprints
      - age_ms
      - cleared
+     - ran_ms
 
     """
 
@@ -8999,14 +9000,16 @@
         'fingerprints',
         'age_ms',
         'cleared',
+        'ran_ms',
     )
 
 
-    def __init__(self, notice_id=None, fingerprints=None, age_ms=None, cleared=None,):
+    def __init__(self, notice_id=None, fingerprints=None, age_ms=None, cleared=None, ran_ms=None,):
         self.notice_id = notice_id
         self.fingerprints = fingerprints
         self.age_ms = age_ms
         self.cleared = cleared
+        self.ran_ms = ran_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -9042,6 +9045,16 @@
                     self.cleared = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.ran_ms = []
+                    (_etype242, _size239) = iprot.readListBegin()
+                    for _i243 in range(_size239):
+                        _elem244 = iprot.readI32()
+                        self.ran_ms.append(_elem244)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -9059,8 +9072,8 @@
         if self.fingerprints is not None:
             oprot.writeFieldBegin('fingerprints', TType.LIST, 2)
             oprot.writeListBegin(TType.I64, len(self.fingerprints))
-            for iter239 in self.fingerprints:
-                oprot.writeI64(iter239)
+            for iter245 in self.fingerprints:
+                oprot.writeI64(iter245)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.age_ms is not None:
@@ -9071,6 +9084,13 @@
             oprot.writeFieldBegin('cleared', TType.BOOL, 4)
             oprot.writeBool(self.cleared)
             oprot.writeFieldEnd()
+        if self.ran_ms is not None:
+            oprot.writeFieldBegin('ran_ms', TType.LIST, 5)
+            oprot.writeListBegin(TType.I32, len(self.ran_ms))
+            for iter246 in self.ran_ms:
+                oprot.writeI32(iter246)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -9153,10 +9173,10 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.keepers = []
-                    (_etype243, _size240) = iprot.readListBegin()
-                    for _i244 in range(_size240):
-                        _elem245 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.keepers.append(_elem245)
+                    (_etype250, _size247) = iprot.readListBegin()
+                    for _i251 in range(_size247):
+                        _elem252 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.keepers.append(_elem252)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -9195,8 +9215,8 @@
         if self.keepers is not None:
             oprot.writeFieldBegin('keepers', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.keepers))
-            for iter246 in self.keepers:
-                oprot.writeString(iter246.encode('utf-8') if sys.version_info[0] == 2 else iter246)
+            for iter253 in self.keepers:
+                oprot.writeString(iter253.encode('utf-8') if sys.version_info[0] == 2 else iter253)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.service_name is not None:
@@ -9678,10 +9698,10 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype250, _size247) = iprot.readListBegin()
-                    for _i251 in range(_size247):
-                        _elem252 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.members.append(_elem252)
+                    (_etype257, _size254) = iprot.readListBegin()
+                    for _i258 in range(_size254):
+                        _elem259 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.members.append(_elem259)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -9710,8 +9730,8 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.members))
-            for iter253 in self.members:
-                oprot.writeString(iter253.encode('utf-8') if sys.version_info[0] == 2 else iter253)
+            for iter260 in self.members:
+                oprot.writeString(iter260.encode('utf-8') if sys.version_info[0] == 2 else iter260)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -9783,11 +9803,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype257, _size254) = iprot.readListBegin()
-                    for _i258 in range(_size254):
-                        _elem259 = LedgerEntry()
-                        _elem259.read(iprot)
-                        self.entries.append(_elem259)
+                    (_etype264, _size261) = iprot.readListBegin()
+                    for _i265 in range(_size261):
+                        _elem266 = LedgerEntry()
+                        _elem266.read(iprot)
+                        self.entries.append(_elem266)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -9823,8 +9843,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter260 in self.entries:
-                iter260.write(oprot)
+            for iter267 in self.entries:
+                iter267.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.complete is not None:
@@ -10529,6 +10549,7 @@
     (2, TType.LIST, 'fingerprints', (TType.I64, None, False), None, ),  # 2
     (3, TType.I64, 'age_ms', None, None, ),  # 3
     (4, TType.BOOL, 'cleared', None, None, ),  # 4
+    (5, TType.LIST, 'ran_ms', (TType.I32, None, False), None, ),  # 5
 )
 all_structs.append(Claim)
 Claim.thrift_spec = (
--- a/libs/wire/trefoil.thrift
+++ b/libs/wire/trefoil.thrift
@@ -390,8 +390,10 @@
 struct Cancel { 1: i64 request_id }
 struct Ping { 1: i64 nonce }
 struct Pong { 1: i64 nonce }
+/* ran_ms: how long each of the requests had run when the target crashed. */
 struct CrashNotice {
   1: i64 notice_id, 2: list<i64> fingerprints, 3: i64 age_ms, 4: bool cleared,
+  5: list<i32> ran_ms,
 }
 struct Claim {
   1: i64 claim_id, 2: i64 key, 3: i64 fingerprint, 4: list<string> keepers,
