Keep across a restart which announcements are outdated

What callers saw: requests went to a target 4.6 to 7.4 s after its DELETE was acknowledged (42 of them), because its proxy had restarted and then got a report from before the DELETE.

Cause: what a proxy acknowledged bound only as long as its process lived. The same held for a target acknowledged as draining.

Ruled out: the report's age (reports carry no time); the record that peers hold (it says that the target is gone, not up to which report).

Change: a host's record carries for 15 s which announcements are outdated; it is sent before the acknowledgement. A peer that holds the record of an earlier start sends them back as the host links again; a target that an outdated announcement brought back is dropped. One new message, appended to the types; it is sent only after a departure and a restart.

--- a/libs/daemon/src/trefoil_daemon/_fleet_process.py
+++ b/libs/daemon/src/trefoil_daemon/_fleet_process.py
@@ -69,6 +69,7 @@
                 served=served,
                 revision=hello.revision or 0,
                 now_ms=self.clock.now_ms(),
+                incarnation=hello.incarnation or 0,
             )
         )
 
--- a/libs/daemon/src/trefoil_daemon/announcements.py
+++ b/libs/daemon/src/trefoil_daemon/announcements.py
@@ -18,9 +18,12 @@
 }
 MAX_TARGETS = 64
 MAX_DEREGISTRATIONS = 256
+MAX_FLOORS = 64
 MAX_RESOURCES = 256
 # A delayed announcement arrives within seconds.
 MAX_ANNOUNCEMENT_DELAY_MS = 15_000
+# Above the sequence of any announcement.
+LAST_SEQUENCE = (1 << 63) - 1
 
 
 @dataclasses.dataclass(slots=True)
@@ -52,6 +55,13 @@
         """Return a key that orders the announcements of a target."""
         return self.incarnation, self.sequence
 
+    @property
+    def floor(self) -> messages.AnnouncementFloor:
+        """Return the floor below which others of the target are outdated."""
+        return messages.AnnouncementFloor(
+            self.record.name, self.incarnation, self.sequence
+        )
+
 
 def parse(name: str, body: bytes) -> Announcement:
     """Parse an announcement.
@@ -141,13 +151,22 @@
         lease_ms: How long an announcement is valid without a renewal.
     """
 
-    __slots__ = ("lease_ms", "by_name", "until_ms", "deregistrations")
+    __slots__ = (
+        "lease_ms",
+        "by_name",
+        "until_ms",
+        "deregistrations",
+        "floors",
+        "floor_until_ms",
+    )
 
     def __init__(self, lease_ms: int) -> None:
         self.lease_ms = lease_ms
         self.deregistrations: dict[str, Deregistration] = {}
         self.by_name: dict[str, Announcement] = {}
         self.until_ms: dict[str, int] = {}
+        self.floors: dict[str, messages.AnnouncementFloor] = {}
+        self.floor_until_ms: dict[str, int] = {}
 
     def put(self, announcement: Announcement, now_ms: int) -> bool:
         """Store an announcement or renewal.
@@ -164,6 +183,9 @@
         if self.is_stale(announcement, now_ms):
             return False
         old = self.by_name.get(name)
+        if announcement.record.state == messages.TargetState.DRAINING:
+            if old is None or old.record.state != announcement.record.state:
+                self._raise_floor(announcement.floor, now_ms)
         self.by_name[name] = announcement
         self.until_ms[name] = now_ms + self.lease_ms
         if old is None:
@@ -183,6 +205,10 @@
         name = announcement.record.name
         if not announcement.incarnation:
             return False
+        self._drop_old_floors(now_ms)
+        floor = self.floors.get(name)
+        if floor is not None and announcement.order < _order(floor):
+            return True
         deregistration = self.deregistrations.get(name)
         if (
             deregistration is not None
@@ -249,8 +275,52 @@
             self.deregistrations[name] = deregistration
         while len(self.deregistrations) > MAX_DEREGISTRATIONS:
             del self.deregistrations[next(iter(self.deregistrations))]
+        ended = messages.AnnouncementFloor(
+            name, deregistration.max_incarnation, LAST_SEQUENCE
+        )
+        self._raise_floor(ended, now_ms)
         return True
 
+    def published_floors(
+        self, now_ms: int
+    ) -> list[messages.AnnouncementFloor]:
+        """Return what a restart of this process must not forget, by name."""
+        self._drop_old_floors(now_ms)
+        return [self.floors[name] for name in sorted(self.floors)]
+
+    def _drop_old_floors(self, now_ms: int) -> None:
+        for name, until_ms in list(self.floor_until_ms.items()):
+            if now_ms >= until_ms:
+                del self.floors[name], self.floor_until_ms[name]
+
+    def restore_floors(
+        self, floors: list[messages.AnnouncementFloor], now_ms: int
+    ) -> list[str]:
+        """Add what this process published before it restarted.
+
+        Returns:
+            The targets that an outdated announcement has brought back.
+        """
+        for floor in floors:
+            self._raise_floor(floor, now_ms)
+        return [
+            name
+            for name, entry in self.by_name.items()
+            if self.is_stale(entry, now_ms)
+        ]
+
+    def _raise_floor(
+        self, floor: messages.AnnouncementFloor, now_ms: int
+    ) -> None:
+        known = self.floors.get(floor.name)
+        if known is not None and _order(known) >= _order(floor):
+            return
+        self.floors[floor.name] = floor
+        self.floor_until_ms[floor.name] = now_ms + MAX_ANNOUNCEMENT_DELAY_MS
+        while len(self.floors) > MAX_FLOORS:
+            oldest = next(iter(self.floors))
+            del self.floors[oldest], self.floor_until_ms[oldest]
+
     def remove(self, name: str) -> bool:
         """Remove a target; return whether it was known."""
         self.until_ms.pop(name, None)
@@ -288,3 +358,7 @@
             }
             for name, entry in sorted(self.by_name.items())
         ]
+
+
+def _order(floor: messages.AnnouncementFloor) -> tuple[int, int]:
+    return floor.incarnation, floor.sequence
--- a/libs/daemon/src/trefoil_daemon/proxy_process.py
+++ b/libs/daemon/src/trefoil_daemon/proxy_process.py
@@ -355,11 +355,26 @@
                 self.key_leases.ask(host, message)
             case messages.RevisionReply():
                 self._on_revision_reply(message)
+            case messages.AnnouncementFloors():
+                self._restore_floors(message.floors)
             case _:
                 self.perform(
                     self.node.receive(host, message, self.clock.now_ms())
                 )
 
+    def _restore_floors(
+        self, floors: list[messages.AnnouncementFloor]
+    ) -> None:
+        """Use what this host acknowledged before its process restarted.
+
+        An announcement from before a target's end may still arrive. Without
+        this it would bring the target back until its lease ends.
+        """
+        now_ms = self.clock.now_ms()
+        for name in self.announced.restore_floors(floors, now_ms):
+            self.drop_target(name, "acknowledged as gone before a restart")
+        self._publish_targets(now_ms)
+
     def _on_revision_reply(self, reply: messages.RevisionReply) -> None:
         self.key_leases.on_reply(reply)
         self.perform(
@@ -509,7 +524,8 @@
         )
         if not accepted:
             return False
-        self.drop_target(name, "deregistered")
+        if not self.drop_target(name, "deregistered"):
+            self._publish_targets(self.clock.now_ms())
         return True
 
     def drop_target(self, name: str, why: str) -> bool:
@@ -532,7 +548,8 @@
             self.targets.advertised_record(name, now_ms) for name in names
         ]
         sound = [record for record in records if self._can_publish(record)]
-        self.perform(self.node.set_targets(sound, now_ms))
+        floors = self.announced.published_floors(now_ms)
+        self.perform(self.node.set_targets(sound, now_ms, floors))
 
     def _can_publish(self, record: messages.TargetRecord) -> bool:
         """Return whether other processes can be told of a target.
--- a/libs/fleet/src/trefoil_fleet/membership.py
+++ b/libs/fleet/src/trefoil_fleet/membership.py
@@ -1,5 +1,6 @@
 """Host membership: this host's record, suspicion and refutation."""
 
+import collections.abc
 import random
 import typing
 
@@ -62,11 +63,37 @@
             self._publish_own(now_ms)
 
     def set_targets(
-        self, targets: list[messages.TargetRecord], now_ms: int
-    ) -> None:
-        """Publish the targets of this host."""
-        if targets != self.record.targets:
-            self._publish_next_version(now_ms, targets=targets)
+        self,
+        targets: list[messages.TargetRecord],
+        now_ms: int,
+        floors: collections.abc.Sequence[messages.AnnouncementFloor] = (),
+    ) -> bool:
+        """Publish the targets of this host.
+
+        Args:
+            targets: Their records.
+            now_ms: The time on the runtime's clock.
+            floors: Which announcements are outdated.
+
+        Returns:
+            Whether a floor is new.
+        """
+        published = self.record.announcement_floors or []
+        raised = any(floor not in published for floor in floors)
+        if raised or targets != self.record.targets:
+            self._publish_next_version(
+                now_ms, targets=targets, floors=list(floors) or None
+            )
+        return raised
+
+    def floors_before(
+        self, host: str, incarnation: int
+    ) -> list[messages.AnnouncementFloor]:
+        """Return the floors that a host published before it restarted."""
+        record = self.records.get(host)
+        if record is None or record.incarnation >= incarnation:
+            return []
+        return record.announcement_floors or []
 
     def leave(self, now_ms: int) -> None:
         """Announce that this host leaves the fleet."""
@@ -210,9 +237,12 @@
         now_ms: int,
         *,
         targets: list[messages.TargetRecord] | None = None,
+        floors: list[messages.AnnouncementFloor] | None = None,
         state: int | None = None,
     ) -> None:
         old = self.record
+        if targets is None or state is not None:
+            floors = old.announcement_floors
         self.record = messages.HostRecord(
             host=old.host,
             domain=old.domain,
@@ -222,6 +252,7 @@
             sequence=old.sequence + 1,
             state=old.state if state is None else state,
             targets=old.targets if targets is None else targets,
+            announcement_floors=floors,
         )
         self._publish_own(now_ms)
 
--- a/libs/fleet/src/trefoil_fleet/node.py
+++ b/libs/fleet/src/trefoil_fleet/node.py
@@ -1,5 +1,6 @@
 """The fleet core of one process: links, heartbeats and their messages."""
 
+import collections.abc
 import dataclasses
 import functools
 import random
@@ -257,6 +258,7 @@
         served: bool,
         revision: int,
         now_ms: int,
+        incarnation: int = 0,
     ) -> list[typing.Any]:
         """Add a link that is established on both sides."""
         self.now_ms = now_ms
@@ -265,6 +267,9 @@
         self.members.mark_responsive(host)
         self.config.add_peer(host, revision)
         self.config.query_floor_if_needed(host)
+        floors = self.members.floors_before(host, incarnation)
+        if floors:
+            self._send(host, messages.AnnouncementFloors(floors))
         if not served:
             summary = self.members.records.summary(
                 now_ms, recent_only=False, reply_wanted=True
@@ -341,11 +346,17 @@
             self._send(peer, control_hosts)
 
     def set_targets(
-        self, targets: list[messages.TargetRecord], now_ms: int
+        self,
+        targets: list[messages.TargetRecord],
+        now_ms: int,
+        floors: collections.abc.Sequence[messages.AnnouncementFloor] = (),
     ) -> list[typing.Any]:
-        """Publish this host's targets."""
+        """Publish this host's targets and outdated announcements."""
         self.now_ms = now_ms
-        self.members.set_targets(targets, now_ms)
+        if self.members.set_targets(targets, now_ms, floors):
+            # The announcement is about to be acknowledged: this process may
+            # be killed next, and only its peers know of it then.
+            self.updates_due_ms = now_ms
         return self._flush()
 
     def leave(self, now_ms: int) -> list[typing.Any]:
--- a/libs/fleet/src/trefoil_fleet/records.py
+++ b/libs/fleet/src/trefoil_fleet/records.py
@@ -48,6 +48,7 @@
         sequence=record.sequence,
         state=state,
         targets=record.targets,
+        announcement_floors=record.announcement_floors,
     )
 
 
--- a/libs/wire/src/trefoil_wire/frames.py
+++ b/libs/wire/src/trefoil_wire/frames.py
@@ -83,6 +83,7 @@
     messages.TokenReply,
     messages.LoadReport,
     messages.DomainLoads,
+    messages.AnnouncementFloors,
 )
 # Configurations and lists of hosts repeat the same names hundreds of times.
 # The documents that operators read and write make up a third of the bytes
--- a/libs/wire/src/trefoil_wire/gen/ttypes.py
+++ b/libs/wire/src/trefoil_wire/gen/ttypes.py
@@ -4997,6 +4997,98 @@
         return not (self == other)
 
 
+class AnnouncementFloor(object):
+    """
+    Attributes:
+     - name
+     - incarnation
+     - sequence
+
+    """
+
+    __slots__ = (
+        'name',
+        'incarnation',
+        'sequence',
+    )
+
+
+    def __init__(self, name=None, incarnation=None, sequence=None,):
+        self.name = name
+        self.incarnation = incarnation
+        self.sequence = sequence
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('AnnouncementFloor')
+        if self.name is not None:
+            oprot.writeFieldBegin('name', TType.STRING, 1)
+            oprot.writeString(self.name.encode('utf-8') if sys.version_info[0] == 2 else self.name)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 2)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 3)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class HostRecord(object):
     """
     Attributes:
@@ -5008,6 +5100,7 @@
      - sequence
      - state
      - targets
+     - announcement_floors
 
     """
 
@@ -5020,10 +5113,11 @@
         'sequence',
         'state',
         'targets',
+        'announcement_floors',
     )
 
 
-    def __init__(self, host=None, domain=None, region=None, address=None, incarnation=None, sequence=None, state=None, targets=None,):
+    def __init__(self, host=None, domain=None, region=None, address=None, incarnation=None, sequence=None, state=None, targets=None, announcement_floors=None,):
         self.host = host
         self.domain = domain
         self.region = region
@@ -5032,6 +5126,7 @@
         self.sequence = sequence
         self.state = state
         self.targets = targets
+        self.announcement_floors = announcement_floors
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -5088,6 +5183,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.announcement_floors = []
+                    (_etype142, _size139) = iprot.readListBegin()
+                    for _i143 in range(_size139):
+                        _elem144 = AnnouncementFloor()
+                        _elem144.read(iprot)
+                        self.announcement_floors.append(_elem144)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -5129,8 +5235,92 @@
         if self.targets is not None:
             oprot.writeFieldBegin('targets', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.targets))
-            for iter139 in self.targets:
-                iter139.write(oprot)
+            for iter145 in self.targets:
+                iter145.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.announcement_floors is not None:
+            oprot.writeFieldBegin('announcement_floors', TType.LIST, 9)
+            oprot.writeListBegin(TType.STRUCT, len(self.announcement_floors))
+            for iter146 in self.announcement_floors:
+                iter146.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class AnnouncementFloors(object):
+    """
+    Attributes:
+     - floors
+
+    """
+
+    __slots__ = (
+        'floors',
+    )
+
+
+    def __init__(self, floors=None,):
+        self.floors = floors
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.floors = []
+                    (_etype150, _size147) = iprot.readListBegin()
+                    for _i151 in range(_size147):
+                        _elem152 = AnnouncementFloor()
+                        _elem152.read(iprot)
+                        self.floors.append(_elem152)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('AnnouncementFloors')
+        if self.floors is not None:
+            oprot.writeFieldBegin('floors', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.floors))
+            for iter153 in self.floors:
+                iter153.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5542,11 +5732,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.hosts = []
-                    (_etype143, _size140) = iprot.readListBegin()
-                    for _i144 in range(_size140):
-                        _elem145 = ControlHost()
-                        _elem145.read(iprot)
-                        self.hosts.append(_elem145)
+                    (_etype157, _size154) = iprot.readListBegin()
+                    for _i158 in range(_size154):
+                        _elem159 = ControlHost()
+                        _elem159.read(iprot)
+                        self.hosts.append(_elem159)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5567,8 +5757,8 @@
         if self.hosts is not None:
             oprot.writeFieldBegin('hosts', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.hosts))
-            for iter146 in self.hosts:
-                iter146.write(oprot)
+            for iter160 in self.hosts:
+                iter160.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5843,11 +6033,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.reports = []
-                    (_etype150, _size147) = iprot.readListBegin()
-                    for _i151 in range(_size147):
-                        _elem152 = Report()
-                        _elem152.read(iprot)
-                        self.reports.append(_elem152)
+                    (_etype164, _size161) = iprot.readListBegin()
+                    for _i165 in range(_size161):
+                        _elem166 = Report()
+                        _elem166.read(iprot)
+                        self.reports.append(_elem166)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5864,8 +6054,8 @@
         if self.reports is not None:
             oprot.writeFieldBegin('reports', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.reports))
-            for iter153 in self.reports:
-                iter153.write(oprot)
+            for iter167 in self.reports:
+                iter167.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5920,11 +6110,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.records = []
-                    (_etype157, _size154) = iprot.readListBegin()
-                    for _i158 in range(_size154):
-                        _elem159 = HostRecord()
-                        _elem159.read(iprot)
-                        self.records.append(_elem159)
+                    (_etype171, _size168) = iprot.readListBegin()
+                    for _i172 in range(_size168):
+                        _elem173 = HostRecord()
+                        _elem173.read(iprot)
+                        self.records.append(_elem173)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5941,8 +6131,8 @@
         if self.records is not None:
             oprot.writeFieldBegin('records', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.records))
-            for iter160 in self.records:
-                iter160.write(oprot)
+            for iter174 in self.records:
+                iter174.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -6107,11 +6297,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.versions = []
-                    (_etype164, _size161) = iprot.readListBegin()
-                    for _i165 in range(_size161):
-                        _elem166 = RecordVersion()
-                        _elem166.read(iprot)
-                        self.versions.append(_elem166)
+                    (_etype178, _size175) = iprot.readListBegin()
+                    for _i179 in range(_size175):
+                        _elem180 = RecordVersion()
+                        _elem180.read(iprot)
+                        self.versions.append(_elem180)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -6138,8 +6328,8 @@
         if self.versions is not None:
             oprot.writeFieldBegin('versions', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.versions))
-            for iter167 in self.versions:
-                iter167.write(oprot)
+            for iter181 in self.versions:
+                iter181.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reply_wanted is not None:
@@ -6314,10 +6504,10 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.voters = []
-                    (_etype171, _size168) = iprot.readListBegin()
-                    for _i172 in range(_size168):
-                        _elem173 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.voters.append(_elem173)
+                    (_etype185, _size182) = iprot.readListBegin()
+                    for _i186 in range(_size182):
+                        _elem187 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.voters.append(_elem187)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -6350,8 +6540,8 @@
         if self.voters is not None:
             oprot.writeFieldBegin('voters', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.voters))
-            for iter174 in self.voters:
-                oprot.writeString(iter174.encode('utf-8') if sys.version_info[0] == 2 else iter174)
+            for iter188 in self.voters:
+                oprot.writeString(iter188.encode('utf-8') if sys.version_info[0] == 2 else iter188)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -6681,11 +6871,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.wishes = []
-                    (_etype178, _size175) = iprot.readListBegin()
-                    for _i179 in range(_size175):
-                        _elem180 = TokenWish()
-                        _elem180.read(iprot)
-                        self.wishes.append(_elem180)
+                    (_etype192, _size189) = iprot.readListBegin()
+                    for _i193 in range(_size189):
+                        _elem194 = TokenWish()
+                        _elem194.read(iprot)
+                        self.wishes.append(_elem194)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -6711,8 +6901,8 @@
         if self.wishes is not None:
             oprot.writeFieldBegin('wishes', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.wishes))
-            for iter181 in self.wishes:
-                iter181.write(oprot)
+            for iter195 in self.wishes:
+                iter195.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.lend is not None:
@@ -6871,11 +7061,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.grants = []
-                    (_etype185, _size182) = iprot.readListBegin()
-                    for _i186 in range(_size182):
-                        _elem187 = TokenGrant()
-                        _elem187.read(iprot)
-                        self.grants.append(_elem187)
+                    (_etype199, _size196) = iprot.readListBegin()
+                    for _i200 in range(_size196):
+                        _elem201 = TokenGrant()
+                        _elem201.read(iprot)
+                        self.grants.append(_elem201)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -6896,8 +7086,8 @@
         if self.grants is not None:
             oprot.writeFieldBegin('grants', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.grants))
-            for iter188 in self.grants:
-                iter188.write(oprot)
+            for iter202 in self.grants:
+                iter202.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -7152,11 +7342,11 @@
             elif fid == 6:
                 if ftype == TType.MAP:
                     self.latencies = {}
-                    (_ktype190, _vtype191, _size189) = iprot.readMapBegin()
-                    for _i193 in range(_size189):
-                        _key194 = iprot.readI16()
-                        _val195 = iprot.readI32()
-                        self.latencies[_key194] = _val195
+                    (_ktype204, _vtype205, _size203) = iprot.readMapBegin()
+                    for _i207 in range(_size203):
+                        _key208 = iprot.readI16()
+                        _val209 = iprot.readI32()
+                        self.latencies[_key208] = _val209
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -7193,9 +7383,9 @@
         if self.latencies is not None:
             oprot.writeFieldBegin('latencies', TType.MAP, 6)
             oprot.writeMapBegin(TType.I16, TType.I32, len(self.latencies))
-            for kiter196, viter197 in self.latencies.items():
-                oprot.writeI16(kiter196)
-                oprot.writeI32(viter197)
+            for kiter210, viter211 in self.latencies.items():
+                oprot.writeI16(kiter210)
+                oprot.writeI32(viter211)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -7285,11 +7475,11 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.tallies = []
-                    (_etype201, _size198) = iprot.readListBegin()
-                    for _i202 in range(_size198):
-                        _elem203 = Tally()
-                        _elem203.read(iprot)
-                        self.tallies.append(_elem203)
+                    (_etype215, _size212) = iprot.readListBegin()
+                    for _i216 in range(_size212):
+                        _elem217 = Tally()
+                        _elem217.read(iprot)
+                        self.tallies.append(_elem217)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -7327,8 +7517,8 @@
         if self.tallies is not None:
             oprot.writeFieldBegin('tallies', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.tallies))
-            for iter204 in self.tallies:
-                iter204.write(oprot)
+            for iter218 in self.tallies:
+                iter218.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.halted is not None:
@@ -7487,11 +7677,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.services = []
-                    (_etype208, _size205) = iprot.readListBegin()
-                    for _i209 in range(_size205):
-                        _elem210 = ServiceLoad()
-                        _elem210.read(iprot)
-                        self.services.append(_elem210)
+                    (_etype222, _size219) = iprot.readListBegin()
+                    for _i223 in range(_size219):
+                        _elem224 = ServiceLoad()
+                        _elem224.read(iprot)
+                        self.services.append(_elem224)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -7512,8 +7702,8 @@
         if self.services is not None:
             oprot.writeFieldBegin('services', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.services))
-            for iter211 in self.services:
-                iter211.write(oprot)
+            for iter225 in self.services:
+                iter225.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -7584,11 +7774,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.services = []
-                    (_etype215, _size212) = iprot.readListBegin()
-                    for _i216 in range(_size212):
-                        _elem217 = ServiceLoad()
-                        _elem217.read(iprot)
-                        self.services.append(_elem217)
+                    (_etype229, _size226) = iprot.readListBegin()
+                    for _i230 in range(_size226):
+                        _elem231 = ServiceLoad()
+                        _elem231.read(iprot)
+                        self.services.append(_elem231)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -7613,8 +7803,8 @@
         if self.services is not None:
             oprot.writeFieldBegin('services', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.services))
-            for iter218 in self.services:
-                iter218.write(oprot)
+            for iter232 in self.services:
+                iter232.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -7669,11 +7859,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.domains = []
-                    (_etype222, _size219) = iprot.readListBegin()
-                    for _i223 in range(_size219):
-                        _elem224 = DomainLoad()
-                        _elem224.read(iprot)
-                        self.domains.append(_elem224)
+                    (_etype236, _size233) = iprot.readListBegin()
+                    for _i237 in range(_size233):
+                        _elem238 = DomainLoad()
+                        _elem238.read(iprot)
+                        self.domains.append(_elem238)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -7690,8 +7880,8 @@
         if self.domains is not None:
             oprot.writeFieldBegin('domains', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.domains))
-            for iter225 in self.domains:
-                iter225.write(oprot)
+            for iter239 in self.domains:
+                iter239.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -7841,11 +8031,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.pieces = []
-                    (_etype229, _size226) = iprot.readListBegin()
-                    for _i230 in range(_size226):
-                        _elem231 = PatchPiece()
-                        _elem231.read(iprot)
-                        self.pieces.append(_elem231)
+                    (_etype243, _size240) = iprot.readListBegin()
+                    for _i244 in range(_size240):
+                        _elem245 = PatchPiece()
+                        _elem245.read(iprot)
+                        self.pieces.append(_elem245)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -7867,8 +8057,8 @@
         if self.pieces is not None:
             oprot.writeFieldBegin('pieces', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.pieces))
-            for iter232 in self.pieces:
-                iter232.write(oprot)
+            for iter246 in self.pieces:
+                iter246.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.digest is not None:
@@ -9028,10 +9218,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.fingerprints = []
-                    (_etype236, _size233) = iprot.readListBegin()
-                    for _i237 in range(_size233):
-                        _elem238 = iprot.readI64()
-                        self.fingerprints.append(_elem238)
+                    (_etype250, _size247) = iprot.readListBegin()
+                    for _i251 in range(_size247):
+                        _elem252 = iprot.readI64()
+                        self.fingerprints.append(_elem252)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -9048,10 +9238,10 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.ran_ms = []
-                    (_etype242, _size239) = iprot.readListBegin()
-                    for _i243 in range(_size239):
-                        _elem244 = iprot.readI32()
-                        self.ran_ms.append(_elem244)
+                    (_etype256, _size253) = iprot.readListBegin()
+                    for _i257 in range(_size253):
+                        _elem258 = iprot.readI32()
+                        self.ran_ms.append(_elem258)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -9072,8 +9262,8 @@
         if self.fingerprints is not None:
             oprot.writeFieldBegin('fingerprints', TType.LIST, 2)
             oprot.writeListBegin(TType.I64, len(self.fingerprints))
-            for iter245 in self.fingerprints:
-                oprot.writeI64(iter245)
+            for iter259 in self.fingerprints:
+                oprot.writeI64(iter259)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.age_ms is not None:
@@ -9087,8 +9277,8 @@
         if self.ran_ms is not None:
             oprot.writeFieldBegin('ran_ms', TType.LIST, 5)
             oprot.writeListBegin(TType.I32, len(self.ran_ms))
-            for iter246 in self.ran_ms:
-                oprot.writeI32(iter246)
+            for iter260 in self.ran_ms:
+                oprot.writeI32(iter260)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -9173,10 +9363,10 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.keepers = []
-                    (_etype250, _size247) = iprot.readListBegin()
-                    for _i251 in range(_size247):
-                        _elem252 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.keepers.append(_elem252)
+                    (_etype264, _size261) = iprot.readListBegin()
+                    for _i265 in range(_size261):
+                        _elem266 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.keepers.append(_elem266)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -9215,8 +9405,8 @@
         if self.keepers is not None:
             oprot.writeFieldBegin('keepers', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.keepers))
-            for iter253 in self.keepers:
-                oprot.writeString(iter253.encode('utf-8') if sys.version_info[0] == 2 else iter253)
+            for iter267 in self.keepers:
+                oprot.writeString(iter267.encode('utf-8') if sys.version_info[0] == 2 else iter267)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.service_name is not None:
@@ -9698,10 +9888,10 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype257, _size254) = iprot.readListBegin()
-                    for _i258 in range(_size254):
-                        _elem259 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.members.append(_elem259)
+                    (_etype271, _size268) = iprot.readListBegin()
+                    for _i272 in range(_size268):
+                        _elem273 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.members.append(_elem273)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -9730,8 +9920,8 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.members))
-            for iter260 in self.members:
-                oprot.writeString(iter260.encode('utf-8') if sys.version_info[0] == 2 else iter260)
+            for iter274 in self.members:
+                oprot.writeString(iter274.encode('utf-8') if sys.version_info[0] == 2 else iter274)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -9803,11 +9993,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype264, _size261) = iprot.readListBegin()
-                    for _i265 in range(_size261):
-                        _elem266 = LedgerEntry()
-                        _elem266.read(iprot)
-                        self.entries.append(_elem266)
+                    (_etype278, _size275) = iprot.readListBegin()
+                    for _i279 in range(_size275):
+                        _elem280 = LedgerEntry()
+                        _elem280.read(iprot)
+                        self.entries.append(_elem280)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -9843,8 +10033,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter267 in self.entries:
-                iter267.write(oprot)
+            for iter281 in self.entries:
+                iter281.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.complete is not None:
@@ -10245,6 +10435,13 @@
     (10, TType.I64, 'started_ms', None, None, ),  # 10
     (11, TType.DOUBLE, 'limit_per_s', None, None, ),  # 11
 )
+all_structs.append(AnnouncementFloor)
+AnnouncementFloor.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'name', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'incarnation', None, None, ),  # 2
+    (3, TType.I64, 'sequence', None, None, ),  # 3
+)
 all_structs.append(HostRecord)
 HostRecord.thrift_spec = (
     None,  # 0
@@ -10256,6 +10453,12 @@
     (6, TType.I64, 'sequence', None, None, ),  # 6
     (7, TType.I32, 'state', None, None, ),  # 7
     (8, TType.LIST, 'targets', (TType.STRUCT, [TargetRecord, None], False), None, ),  # 8
+    (9, TType.LIST, 'announcement_floors', (TType.STRUCT, [AnnouncementFloor, None], False), None, ),  # 9
+)
+all_structs.append(AnnouncementFloors)
+AnnouncementFloors.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'floors', (TType.STRUCT, [AnnouncementFloor, None], False), None, ),  # 1
 )
 all_structs.append(Hello)
 Hello.thrift_spec = (
--- a/libs/wire/trefoil.thrift
+++ b/libs/wire/trefoil.thrift
@@ -233,11 +233,19 @@
   // missing for no limit.
   11: double limit_per_s,
 }
+/* Announcements of a target below this incarnation and sequence are outdated:
+   it was acknowledged as leaving, or as gone. */
+struct AnnouncementFloor {
+  1: string name, 2: i64 incarnation, 3: i64 sequence,
+}
 struct HostRecord {
   1: string host, 2: string domain, 3: string region, 4: string address,
   5: i64 incarnation, 6: i64 sequence, 7: HostState state,
   8: list<TargetRecord> targets,
+  9: list<AnnouncementFloor> announcement_floors,
 }
+/* What a process on this host published before it restarted. */
+struct AnnouncementFloors { 1: list<AnnouncementFloor> floors }
 /* reads_compact: the sender reads compact frames. switches: all frames after
    this one are compact, in this direction. */
 struct Hello {
