--- a/libs/daemon/src/trefoil_daemon/hub.py
+++ b/libs/daemon/src/trefoil_daemon/hub.py
@@ -214,12 +214,11 @@
             connection = self._dial(host, address, subscribe=False)
             self.requests[host] = connection
         connection.last_used_ms = self.clock.now_ms()
+        # Before the write: one that breaks the link counts as lost.
+        _track_sent(connection, message)
         if not connection.ready:
             connection.waiting.append(message)
-            _track_sent(connection, message)
             return True
-        # Before the write, which may fail and then counts it as lost.
-        _track_sent(connection, message)
         if self._write(connection, message):
             return True
         _forget_unsent(connection, message)
--- a/libs/daemon/src/trefoil_daemon/proxy_process.py
+++ b/libs/daemon/src/trefoil_daemon/proxy_process.py
@@ -356,7 +356,7 @@
             case messages.RevisionReply():
                 self._on_revision_reply(message)
             case messages.AnnouncementFloors():
-                self._restore_floors(message.floors)
+                self._restore_floors(message.floors or [])
             case _:
                 self.perform(
                     self.node.receive(host, message, self.clock.now_ms())
@@ -671,6 +671,7 @@
         """Return the current gauge values for metrics."""
         return {
             "revision": self.node.config.in_force.revision,
+            "incarnation": self.node.members.record.incarnation,
             "revision_floor": self.node.config.floor.revision,
             "revision_served": self.config_lag.served_revision,
             "revision_newest": self.config_lag.newest,
--- a/soak/watch.py
+++ b/soak/watch.py
@@ -16,6 +16,7 @@
 # Covers one and a half elections.
 OUTCOME_TIMEOUT_S = 5.0
 REVISION = re.compile(rb"^trefoilroute_revision (\S+)", re.MULTILINE)
+INCARNATION = re.compile(rb"^trefoilroute_incarnation (\S+)", re.MULTILINE)
 DONE = "done"
 DOCUMENT = """\
 services:
@@ -37,11 +38,19 @@
         deployment: The processes.
     """
 
-    __slots__ = ("deployment", "highest", "problems", "stopped", "thread")
+    __slots__ = (
+        "deployment",
+        "highest",
+        "lives",
+        "problems",
+        "stopped",
+        "thread",
+    )
 
     def __init__(self, deployment: deployments.Deployment) -> None:
         self.deployment = deployment
         self.highest: dict[int, float] = {}
+        self.lives: dict[int, str] = {}
         self.problems: list[str] = []
         self.stopped = threading.Event()
         self.thread = threading.Thread(target=self._run)
@@ -61,11 +70,17 @@
         if match is None or member.pid != pid:
             return
         revision = float(match[1])
+        incarnation = INCARNATION.search(answer.body)
+        life = incarnation[1].decode() if incarnation else "unknown"
         previous = self.highest.get(pid, 0.0)
         if revision < previous:
+            # The incarnation tells whether another process answered.
             self.problems.append(
-                f"{host} went back from revision {previous:g} to {revision:g}"
+                f"{host} went back from revision {previous:g} to {revision:g} "
+                f"(process {pid}, incarnation {self.lives.get(pid)}, then "
+                f"{life} at {time.time():.3f})"
             )
+        self.lives[pid] = life
         self.highest[pid] = max(previous, revision)
 
     def stop(self) -> None:
