Let no host that has just started grant a key alone

What callers could see: a keyed payment that runs twice.

Cause: a proxy that has just started knows its own target first; for the keys of that service its grant alone is then a majority. Hosts that learn of each other a moment later ask all former replicas but one, and the one that they miss may be this one.

Ruled out: views of two hosts and more (a grant has a second holder, and all but one are asked).

A service with one host refuses keyed requests for that time after its start, as undecided.

Before: granted twice; the new test fails.

--- a/libs/requests/src/trefoil_requests/ledger.py
+++ b/libs/requests/src/trefoil_requests/ledger.py
@@ -166,6 +166,12 @@
         # under their view of before the join for as long as they are cut off.
         if self.replica_sets.is_joining(claim.service_name, now_ms):
             return self._reply(claim, ABSTAIN)
+        # Members that appear later may miss the answer of one former replica.
+        # A grant that only this host knows of must not decide alone.
+        if len(own_set) == 1 and self.replica_sets.may_lack_members(
+            claim.service_name, now_ms
+        ):
+            return self._reply(claim, ABSTAIN)
         self._drop_expired(now_ms)
         if len(self.records) >= MAX_ENTRIES:
             # Removing a live key would let its resend run again.
--- a/libs/requests/src/trefoil_requests/replica_sets.py
+++ b/libs/requests/src/trefoil_requests/replica_sets.py
@@ -67,6 +67,13 @@
         pool = self.members(service, now_ms)
         return list(hashing.rank(str(key), pool)[:REPLICAS])
 
+    def may_lack_members(self, service: str, now_ms: int) -> bool:
+        """Return whether records of other members may not have come yet."""
+        join = self.joins.get(service)
+        if join is None:
+            return False
+        return now_ms < join.joined_ms + joining.RECORDS_ARRIVE_MS
+
     def is_joining(self, service: str, now_ms: int) -> bool:
         """Return whether this host may lack grants from before it joined."""
         join = self.joins.get(service)
--- a/libs/requests/tests/test_replica_joins.py
+++ b/libs/requests/tests/test_replica_joins.py
@@ -122,6 +122,24 @@
         ]
 
 
+def test_a_host_that_has_just_started_grants_no_key_alone() -> None:
+    """Members that it did not know yet granted the key again after its end."""
+    fleet = Fleet()
+    started_wall_ms = STARTED_WALL_MS + fleet.now_ms
+    fleet.ledgers["h5"] = ledgers.Ledger(
+        "h5", 1, fleet.now_ms, started_wall_ms
+    )
+    fleet.members = ["h5"]
+    fleet.see("h5")
+    ahead_ms = ledgers.MAX_DATE_AHEAD_MS
+    fleet.now_ms += 1000
+    early = fleet.claim("h5", f"{started_wall_ms + ahead_ms + 500}-early")
+    assert early is claiming.ClaimUndecided
+    fleet.now_ms += joining.RECORDS_ARRIVE_MS
+    later = fleet.claim("h5", f"{started_wall_ms + ahead_ms + 5000}-later")
+    assert later is claiming.ClaimGranted
+
+
 @pytest.mark.parametrize("count", [1, 2, 4])
 @pytest.mark.parametrize("date", ["", f"{STARTED_WALL_MS + NOW_MS}-"])
 def test_a_key_is_granted_once_although_its_replicas_change(
