Take no head whose lines two readers read differently

Callers saw: an answer of a target in trouble, in whose head the name of a field held a blank or a control byte, was passed on as an answer: with that line, or, where the line was meant as a length ("Content Length: 2"), with another body. An answer with the status 000 was passed on too. Cause: the reader of heads stripped the ends of a field's name and checked nothing else of it, and nothing of its value. A bare line feed or carriage return within a value was passed on as it came; a reader that ends lines there sees a field of its own, from targets to callers and from callers to targets alike. Values were stripped of vertical tabs and form feeds. The status line took any three digits, any spelling of the version's number, and any white space. The same cause elsewhere: request lines; a second Transfer-Encoding (the last one won, so that "gzip" and "chunked" were taken for chunks) and a second Host; chunks in a message of HTTP/1.0. Health checks read their answers with the same reader. Trailers and chunk extensions are read by h11 and passed on to nobody. Decided: statuses from 600 on are refused like 000. They have no class; RFC 9110 (15) lets a client take them for a 5xx, so as an answer they say no more than the 502 that says that the request may have run. Change: the lines of a head are checked as a whole by RFC 9110 and 9112 before anything is read from them. Sound heads stay sound: tabs, bytes from 0x80 on and empty values in fields. Why it works: what passes is a token, a colon and text without line ends, which all readers split alike.

--- a/libs/daemon/src/trefoil_daemon/_http.py
+++ b/libs/daemon/src/trefoil_daemon/_http.py
@@ -8,7 +8,6 @@
 """
 
 import dataclasses
-import re
 
 from circuits.web.parsers import http as parsers
 
@@ -16,11 +15,10 @@
 from trefoil_model import errors
 
 from . import _chunked
+from . import _heads
 
 MAX_HEAD_BYTES = 32 * 1024
 HEAD_END = b"\r\n\r\n"
-# A tab is none: it may stand wherever a space may.
-CONTROL_CHARACTER = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 HOP_BY_HOP = frozenset(
     (
         b"connection",
@@ -36,6 +34,9 @@
         b"expect",
     )
 )
+# Readers that take another one of them would find another end of the message
+# or another host.
+UNREPEATED = frozenset((b"content-length", b"transfer-encoding", b"host"))
 BODILESS_STATUSES = (204, 304)
 SWITCHING_PROTOCOLS = 101
 REQUEST = 0
@@ -163,9 +164,12 @@
 
     def _parse_head(self, head: bytes) -> Message:
         message = Message()
-        start_line = head.partition(b"\r\n")[0]
+        start_line, _, field_lines = head.partition(b"\r\n")
         if self.kind == RESPONSE:
-            start_line, message.reason = _split_status_line(start_line)
+            start_line, message.reason = _heads.split_status_line(start_line)
+        else:
+            _heads.check_request_line(start_line)
+        _heads.check_field_lines(field_lines.removesuffix(b"\r\n"))
         parser = parsers.HttpParser(self.kind)
         # The parser interprets backslash escapes: a value with the two
         # characters \n would become a line break and inject a header.
@@ -180,10 +184,12 @@
         if parser.errno is not None or not parser.is_headers_complete():
             raise errors.ProtocolError(400, parser.errstr or "bad head")
         self._parse_start_line(message, parser)
-        self._parse_header_lines(message, head)
+        self._parse_header_lines(message, field_lines)
         tokens = connection_tokens(message)
         persistent = parser.get_version() == (1, 1) or b"keep-alive" in tokens
         message.keep_alive = persistent and b"close" not in tokens
+        if parser.get_version() == (1, 0):
+            _heads.check_no_transfer_coding(message.fields)
         self._parse_length(message)
         return message
 
@@ -203,16 +209,15 @@
             # Requests ask for no other protocol, and what follows is none.
             raise errors.ProtocolError(400, "the protocol was switched")
 
-    def _parse_header_lines(self, message: Message, head: bytes) -> None:
+    def _parse_header_lines(self, message: Message, lines: bytes) -> None:
+        """Store the fields of a head whose lines have been checked."""
         end_to_end = []
-        for line in head.split(b"\r\n")[1:-2]:
-            name, colon, value = line.partition(b":")
+        for line in lines.split(b"\r\n")[:-2]:
+            name, _, value = line.partition(b":")
             lower = name.lower()
-            if not colon or lower != lower.strip() or not lower:
-                raise errors.ProtocolError(400, "bad header line")
-            if lower == b"content-length" and lower in message.fields:
-                raise errors.ProtocolError(400, "two lengths")
-            message.fields[lower] = value.strip()
+            if lower in message.fields and lower in UNREPEATED:
+                raise errors.ProtocolError(400, "a field comes twice")
+            message.fields[lower] = value.strip(_heads.BLANKS)
             if lower not in HOP_BY_HOP:
                 end_to_end.append((lower, line))
         hop_by_hop = connection_tokens(message)
@@ -285,22 +290,6 @@
         return message
 
 
-def _split_status_line(line: bytes) -> tuple[bytes, str]:
-    """Return a status line without its reason phrase, and the phrase.
-
-    The parser refuses hyphens, dots and other signs in a phrase, such as in
-    that of status 203.
-
-    Raises:
-        ProtocolError: The line holds control characters or no status.
-    """
-    parts = line.split(None, 2)
-    if CONTROL_CHARACTER.search(line) or len(parts) < 2:
-        raise errors.ProtocolError(400, "bad status line")
-    phrase = parts[2] if len(parts) > 2 else b""
-    return b"%s %s " % (parts[0], parts[1]), phrase.decode("latin-1")
-
-
 def connection_tokens(message: Message) -> set[bytes]:
     """Return the lower-case tokens of a message's Connection field."""
     field = message.fields.get(b"connection", b"")
