Show with real processes what clients that do not behave do

Clients that stop short, send without end, do not read or say nothing end a process or keep all others out. These tests start the system's own processes, let a small crowd do it under lowered limits (bodies of 8 MiB, 256 descriptors), and check, with the crowd's connections still open, that each process lives, that its greatest memory and what the kernel holds for its sockets stay below what the smallest hosts have (200 MB, 296 MB for control hosts), that it leaves the descriptors that a host reserves, and that ordinary callers and operators are answered.

--- a/libs/emulator/src/trefoil_emulator/fleet.py
+++ b/libs/emulator/src/trefoil_emulator/fleet.py
@@ -4,12 +4,14 @@
 others.
 """
 
+import contextlib
 import dataclasses
 from http import client as http_client
 import itertools
 import json
 import os
 import pathlib
+import re
 import shutil
 import signal
 import subprocess
@@ -29,6 +31,7 @@
 RETRY_INTERVAL_S = 0.05
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+PEAK_KIB = re.compile(r"VmHWM:\s+(\d+)")
 
 
 class WaitTimeout(Exception):
@@ -138,6 +141,31 @@
         fields = stat.split()
         return (int(fields[13]) + int(fields[14])) / TICKS_PER_S
 
+    @property
+    def peak_bytes(self) -> int:
+        """Return the largest resident memory so far."""
+        status = pathlib.Path(f"/proc/{self.pid}/status").read_text()
+        return int(PEAK_KIB.search(status)[1]) * 1024
+
+    @property
+    def open_descriptors(self) -> int:
+        """Return how many descriptors are open."""
+        return len(os.listdir(f"/proc/{self.pid}/fd"))
+
+    @property
+    def queued_bytes(self) -> int:
+        """Return what the kernel holds unsent and unread for its sockets."""
+        inodes = set()
+        for descriptor in pathlib.Path(f"/proc/{self.pid}/fd").iterdir():
+            with contextlib.suppress(OSError):
+                inodes.add(os.readlink(descriptor))
+        queued = 0
+        for line in pathlib.Path("/proc/net/tcp").read_text().splitlines()[1:]:
+            fields = line.split()
+            if f"socket:[{fields[9]}]" in inodes:
+                queued += sum(int(part, 16) for part in fields[4].split(":"))
+        return queued
+
     @property
     def rss_mb(self) -> float:
         """Return the resident memory in MB."""
@@ -155,6 +183,8 @@
         seeds_per_domain: Number of seeds in each failure domain.
         control_extra: Additional settings of control processes.
         proxy_extra: Additional settings of proxies.
+        max_descriptors: Descriptors that each process may open; 0 for as
+            many as this one.
     """
 
     def __init__(
@@ -166,6 +196,8 @@
         seeds_per_domain: int = 2,
         control_extra: dict[str, typing.Any] | None = None,
         proxy_extra: dict[str, typing.Any] | None = None,
+        max_descriptors: int = 0,
+        with_pages: bool = False,
     ) -> None:
         self.folder = pathlib.Path(folder)
         self.folder.mkdir(parents=True, exist_ok=True)
@@ -173,6 +205,12 @@
         self.seeds_per_domain = seeds_per_domain
         self.control_extra = control_extra or {}
         self.proxy_extra = proxy_extra or {}
+        self.max_descriptors = max_descriptors
+        self.control_kinds = ["peers", "admin"]
+        self.proxy_kinds = ["callers", "peers", "admin"]
+        if with_pages:
+            self.control_kinds += ["metrics"]
+            self.proxy_kinds += ["ready", "metrics"]
         self.members: dict[str, Member] = {}
         self.seeds: dict[str, dict[str, str]] = {d: {} for d in domains}
         self.control_names = [f"control{n + 1}" for n in range(controls)]
@@ -181,11 +219,17 @@
             name: self._new_ip() for name in self.control_names
         }
         self.control_ports = {
-            name: dict(zip(("peers", "admin"), loopback.free_ports(2, ip)))
+            name: self._new_ports(self.control_kinds, ip)
             for name, ip in self.control_ips.items()
         }
         self.last_number = 0
 
+    @staticmethod
+    def _new_ports(kinds: list[str], ip: str) -> dict[str, int]:
+        """Return a free port of an address for each kind."""
+        ports = loopback.free_ports(len(kinds), ip)
+        return dict(zip(kinds, ports, strict=True))
+
     def _new_ip(self) -> str:
         self.host_count += 1
         return loopback.host_ip(self.host_count)
@@ -208,21 +252,19 @@
             settings = {
                 "host": name,
                 "domain": self.domains[index % len(self.domains)],
-                "peers": f"{ip}:{ports['peers']}",
-                "admin": f"{ip}:{ports['admin']}",
                 "controls": self.controls,
                 "voters": self.control_names,
                 "data_folder": str(self.folder / f"{name}.data"),
             } | self.control_extra
+            for kind, port in ports.items():
+                settings[kind] = f"{ip}:{port}"
             path = self._write(name, settings)
             subprocess.run(
                 _python("trefoil_daemon.main", "run_control", "init", path),
                 check=True,
                 stdout=subprocess.DEVNULL,
             )
-            command = _python(
-                "trefoil_daemon.main", "run_control", "run", path
-            )
+            command = self._daemon("run_control", path)
             self.members[name] = Member(
                 name, command, ports, settings["domain"], ip
             )
@@ -233,10 +275,9 @@
         Args:
             hosts: Failure domains by name of the host.
         """
-        kinds = ("callers", "peers", "admin")
         for host, domain in hosts.items():
             ip = self._new_ip()
-            ports = dict(zip(kinds, loopback.free_ports(3, ip), strict=True))
+            ports = self._new_ports(self.proxy_kinds, ip)
             self.members[host] = Member(host, [], ports, domain, ip)
             if len(self.seeds[domain]) < self.seeds_per_domain:
                 self.seeds[domain][host] = f"{ip}:{ports['peers']}"
@@ -253,8 +294,15 @@
         for kind in member.ports:
             settings[kind] = member.address(kind)
         path = self._write(member.name, settings)
-        member.command = _python(
-            "trefoil_daemon.main", "run_proxy", "run", path
+        member.command = self._daemon("run_proxy", path)
+
+    def _daemon(self, function: str, path: str) -> list[str]:
+        return _python(
+            "trefoil_daemon.main",
+            function,
+            "run",
+            path,
+            max_descriptors=self.max_descriptors,
         )
 
     def add_target(
@@ -529,10 +577,19 @@
         return HttpAnswer(0)
 
 
-def _python(module: str, function: str, *arguments: str) -> list[str]:
+def _python(
+    module: str, function: str, *arguments: str, max_descriptors: int = 0
+) -> list[str]:
+    limit = ""
+    if max_descriptors:
+        limit = (
+            "import resource; resource.setrlimit(resource.RLIMIT_NOFILE, "
+            f"({max_descriptors}, {max_descriptors})); "
+        )
     # The output shows whether a process stalled before, during or after
     # its imports.
     code = (
+        f"{limit}"
         "print('loading', flush=True); "
         f"import {module} as main; "
         "print('loaded', flush=True); "
