Let the command line take no odd answer for an outcome

Operators saw: where a process answers with bytes that are no answer, the command line ended with a traceback, or took the answer without the lines behind the odd one. Cause: http.client stops at a line of a head that is none and keeps the rest to itself, and the body was decoded as JSON without a check. Change: an answer with such a line, or whose body is no JSON, counts as unreachable: the outcome is not known, and the line can be sent again.

--- a/libs/cli/src/trefoil_cli/client.py
+++ b/libs/cli/src/trefoil_cli/client.py
@@ -94,6 +94,7 @@
         try:
             connection.request("POST", COMMAND_PATH, line.to_json())
             response = connection.getresponse()
+            _check_head(response)
             body = response.read().decode("utf-8", "replace")
         except (OSError, http.client.HTTPException) as error:
             raise Unreachable(f"{self.address}: {error}")
@@ -101,7 +102,10 @@
             connection.close()
         if response.status != 200:
             raise Refused(body.strip())
-        return json.loads(body)
+        try:
+            return json.loads(body)
+        except ValueError as error:
+            raise Unreachable(f"{self.address}: {error}")
 
     def send_and_wait(
         self, line: Line, wait_s: float
@@ -121,3 +125,13 @@
             if not pending or time.monotonic() >= deadline_s:
                 return answer
             time.sleep(answer.get("retry_after_ms", 500) / 1000)
+
+
+def _check_head(response: http.client.HTTPResponse) -> None:
+    """Check that all lines of an answer's head are header lines.
+
+    Raises:
+        HTTPException: One is not; the lines behind it were not read.
+    """
+    if response.headers.defects:
+        raise http.client.HTTPException("bad header line")
