Hold a body once at each process that it passes

Callers saw: one body of 64 MiB, within its limit, took most of what two hosts have; two at once, or one beside anything else, ended a process. Cause: four copies. A body was collected in a buffer that grows, copied out of it, copied behind the head of the request to the target, and copied into the stream's buffer; the fingerprint made one more. Change: bodies are collected in the bytes that are sent on (BytesIO hands its buffer out when it is exactly filled), with their announced length from the start; heads and long bodies are written as two parts; a stream keeps references to long pieces instead of copying them; the hash takes parts. The same for chunks, for answers, and for bodies that come from another host. Short messages are joined as before, in one write. Ruled out: that the kernel's buffers count here; the greatest resident memory does not have them.

--- a/libs/daemon/src/trefoil_daemon/_chunked.py
+++ b/libs/daemon/src/trefoil_daemon/_chunked.py
@@ -1,5 +1,7 @@
 """Decoding of chunked bodies with h11."""
 
+import io
+
 from trefoil_model import errors
 
 # h11 parses complete messages, but the head was already read elsewhere, so it
@@ -45,16 +47,25 @@
             REQUEST_HEAD if is_request else RESPONSE_HEAD
         )
         self.connection.next_event()
-        self.body = bytearray()
+        self.body = io.BytesIO()
         self.chunks = 0
         self.remainder = b""
 
+    @property
+    def size(self) -> int:
+        """Return how many bytes were decoded."""
+        return self.body.tell()
+
+    def content(self) -> bytes:
+        """Return the decoded bytes."""
+        return self.body.getvalue()
+
     @property
     def is_dense(self) -> bool:
         """Return whether its chunks are so small that they take long."""
         if self.chunks < MIN_DENSE_CHUNKS:
             return False
-        return len(self.body) < DENSE_MEAN_BYTES * self.chunks
+        return self.size < DENSE_MEAN_BYTES * self.chunks
 
     def feed(self, data: bytes, max_size: int) -> bool:
         """Decode bytes; return whether the body is complete.
@@ -72,7 +83,7 @@
         for start in range(0, len(data), SLICE_BYTES):
             end = start + SLICE_BYTES
             complete = self._decode(data[start:end])
-            if len(self.body) > max_size:
+            if self.size > max_size:
                 raise errors.ProtocolError(413, "the body is too large")
             if self.chunks > self._max_chunks:
                 raise errors.ProtocolError(400, "too many small chunks")
@@ -83,7 +94,7 @@
 
     @property
     def _max_chunks(self) -> int:
-        return MAX_SMALL_CHUNKS + len(self.body) // MIN_MEAN_BYTES
+        return MAX_SMALL_CHUNKS + self.size // MIN_MEAN_BYTES
 
     def _decode(self, data: bytes) -> bool:
         import h11
@@ -92,7 +103,7 @@
             self.connection.receive_data(data)
             event = self.connection.next_event()
             while isinstance(event, h11.Data):
-                self.body += event.data
+                self.body.write(event.data)
                 self.chunks += 1
                 event = self.connection.next_event()
         except h11.RemoteProtocolError as error:
--- a/libs/daemon/src/trefoil_daemon/_http.py
+++ b/libs/daemon/src/trefoil_daemon/_http.py
@@ -8,9 +8,11 @@
 """
 
 import dataclasses
+import io
 
 from circuits.web.parsers import http as parsers
 
+from trefoil_model import buffers
 from trefoil_model import digits
 from trefoil_model import errors
 
@@ -41,6 +43,10 @@
 SWITCHING_PROTOCOLS = 101
 REQUEST = 0
 RESPONSE = 1
+# A copy of a longer body takes longer than a write of its own.
+MAX_JOINED_BODY_BYTES = 64 * 1024
+# A serialized message, to be written one part after the other.
+Parts = tuple[bytes, ...]
 
 
 @dataclasses.dataclass(slots=True)
@@ -81,8 +87,9 @@
         max_head: Maximum head size in bytes.
 
     ``length`` is -1 for a chunked body and for one that ends with its
-    connection, ``body`` what has been received of a body without chunks. Set
-    ``bodiless`` before the response to a HEAD request.
+    connection, ``body`` what has been received of a body without chunks, None
+    before its first byte. Set ``bodiless`` before the response to a HEAD
+    request.
     """
 
     __slots__ = (
@@ -106,7 +113,7 @@
         self.buffer = b""
         self.message: Message | None = None
         self.length = 0
-        self.body = bytearray()
+        self.body: io.BytesIO | None = None
         self.chunks: _chunked.ChunkedBody | None = None
         self.bodiless = False
 
@@ -133,8 +140,14 @@
     @property
     def held_bytes(self) -> int:
         """Return how many bytes of an incomplete message are held."""
-        decoded = self.chunks.body if self.chunks is not None else self.body
-        return len(self.buffer) + len(decoded)
+        if self.chunks is not None:
+            return len(self.buffer) + self.chunks.size
+        return len(self.buffer) + self._received
+
+    @property
+    def _received(self) -> int:
+        """Return how many bytes of a body without chunks are held."""
+        return self.body.tell() if self.body is not None else 0
 
     @property
     def is_dense(self) -> bool:
@@ -146,7 +159,8 @@
         message = self.message
         if message is not None and self.length < 0 and self.chunks is None:
             message.keep_alive = False
-            return self._complete(self.body, b"")
+            body = self.body.getvalue() if self.body is not None else b""
+            return self._complete(body, b"")
         return None
 
     def _read_head(self) -> bool:
@@ -268,23 +282,31 @@
         if self.chunks is not None:
             if not self.chunks.feed(data, self.max_body):
                 return None
-            return self._complete(self.chunks.body, self.chunks.remainder)
+            return self._complete(self.chunks.content(), self.chunks.remainder)
         if self.length < 0:
-            self.body += data
-            if len(self.body) > self.max_body:
+            if self._received + len(data) > self.max_body:
                 raise errors.ProtocolError(413, "the body is too large")
+            self._add(data)
             return None
-        missing = self.length - len(self.body)
-        self.body += data[:missing]
+        missing = self.length - self._received
         if len(data) < missing:
+            self._add(data)
             return None
-        return self._complete(self.body, data[missing:])
+        if self.body is None:
+            return self._complete(data[:missing], data[missing:])
+        self.body.write(memoryview(data)[:missing])
+        return self._complete(self.body.getvalue(), data[missing:])
+
+    def _add(self, data: bytes) -> None:
+        if self.body is None:
+            self.body = buffers.for_length(self.length)
+        self.body.write(data)
 
-    def _complete(self, body: bytearray, remainder: bytes) -> Message:
+    def _complete(self, body: bytes, remainder: bytes) -> Message:
         """Return the message; keep the bytes that follow it."""
         message, self.message = self.message, None
-        message.body = bytes(body)
-        self.body = bytearray()
+        message.body = body
+        self.body = None
         self.chunks = None
         self.buffer = remainder
         return message
@@ -296,9 +318,9 @@
     return {token.strip().lower() for token in field.split(b",")}
 
 
-def request_bytes(
+def request_parts(
     method: str, path: str, headers: bytes, body: bytes, extra: bytes = b""
-) -> bytes:
+) -> Parts:
     """Serialize a request for a persistent connection.
 
     Args:
@@ -309,10 +331,11 @@
     if body or method in ("POST", "PUT", "PATCH"):
         length_line = b"Content-Length: %d\r\n" % len(body)
     start_line = f"{method} {path} HTTP/1.1\r\n".encode("latin-1", "replace")
-    return start_line + headers + extra + length_line + b"\r\n" + body
+    head = start_line + headers + extra + length_line + b"\r\n"
+    return _parts(head, body)
 
 
-def response_bytes(
+def response_parts(
     status: int,
     reason: str,
     headers: bytes,
@@ -320,7 +343,7 @@
     *,
     keep_alive: bool,
     bodiless: bool = False,
-) -> bytes:
+) -> Parts:
     """Serialize a response.
 
     Args:
@@ -335,11 +358,12 @@
         length_line = b""
     connection_line = b"" if keep_alive else b"Connection: close\r\n"
     sent_body = b"" if bodiless or status in BODILESS_STATUSES else body
-    return (
-        start_line
-        + headers
-        + length_line
-        + connection_line
-        + b"\r\n"
-        + sent_body
-    )
+    head = start_line + headers + length_line + connection_line + b"\r\n"
+    return _parts(head, sent_body)
+
+
+def _parts(head: bytes, body: bytes) -> Parts:
+    """Return a message as what is written; a long body is not copied."""
+    if len(body) > MAX_JOINED_BODY_BYTES:
+        return head, body
+    return (head + body,)
--- a/libs/daemon/src/trefoil_daemon/exchanges.py
+++ b/libs/daemon/src/trefoil_daemon/exchanges.py
@@ -52,7 +52,7 @@
     may_overlap: bool = False
     request_id: str = ""
     started: bool = False
-    response: typing.Callable[[bool], bytes] | None = None
+    response: typing.Callable[[bool], _http.Parts] | None = None
     held_bytes: int = 0
 
     @property
@@ -77,8 +77,8 @@
             return
         bodiless = self.request.method == "HEAD"
 
-        def render(keep_alive: bool) -> bytes:
-            return _http.response_bytes(
+        def render(keep_alive: bool) -> _http.Parts:
+            return _http.response_parts(
                 status,
                 reason,
                 headers,
@@ -247,7 +247,8 @@
         self.held_bytes -= exchange.held_bytes
         self.last_request_id = exchange.request_id
         keep_alive = exchange.request.keep_alive and not self._is_last()
-        self.stream.write(exchange.response(keep_alive))
+        for part in exchange.response(keep_alive):
+            self.stream.write(part)
         if not keep_alive:
             self._cancel_rest()
             self.stream.close_after_write()
--- a/libs/daemon/src/trefoil_daemon/pools.py
+++ b/libs/daemon/src/trefoil_daemon/pools.py
@@ -74,7 +74,7 @@
     port: int
     reader: _http.MessageReader
     request: messages.Request | None = None
-    unsent_request: bytes = b""
+    unsent_request: _http.Parts = ()
     idle_until_ms: int = 0
     started_ms: int = 0
     answered_ms: int = 0
@@ -157,7 +157,7 @@
         if self.dialect.target:
             name = request.target.encode("latin-1", "replace")
             extra += self.dialect.target + b": " + name + b"\r\n"
-        data = _http.request_bytes(
+        parts = _http.request_parts(
             request.method,
             request.path,
             request.headers or b"",
@@ -175,9 +175,9 @@
             request.request_id, now_ms
         )
         if connection.stream.connecting:
-            connection.unsent_request = data
+            connection.unsent_request = parts
         else:
-            connection.stream.write(data)
+            _write(connection.stream, parts)
 
     def abort(self, request_id: int) -> None:
         """Abort a request by closing its connection to the target."""
@@ -258,12 +258,8 @@
 
     def _on_open(self, stream: transports.Stream) -> None:
         connection = stream.owner
-        unsent_request, connection.unsent_request = (
-            connection.unsent_request,
-            b"",
-        )
-        if unsent_request:
-            stream.write(unsent_request)
+        parts, connection.unsent_request = connection.unsent_request, ()
+        _write(stream, parts)
 
     def _on_data(self, stream: transports.Stream, data: bytes) -> None:
         connection = stream.owner
@@ -444,6 +440,11 @@
             self.owner.target_disconnected(request.request_id)
 
 
+def _write(stream: transports.Stream, parts: _http.Parts) -> None:
+    for part in parts:
+        stream.write(part)
+
+
 def _idle_ms(message: _http.Message) -> int:
     """Return how long a connection may idle after an answer, in ms."""
     for part in message.field(b"keep-alive").split(","):
--- a/libs/daemon/src/trefoil_daemon/transport.py
+++ b/libs/daemon/src/trefoil_daemon/transport.py
@@ -18,6 +18,7 @@
 
 from trefoil_model import ports
 
+from . import _write_queue
 from . import kernel_queues
 from . import lingering
 
@@ -54,7 +55,7 @@
         "closed",
         "eof_received",
         "closing",
-        "write_buffer",
+        "write_queue",
         "on_data",
         "on_close",
         "on_open",
@@ -72,7 +73,7 @@
         self.closed = False
         self.eof_received = False
         self.closing = False
-        self.write_buffer = bytearray()
+        self.write_queue = _write_queue.WriteQueue()
         self.on_data: OnData | None = None
         self.on_close: OnClose | None = None
         self.on_open: OnOpen | None = None
@@ -83,7 +84,7 @@
     @property
     def unsent(self) -> int:
         """Return the number of bytes not yet accepted by the kernel."""
-        return len(self.write_buffer)
+        return self.write_queue.size
 
     @property
     def unacknowledged(self) -> int:
@@ -99,11 +100,14 @@
         return kernel_queues.unread(self.sock)
 
     def write(self, data: bytes) -> None:
-        """Send bytes, buffering what the kernel does not accept."""
+        """Send bytes, queueing what the kernel does not accept.
+
+        They are not copied if they are many, and must not change.
+        """
         if self.closed or self.closing:
             return
-        if self.connecting or self.write_buffer:
-            self._buffer(data)
+        if self.connecting or self.unsent:
+            self._queue(data)
             return
         try:
             sent = self.sock.send(data)
@@ -113,17 +117,17 @@
                 return
             sent = 0
         if sent < len(data):
-            self._buffer(data[sent:])
+            self._queue(memoryview(data)[sent:])
             self.transport.want_write(self)
 
-    def _buffer(self, data: bytes) -> None:
-        if len(self.write_buffer) > MAX_BUFFERED_BYTES:
+    def _queue(self, data: bytes | memoryview) -> None:
+        if self.unsent > MAX_BUFFERED_BYTES:
             # Bounds the memory used for a peer that reads too slowly. A
             # single message of any size is accepted; the limit applies to
             # those after it.
             self.close()
             return
-        self.write_buffer += data
+        self.write_queue.append(data)
 
     def set_paused(self, paused: bool) -> None:
         """Stop or resume reading, to apply back-pressure to the sender."""
@@ -137,7 +141,7 @@
         if self.closed or self.closing:
             return
         self.closing = True
-        if not self.write_buffer:
+        if not self.unsent:
             self.end_sending()
 
     def end_sending(self) -> None:
@@ -152,7 +156,7 @@
 
     def _undelivered(self) -> int:
         """Return the bytes, without the end, that were not received."""
-        if self.write_buffer:
+        if self.unsent:
             return self.unsent + self.unacknowledged
         return max(self.unacknowledged - 1, 0)
 
@@ -166,6 +170,7 @@
         self.transport.remove_stream(self)
         if self.on_close is not None:
             self.on_close(self)
+        self.write_queue.clear()
 
 
 class DirectPoller(pollers.EPoll):
@@ -348,20 +353,32 @@
         return not stream.closed
 
     def _flush(self, stream: Stream) -> None:
-        if stream.write_buffer:
-            try:
-                sent = stream.sock.send(stream.write_buffer)
-            except OSError as error:
-                if error.errno not in RETRYABLE_ERRNOS:
-                    stream.close()
-                return
-            del stream.write_buffer[:sent]
-        if stream.write_buffer:
+        try:
+            while stream.unsent and self._send_first(stream):
+                pass
+        except OSError as error:
+            if error.errno not in RETRYABLE_ERRNOS:
+                stream.close()
+            return
+        if stream.unsent:
             return
         self.poller.removeWriter(stream.sock)
         if stream.closing:
             stream.end_sending()
 
+    @staticmethod
+    def _send_first(stream: Stream) -> bool:
+        """Send the first queued piece; return whether all of it was taken.
+
+        Raises:
+            OSError: The kernel takes nothing.
+        """
+        piece = stream.write_queue.first()
+        size = len(piece)
+        sent = stream.sock.send(piece)
+        stream.write_queue.remove(sent)
+        return sent == size
+
     def broken(self, sock: socket.socket) -> None:
         """Close the stream of a socket that failed."""
         stream = self.streams.get(sock)
--- a/libs/daemon/tests/test_edges.py
+++ b/libs/daemon/tests/test_edges.py
@@ -695,7 +695,7 @@
     decoded = []
     while target.transport.deferred:
         assert stream.paused
-        decoded.append(len(reader.chunks.body))
+        decoded.append(reader.chunks.size)
         target.transport.deferred.pop(0)()
     assert decoded[-1] - decoded[-2] <= pools.DENSE_SLICE_BYTES
     assert not stream.paused
--- a/libs/emulator/src/trefoil_emulator/target.py
+++ b/libs/emulator/src/trefoil_emulator/target.py
@@ -223,12 +223,13 @@
             }
         ).encode()
         path = f"/v1/targets/{self.options['name']}"
-        data = _http.request_bytes(
+        parts = _http.request_parts(
             "PUT",
             path,
             b"Host: proxy\r\nConnection: close\r\n",
             body,
         )
+        data = b"".join(parts)
         stream = self.transport.connect(proxy, lambda s: s.write(data))
         stream.on_data = lambda s, received: s.close()
 
--- a/libs/model/src/trefoil_model/hashing.py
+++ b/libs/model/src/trefoil_model/hashing.py
@@ -8,9 +8,16 @@
 MODULUS = 1 << 64
 
 
-def hash64(data: bytes) -> int:
-    """Return a hash as a signed 64-bit integer, the range of Thrift's i64."""
-    value = xxhash.xxh3_64_intdigest(data)
+def hash64(*parts: bytes) -> int:
+    """Return a hash as a signed 64-bit integer, the range of Thrift's i64.
+
+    Args:
+        parts: What is hashed; several parts count as their concatenation.
+    """
+    hasher = xxhash.xxh3_64()
+    for part in parts:
+        hasher.update(part)
+    value = hasher.intdigest()
     return value - MODULUS if value >= SIGN_BIT else value
 
 
--- a/libs/requests/src/trefoil_requests/bodies.py
+++ b/libs/requests/src/trefoil_requests/bodies.py
@@ -11,8 +11,10 @@
 
 import collections
 import dataclasses
+import io
 import statistics
 
+from trefoil_model import buffers
 from trefoil_wire import messages
 
 # Bodies from this size on wait at their senders. Smaller ones take one packet
@@ -70,7 +72,7 @@
         origin: The sender, which its chunks are requested from.
         size: Total length in bytes.
         due_ms: When it must be complete for its answer to be in time.
-        data: The bytes received so far.
+        content: The bytes received so far, None before the first.
         requested: Number of bytes requested so far.
         start_bytes: Number of bytes received before its turn started.
         turn_started_ms: When its turn started.
@@ -83,7 +85,7 @@
     origin: str
     size: int
     due_ms: float
-    data: bytearray = dataclasses.field(default_factory=bytearray)
+    content: io.BytesIO | None = None
     requested: int = 0
     start_bytes: int = 0
     turn_started_ms: int = 0
@@ -91,14 +93,25 @@
     slow: bool = False
     stalled: bool = False
 
+    @property
+    def received(self) -> int:
+        """Return the number of bytes received so far."""
+        return self.content.tell() if self.content is not None else 0
+
+    def add(self, data: bytes) -> None:
+        """Add received bytes."""
+        if self.content is None:
+            self.content = buffers.for_length(self.size)
+        self.content.write(data)
+
     @property
     def remaining_bytes(self) -> int:
         """Return the number of bytes not yet received."""
-        return self.size - len(self.data)
+        return self.size - self.received
 
     def begin(self, now_ms: int) -> None:
         """Start its turn on the link."""
-        self.start_bytes = len(self.data)
+        self.start_bytes = self.received
         self.turn_started_ms = now_ms
         self.last_progress_ms = now_ms
         self.slow = False
@@ -310,16 +323,16 @@
             next chunks to request.
         """
         body = self.waiting.get(chunk.request_id)
-        if body is None or chunk.offset != len(body.data):
+        if body is None or chunk.offset != body.received:
             return None, []
-        body.data += chunk.data or b""
+        body.add(chunk.data or b"")
         body.slow = self._is_slow(body, now_ms)
         body.last_progress_ms = now_ms
         self.link_rate.received_bytes += len(chunk.data or b"")
         body.stalled = False
         complete = None
         if not body.remaining_bytes:
-            complete = bytes(body.data)
+            complete = body.content.getvalue()
             self.bytes_per_ms = self.link_rate.finish_sample(now_ms)
             self._remove(body.request_id)
         self._request_chunks(now_ms)
@@ -338,7 +351,7 @@
             body.slow = body.slow or self._is_slow(body, now_ms)
             if now_ms - body.last_progress_ms >= STALL_TIMEOUT_MS:
                 body.stalled = True
-                body.requested = len(body.data)
+                body.requested = body.received
                 self.active.remove(body)
         self._request_chunks(now_ms)
         return self._flush()
@@ -354,7 +367,7 @@
 
     def _is_slow(self, body: IncomingBody, now_ms: int) -> bool:
         """Return whether its sender is slower than the link."""
-        received_bytes = len(body.data) - body.start_bytes
+        received_bytes = body.received - body.start_bytes
         expected_ms = (received_bytes + CHUNK_BYTES) / self.bytes_per_ms
         slow_ms = max(SLOW_FACTOR * expected_ms, MIN_SLOW_MS)
         return now_ms - body.turn_started_ms >= slow_ms
@@ -392,9 +405,9 @@
 
     def _request_ahead(self, body: IncomingBody) -> None:
         # Chunks requested from a stalled sender may still have arrived.
-        body.requested = max(body.requested, len(body.data))
+        body.requested = max(body.requested, body.received)
         ahead = 1 if body.slow else CHUNKS_AHEAD
-        bound = len(body.data) + ahead * CHUNK_BYTES
+        bound = body.received + ahead * CHUNK_BYTES
         while body.requested < min(body.size, bound):
             length = min(CHUNK_BYTES, body.size - body.requested)
             pull = messages.BodyPull(body.request_id, body.requested, length)
--- a/libs/requests/src/trefoil_requests/call.py
+++ b/libs/requests/src/trefoil_requests/call.py
@@ -67,7 +67,7 @@
     def fingerprint(self) -> int:
         """Return a hash that identifies resends of the same request."""
         head = f"{self.method} {self.path}\0".encode("utf-8", "replace")
-        return hashing.hash64(head + self.body)
+        return hashing.hash64(head, self.body)
 
 
 @dataclasses.dataclass(slots=True)
--- a/libs/requests/tests/test_bodies.py
+++ b/libs/requests/tests/test_bodies.py
@@ -195,7 +195,7 @@
     """Deliver the next chunk of a body; return the next chunk requests."""
     body = incoming.waiting[number]
     length = min(bodies.CHUNK_BYTES, body.remaining_bytes)
-    chunk = messages.BodyPiece(number, len(body.data), bytes(length))
+    chunk = messages.BodyPiece(number, body.received, bytes(length))
     return incoming.receive(chunk, now_ms)[1]
 
 
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -95,13 +95,6 @@
     for name, bound in memory.items():
         member = fleet.members[name]
         assert member.process.poll() is None, name
-        print(
-            "PEAK",
-            name,
-            member.peak_bytes,
-            member.queued_bytes,
-            member.open_descriptors,
-        )
         assert member.peak_bytes + member.queued_bytes < bound, name
         assert member.open_descriptors < MAX_DESCRIPTORS, name
 
