Drop what comes behind a request that ends its connection

Callers saw: a proxy ran out of memory under four clients. Cause: a request with "Connection: close" is the last one that is read. What its client sent behind it was still added to the buffer, which no bound applied to, since only a connection with many requests in flight is read no further. For as long as that request took, the buffer grew. Change: such bytes are dropped when they come. The connection is still read, so that a client that leaves is noticed and its request cancelled.

--- a/libs/daemon/src/trefoil_daemon/exchanges.py
+++ b/libs/daemon/src/trefoil_daemon/exchanges.py
@@ -143,6 +143,8 @@
 
     def receive(self, data: bytes) -> None:
         """Add received bytes and start the requests that they complete."""
+        if self.ends:
+            return
         if not self.reader.started:
             self.since_ms = self.began_ms = self.server.clock.now_ms()
         self.reader.buffer += data
@@ -181,6 +183,8 @@
         )
         self.since_ms = self.began_ms = now_ms
         self.ends = not message.keep_alive
+        if self.ends:
+            self.reader.buffer = b""
         if self.exchanges:
             # Only a pipelined request needs to know.
             handler = self.server.handler
--- a/libs/daemon/tests/test_pipelining.py
+++ b/libs/daemon/tests/test_pipelining.py
@@ -13,45 +13,10 @@
 from trefoil_daemon import exchanges
 from trefoil_daemon import http_server
 from trefoil_daemon import transport as transports
+from trefoil_emulator import memory_stream
 from trefoil_model import clock as clocks
 
 
-class Stream:
-    """A stream whose peer is the test."""
-
-    def __init__(self) -> None:
-        self.closed = False
-        self.closing = False
-        self.paused = False
-        self.unsent = 0
-        self.undelivered = 0
-        self.unread = 0
-        self.unacknowledged = 0
-        self.sent = b""
-        self.owner: typing.Any = None
-        self.on_data: typing.Any = None
-        self.on_close: typing.Any = None
-
-    def write(self, data: bytes) -> None:
-        """Record sent data."""
-        if not self.closed and not self.closing:
-            self.sent += data
-
-    def set_paused(self, paused: bool) -> None:
-        """Record whether reading is paused."""
-        self.paused = paused
-
-    def close_after_write(self) -> None:
-        """Close after the last answer."""
-        self.closing = True
-
-    def close(self) -> None:
-        """Close, and call ``on_close`` once."""
-        if not self.closed:
-            self.closed = True
-            self.on_close(self)
-
-
 class Handler:
     """Records the requests that run; paths under /read may overlap."""
 
@@ -97,9 +62,9 @@
         )
         self.stream = self.open()
 
-    def open(self) -> Stream:
+    def open(self) -> memory_stream.MemoryStream:
         """Open a connection."""
-        stream = Stream()
+        stream = memory_stream.MemoryStream()
         self.server._on_accept(typing.cast(transports.Stream, stream))
         return stream
 
@@ -164,6 +129,17 @@
     assert b"Connection: close" in client.stream.sent
 
 
+def test_bytes_behind_the_last_request_are_not_kept() -> None:
+    """They piled up for as long as that request took."""
+    client = Client()
+    client.send("/read1", extra=b"Connection: close\r\n")
+    for _ in range(10):
+        client.stream.on_data(client.stream, b"x" * 65536)
+    assert not client.stream.owner.reader.buffer
+    client.handler.answer("/read1")
+    assert client.answers == ["/read1"]
+
+
 def test_a_malformed_request_is_answered_after_those_before_it() -> None:
     client = Client()
     client.send("/read/1")
@@ -213,9 +189,9 @@
     client.send("/pay/1")
     for _ in range(20):
         client.send(*[f"/read/{n}" for n in range(500)], extra=b"X: y\r\n")
-    assert client.stream.paused
+    assert not client.stream.reading
     client.handler.answer("/pay/1")
-    assert not client.stream.paused
+    assert client.stream.reading
 
 
 def test_a_shutdown_answers_what_was_received_and_closes_then() -> None:
