Let long answers wait for their link, and short ones pass

Callers saw: while a crowd asked for long answers of another host, four of four ordinary requests to that host got 502, although their target answered them. Cause: a stream with more than 8 MiB to send is closed at its next message. That bounds what one slow peer takes, but the link between two hosts carries the answers of all callers, and with it all of them were lost. Before that, each short answer waited behind the long ones. Change: on a link, answers of 64 KiB and more wait one after the other until the link has sent what is before them; short ones are written at once. What waits is on the account; an answer that does not fit is told as 502, "may have run", alone. A leaving process sends those that wait before it closes. Three tests of the hub fail without it, as their safeguards show. After: all pass.

--- a/libs/daemon/src/trefoil_daemon/hub.py
+++ b/libs/daemon/src/trefoil_daemon/hub.py
@@ -6,6 +6,7 @@
 delay a heartbeat.
 """
 
+import collections
 import dataclasses
 import itertools
 import typing
@@ -38,6 +39,9 @@
 REQUEST_LINK_IDLE_TIMEOUT_MS = 6000
 # A greeting holds a few names and numbers.
 MAX_GREETING_BYTES = 64 * 1024
+# Answers from this size on wait until their link has sent what is before them.
+# Short answers would else wait behind a crowd's long ones.
+LONG_ANSWER_BYTES = 64 * 1024
 # Less is not counted; the number of connections bounds it.
 COUNTED_BYTES = 4096
 
@@ -123,6 +127,8 @@
         pong_received: Whether a ping was answered since the last request.
         last_used_ms: When a message was last sent on a request link.
         unresponsive: Whether the peer is reported as unresponsive.
+        delayed: Long answers that wait for the link.
+        delayed_bytes: Length of their bodies.
         incoming: What is held of its incomplete frames.
         unsent: What is held to be sent on it.
         takes_deadline_updates: Whether the peer knows ``DeadlineUpdate``.
@@ -146,6 +152,10 @@
     last_used_ms: int = 0
     unresponsive: bool = False
     takes_deadline_updates: bool = False
+    delayed: collections.deque[messages.Answer] = dataclasses.field(
+        default_factory=collections.deque
+    )
+    delayed_bytes: int = 0
     incoming: held_memory.Holding = dataclasses.field(init=False)
     unsent: held_memory.Holding = dataclasses.field(init=False)
 
@@ -158,6 +168,11 @@
             make_decoder=lambda: compact.Decoder(self.subscribe),
         )
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Return what is held to be sent on it, in bytes."""
+        return self.stream.unsent + self.delayed_bytes
+
     def release(self, holding: held_memory.Holding) -> None:
         """Close, since its peer neither sends nor reads."""
         self.stream.abort()
@@ -259,9 +274,34 @@
 
     def reply(self, connection: Connection, message: typing.Any) -> None:
         """Reply on the connection that a message was received on."""
-        if not connection.stream.closed:
+        if connection.stream.closed:
+            return
+        if _is_long_answer(message):
+            self._delay(connection, message)
+        else:
             self._write(connection, message)
 
+    def _delay(self, connection: Connection, answer: messages.Answer) -> None:
+        """Write a long answer once those before it are written."""
+        size = len(answer.body)
+        if not self._claim(connection.unsent, connection.unsent_bytes + size):
+            self._write(connection, _without_memory(answer))
+            return
+        connection.delayed.append(answer)
+        connection.delayed_bytes += size
+        self._write_delayed(connection)
+
+    def _write_delayed(self, connection: Connection) -> None:
+        while connection.delayed and not connection.stream.unsent:
+            answer = connection.delayed.popleft()
+            connection.delayed_bytes -= len(answer.body)
+            self._write(connection, answer)
+            if connection.stream.closed:
+                return
+
+    def _on_drained(self, stream: transports.Stream) -> None:
+        self._write_delayed(stream.owner)
+
     def _write(self, connection: Connection, message: typing.Any) -> bool:
         """Write a message; return False if no frame can hold it.
 
@@ -298,12 +338,16 @@
         """Close the links that brought requests, behind their answers."""
         for connection in list(self.connections):
             if not connection.subscribe and not connection.outgoing:
+                for answer in connection.delayed:
+                    self._write(connection, answer)
                 connection.stream.close_after_write()
 
     def has_unsent_answers(self) -> bool:
         """Return whether answers to other proxies are still unsent."""
         return any(
-            connection.stream.unsent or connection.stream.closing
+            connection.stream.unsent
+            or connection.delayed
+            or connection.stream.closing
             for connection in self.connections
             if not connection.subscribe
         )
@@ -374,6 +418,7 @@
         stream.owner = connection
         stream.on_data = self._on_data
         stream.on_close = self._on_close
+        stream.on_drained = self._on_drained
         self.connections.add(connection)
         return connection
 
@@ -404,6 +449,7 @@
         self.memory.drop(connection.unsent)
         # The two refer to each other, and are collected much later.
         connection.reader.drop()
+        connection.delayed.clear()
         if connection.subscribe:
             current = self.links.get(connection.host) is connection
             if current:
@@ -458,7 +504,7 @@
         reader = connection.reader
         expected = max(reader.held_bytes, reader.expected_bytes)
         before = connection.unsent.size
-        unsent = connection.stream.unsent
+        unsent = connection.unsent_bytes
         if unsent < before:
             now_ms = self.clock.now_ms()
             self.memory.moved(connection.unsent, before - unsent, now_ms)
@@ -667,6 +713,23 @@
         connection.outstanding.discard(message.request_id)
 
 
+def _is_long_answer(message: typing.Any) -> bool:
+    if not isinstance(message, messages.Answer):
+        return False
+    return len(message.body or b"") >= LONG_ANSWER_BYTES
+
+
+def _without_memory(answer: messages.Answer) -> messages.Answer:
+    """Return what is answered instead of one that there is no memory for."""
+    return messages.Answer(
+        request_id=answer.request_id,
+        status=502,
+        reason="too little memory for the target's answer",
+        ran=True,
+        unusable=True,
+    )
+
+
 def _encode(connection: Connection, message: typing.Any) -> bytes:
     """Return a message as a frame in the form that the peer reads."""
     if connection.encoder is not None:
--- a/libs/daemon/src/trefoil_daemon/transport.py
+++ b/libs/daemon/src/trefoil_daemon/transport.py
@@ -49,7 +49,8 @@
     a reset, bytes may be lost. ``closing`` is true while the stream closes
     after its buffered data, until its peer has received it; what still comes
     is discarded then. ``undelivered`` is what had not been received when the
-    stream closed, ``owner`` is for the user of the stream.
+    stream closed, ``owner`` is for the user of the stream. ``on_drained`` is
+    called when the kernel has taken all that was queued.
     """
 
     __slots__ = (
@@ -63,6 +64,7 @@
         "on_data",
         "on_close",
         "on_open",
+        "on_drained",
         "owner",
         "reading",
         "undelivered",
@@ -81,6 +83,7 @@
         self.on_data: OnData | None = None
         self.on_close: OnClose | None = None
         self.on_open: OnOpen | None = None
+        self.on_drained: OnOpen | None = None
         self.owner: typing.Any = None
         self.reading = True
         self.undelivered = 0
@@ -380,6 +383,8 @@
         self.poller.removeWriter(stream.sock)
         if stream.closing:
             stream.end_sending()
+        elif stream.on_drained is not None:
+            stream.on_drained(stream)
 
     @staticmethod
     def _send_first(stream: Stream) -> bool:
--- a/libs/daemon/tests/test_link_memory.py
+++ b/libs/daemon/tests/test_link_memory.py
@@ -72,6 +72,19 @@
         return stream
 
 
+def answer(number: int, size: int) -> messages.Answer:
+    """Return a target's answer."""
+    return messages.Answer(
+        request_id=number, status=200, body=b"x" * size, ran=True
+    )
+
+
+def sent_answers(stream: memory_stream.MemoryStream) -> list[messages.Answer]:
+    """Return the answers that were written to a stream."""
+    sent = frames.FrameReader().feed(stream.sent)
+    return [item for item in sent if isinstance(item, messages.Answer)]
+
+
 def test_a_frame_before_the_greeting_is_short() -> None:
     """Strangers announced long frames and kept them incomplete."""
     host = Host()
@@ -103,3 +116,53 @@
     stream.close()
     assert host.memory.total == 0
     assert not host.memory.holdings
+
+
+def test_short_answers_pass_long_ones_on_a_link() -> None:
+    """A caller's short answer waited behind a crowd's long ones."""
+    host = Host()
+    stream = host.connect()
+    connection = stream.owner
+    host.hub.reply(connection, answer(1, LONG))
+    stream.unsent = LONG
+    host.hub.reply(connection, answer(2, LONG))
+    host.hub.reply(connection, answer(3, 10))
+    assert [item.request_id for item in sent_answers(stream)] == [1, 3]
+    stream.unsent = 0
+    stream.on_drained(stream)
+    assert [item.request_id for item in sent_answers(stream)] == [1, 3, 2]
+
+
+def test_an_answer_that_does_not_fit_costs_no_other_one() -> None:
+    """The link was closed, and all who waited on it lost their answers."""
+    host = Host()
+    stream = host.connect()
+    host.hub.reply(stream.owner, answer(0, LONG))
+    stream.unsent = LONG
+    for number in range(1, 10):
+        host.hub.reply(stream.owner, answer(number, LONG))
+    assert not stream.closed
+    assert host.memory.total <= LIMIT
+    refused = [item for item in sent_answers(stream) if item.status == 502]
+    assert refused
+    # The targets had run them.
+    assert all(item.ran and item.unusable for item in refused)
+    stream.unsent = 0
+    while stream.owner.delayed:
+        stream.on_drained(stream)
+    ids = [item.request_id for item in sent_answers(stream)]
+    assert sorted(ids) == list(range(10))
+
+
+def test_a_leaving_process_sends_the_answers_that_wait() -> None:
+    """They were lost with the link that it closes."""
+    host = Host()
+    stream = host.connect()
+    host.hub.reply(stream.owner, answer(1, LONG))
+    stream.unsent = LONG
+    host.hub.reply(stream.owner, answer(2, LONG))
+    stream.unsent = 0
+    assert host.hub.has_unsent_answers()
+    host.hub.close_answered()
+    assert [item.request_id for item in sent_answers(stream)] == [1, 2]
+    assert stream.closing
