Give the places of silent connections to others

Callers saw: where a crowd had opened connections and said nothing, or had been answered once and stayed, all others were closed at once or not accepted at all, for as long as the crowd stayed: ordinary callers, targets, operators, readiness checks, metrics, and other processes behind strangers who greeted. Cause: 2,000 places went to who came first, at one address; at the other addresses nothing but the descriptors of the process bounded them. Once those were out, the loop asked the same listener again and again. Change: places at each address by the descriptors of the process (`descriptors`, new, by default its own limit): half for callers, 2,000 at most, a fifth for peers, a thirty-second for each other address, the rest for what the process opens itself. Where an address is full, a new client takes the place of who has said nothing, has begun a request and not ended it, or has been idle longest; one whose request is at work keeps its place. A listener rests until the next tick while descriptors are out. Why it works: an ordinary client says what it wants within milliseconds, so it is never the one that has said nothing for longest. Not covered: a connection that the process opens itself while descriptors are out still fails with an error in the log.

--- a/libs/daemon/src/trefoil_daemon/control.py
+++ b/libs/daemon/src/trefoil_daemon/control.py
@@ -85,6 +85,7 @@
         settings.log_level,
         settings.statsd,
         settings.memory_mb,
+        settings.descriptors,
     )
     daemon.start_control(settings)
     daemon.tune_gc()
--- a/libs/daemon/src/trefoil_daemon/exchanges.py
+++ b/libs/daemon/src/trefoil_daemon/exchanges.py
@@ -12,6 +12,7 @@
 
 from trefoil_requests import call as calls
 from trefoil_requests import held_memory
+from trefoil_requests import places
 
 from . import _http
 from . import _outcome
@@ -124,7 +125,8 @@
     or when the connection became idle or last sent data. ``began_ms`` is only
     the former. ``opened_ms`` is when the connection was accepted.
     ``last_request_id`` is the client's id of the request that was answered
-    last. ``request_bytes`` and ``answer_bytes`` are what its exchanges hold.
+    last, ``was_served`` tells whether any was. ``request_bytes`` and
+    ``answer_bytes`` are what its exchanges hold.
     """
 
     server: "http_server.HttpServer"
@@ -142,6 +144,7 @@
     ends: bool = False
     sending: bool = False
     last_request_id: str = ""
+    was_served: bool = False
     memory: connection_memory.ConnectionMemory = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
@@ -154,6 +157,22 @@
         """Return whether no request waits for an answer or is received."""
         return not self.exchanges and not self.reader.started
 
+    @property
+    def client(self) -> places.Client:
+        """Return what its client does, for those who have no place."""
+        return places.Client(self._activity(), self.since_ms, self)
+
+    def _activity(self) -> places.Activity:
+        if self.stream.closing:
+            return places.Activity.LEAVING
+        if self.exchanges:
+            return places.Activity.SERVED
+        if self.reader.started:
+            return places.Activity.BEGUN
+        if self.was_served:
+            return places.Activity.IDLE
+        return places.Activity.SILENT
+
     def elapsed_ms(self, now_ms: int) -> int:
         """Return the time since ``since_ms`` in ms."""
         return now_ms - self.since_ms
@@ -303,6 +322,7 @@
         self.request_bytes -= exchange.request_bytes
         self.answer_bytes -= exchange.answer_bytes
         self.last_request_id = exchange.request_id
+        self.was_served = True
         keep_alive = exchange.request.keep_alive and not self._is_last()
         for part in exchange.response(keep_alive):
             self.stream.write(part)
--- a/libs/daemon/src/trefoil_daemon/http_server.py
+++ b/libs/daemon/src/trefoil_daemon/http_server.py
@@ -7,6 +7,7 @@
 from trefoil_model import clock as clocks
 from trefoil_model import errors
 from trefoil_requests import held_memory
+from trefoil_requests import places
 
 from . import _http
 from . import _outcome
@@ -14,7 +15,6 @@
 from . import lingering
 from . import transport as transports
 
-MAX_CONNECTIONS = 2000
 RECEIVE_TIMEOUT_MS = 10_000
 TOO_SLOW = "the request arrives too slowly for what it holds"
 
@@ -73,6 +73,7 @@
             memory.
         memory: The account of what the process holds; one of its own by
             default.
+        max_connections: How many connections it takes.
     """
 
     __slots__ = (
@@ -84,6 +85,7 @@
         "truncated",
         "refused",
         "memory",
+        "max_connections",
         "connections",
         "numbers",
         "closing",
@@ -101,6 +103,7 @@
         truncated: OnTruncated | None = None,
         refused: typing.Callable[[str], None] | None = None,
         memory: held_memory.HeldMemory | None = None,
+        max_connections: int = places.MAX_CALLERS,
     ) -> None:
         self.transport = transport
         self.handler = handler
@@ -110,6 +113,7 @@
         self.truncated = truncated
         self.refused = refused or (lambda why: None)
         self.memory = memory or held_memory.HeldMemory.from_memory()
+        self.max_connections = max_connections
         self.connections: set[exchanges.ServerConnection] = set()
         self.numbers = itertools.count(1)
         self.closing = False
@@ -120,7 +124,7 @@
         return self.transport.listen(address, self._on_accept)
 
     def _on_accept(self, stream: transports.Stream) -> None:
-        if len(self.connections) >= MAX_CONNECTIONS:
+        if not self._has_place():
             stream.close()
             return
         now_ms = self.clock.now_ms()
@@ -136,6 +140,15 @@
         stream.on_close = self._on_close
         self.connections.add(connection)
 
+    def _has_place(self) -> bool:
+        """Return whether one more client has a place, made by others."""
+        if len(self.connections) < self.max_connections:
+            return True
+        clients = [connection.client for connection in self.connections]
+        for client in places.replaced(clients, self.max_connections):
+            client.connection.stream.close()
+        return len(self.connections) < self.max_connections
+
     def _new_reader(self) -> _http.MessageReader:
         """Return a reader that takes no more than the process can hold."""
         # One read may come on top of a body.
--- a/libs/daemon/src/trefoil_daemon/hub.py
+++ b/libs/daemon/src/trefoil_daemon/hub.py
@@ -14,6 +14,7 @@
 from trefoil_model import clock as clocks
 from trefoil_model import errors
 from trefoil_requests import held_memory
+from trefoil_requests import places
 from trefoil_wire import compact
 from trefoil_wire import frames
 from trefoil_wire import messages
@@ -168,6 +169,14 @@
             make_decoder=lambda: compact.Decoder(self.subscribe),
         )
 
+    @property
+    def client(self) -> places.Client:
+        """Return what its peer does, for those who have no place."""
+        activity = places.Activity.IDLE
+        if not self.greeted:
+            activity = places.Activity.SILENT
+        return places.Client(activity, self.last_received_ms, self)
+
     @property
     def unsent_bytes(self) -> int:
         """Return what is held to be sent on it, in bytes."""
@@ -192,10 +201,13 @@
         clock: The runtime's clock.
         memory: The account of what the process holds; one of its own by
             default.
+        max_incoming: How many connections of peers it takes.
     """
 
     __slots__ = (
         "memory",
+        "max_incoming",
+        "incoming",
         "transport",
         "owner",
         "clock",
@@ -215,7 +227,10 @@
         owner: Owner,
         clock: clocks.Clock,
         memory: held_memory.HeldMemory | None = None,
+        max_incoming: int = places.MAX_CALLERS,
     ) -> None:
+        self.max_incoming = max_incoming
+        self.incoming: set[Connection] = set()
         self.memory = memory or held_memory.HeldMemory.from_memory()
         self.transport = transport
         self.owner = owner
@@ -395,7 +410,21 @@
         return connection
 
     def _on_accept(self, stream: transports.Stream) -> None:
-        self._add_connection(stream, "", False, outgoing=False)
+        if not self._has_place():
+            stream.close()
+            return
+        self.incoming.add(
+            self._add_connection(stream, "", False, outgoing=False)
+        )
+
+    def _has_place(self) -> bool:
+        """Return whether one more peer has a place, made by others."""
+        if len(self.incoming) < self.max_incoming:
+            return True
+        peers = [connection.client for connection in self.incoming]
+        for client in places.replaced(peers, self.max_incoming):
+            client.connection.stream.close()
+        return len(self.incoming) < self.max_incoming
 
     def _add_connection(
         self,
@@ -445,6 +474,7 @@
     def _on_close(self, stream: transports.Stream) -> None:
         connection = stream.owner
         self.connections.discard(connection)
+        self.incoming.discard(connection)
         self.memory.drop(connection.incoming)
         self.memory.drop(connection.unsent)
         # The two refer to each other, and are collected much later.
--- a/libs/daemon/src/trefoil_daemon/proxy.py
+++ b/libs/daemon/src/trefoil_daemon/proxy.py
@@ -69,6 +69,7 @@
         self.callers = self.new_http_server(
             self.gateway,
             http_server.ConnectionLimits(max_body=max_body),
+            self.places.callers,
             self.log_truncated_answer,
         )
         self.serve_metrics(settings.metrics)
@@ -220,6 +221,7 @@
         settings.log_level,
         settings.statsd,
         settings.memory_mb,
+        settings.descriptors,
     )
     daemon.start_proxy(settings)
     daemon.tune_gc()
--- a/libs/daemon/src/trefoil_daemon/runtime.py
+++ b/libs/daemon/src/trefoil_daemon/runtime.py
@@ -6,6 +6,7 @@
 
 import gc
 import random
+import resource
 import signal as signals
 import typing
 
@@ -17,6 +18,7 @@
 from trefoil_requests import call as calls
 from trefoil_requests import effects as request_effects
 from trefoil_requests import held_memory
+from trefoil_requests import places
 from trefoil_settings import settings as setting_store
 from trefoil_wire import messages
 
@@ -46,6 +48,7 @@
         log_level: Minimum level that is logged.
         statsd: Address of a statsd server; empty for none.
         memory_mb: Memory that the process may use, in units of 10**6 bytes.
+        descriptors: Descriptors that it may open; 0 for its own limit.
         clock: The runtime's clock.
     """
 
@@ -57,18 +60,27 @@
         log_level: str,
         statsd: str,
         memory_mb: float = setting_store.DEFAULT_MEMORY_MB,
+        descriptors: int = 0,
         clock: clocks.Clock | None = None,
     ) -> None:
         """Create the components; subclasses set ``engine``."""
         self.process_name = name
         self.system_clock = clock or clocks.SystemClock()
         self.memory = held_memory.HeldMemory.from_memory(memory_mb)
+        own_limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+        self.places = places.Places.from_descriptors(
+            min(descriptors or own_limit, own_limit)
+        )
         self.poller = transports.DirectPoller().register(self)
         self.transport = transports.Transport(self.poller).register(self)
         self.log = logs.EventLog(name, log_level)
         self.metrics = metric_store.Metrics(name, statsd)
         self.hub = hubs.Hub(
-            self.transport, self, self.system_clock, self.memory
+            self.transport,
+            self,
+            self.system_clock,
+            self.memory,
+            self.places.peers,
         )
         self.origins: dict[str, hubs.Connection] = {}
         self.engine: typing.Any = None
@@ -115,13 +127,14 @@
         limits: http_server.ConnectionLimits,
     ) -> int:
         """Open a listener for a handler; return its port."""
-        server = self.new_http_server(handler, limits)
+        server = self.new_http_server(handler, limits, self.places.page)
         return server.listen(address)
 
     def new_http_server(
         self,
         handler: http_server.Handler,
         limits: http_server.ConnectionLimits,
+        max_connections: int,
         truncated: http_server.OnTruncated | None = None,
     ) -> http_server.HttpServer:
         """Return a server that does not listen yet.
@@ -129,6 +142,7 @@
         Args:
             handler: Handles its requests.
             limits: Limits of its connections.
+            max_connections: How many it takes.
             truncated: Called with a connection that closed before its answer
                 was sent in full.
         """
@@ -141,6 +155,7 @@
             truncated=truncated,
             refused=self.log_refused_http,
             memory=self.memory,
+            max_connections=max_connections,
         )
         self.http_servers.append(server)
         return server
@@ -152,6 +167,7 @@
         self.engine.tick()
         self.hub.tick()
         self.transport.lingering.tick(self.system_clock.now_ms())
+        self.transport.accept_again()
         for server in self.http_servers:
             server.tick()
         now_ms = self.system_clock.now_ms()
--- a/libs/daemon/src/trefoil_daemon/transport.py
+++ b/libs/daemon/src/trefoil_daemon/transport.py
@@ -30,6 +30,7 @@
 # For SO_LINGER: a close discards what the peer has not acknowledged.
 NO_LINGER = struct.pack("ii", 1, 0)
 RETRYABLE_ERRNOS = (errno.EWOULDBLOCK, errno.EAGAIN, errno.EINTR)
+EXHAUSTED_ERRNOS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 OnData = collections.abc.Callable[["Stream", bytes], None]
 OnClose = collections.abc.Callable[["Stream"], None]
@@ -239,6 +240,7 @@
         poller.transport = self
         self.streams: dict[socket.socket, Stream] = {}
         self.listeners: dict[socket.socket, OnOpen] = {}
+        self.paused_listeners: list[socket.socket] = []
         self.deferred: collections.deque[Deferred] = collections.deque()
         self.lingering = lingering.LingeringStreams()
 
@@ -266,8 +268,15 @@
         self.poller.addReader(self, sock)
         return sock.getsockname()[1]
 
+    def accept_again(self) -> None:
+        """Accept connections again after descriptors had run out."""
+        paused, self.paused_listeners = self.paused_listeners, []
+        for listener in paused:
+            self.poller.addReader(self, listener)
+
     def stop_listening(self) -> None:
         """Close all listening sockets."""
+        self.paused_listeners = []
         for sock in list(self.listeners):
             self.poller.discard(sock)
             sock.close()
@@ -341,7 +350,12 @@
         for _ in range(ACCEPTS_PER_EVENT):
             try:
                 sock, _address = listener.accept()
-            except OSError:
+            except OSError as error:
+                if error.errno in EXHAUSTED_ERRNOS:
+                    # The connection stays in the queue and would be reported
+                    # at once, again and again.
+                    self.poller.removeReader(listener)
+                    self.paused_listeners.append(listener)
                 return
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/libs/daemon/tests/test_connection_memory.py
+++ b/libs/daemon/tests/test_connection_memory.py
@@ -2,6 +2,8 @@
 
 import typing
 
+import pytest
+
 from trefoil_daemon import _http
 from trefoil_daemon import connection_memory
 from trefoil_daemon import exchanges
@@ -41,7 +43,7 @@
 class Server:
     """A server with little memory and its clients."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, max_connections: int = 100) -> None:
         self.clock = clocks.PausedClock()
         self.handler = Handler()
         self.memory = held_memory.HeldMemory(LIMIT)
@@ -54,6 +56,7 @@
             malformed=lambda why: None,
             refused=self.refused.append,
             memory=self.memory,
+            max_connections=max_connections,
         )
 
     def connect(self, data: bytes = b"") -> memory_stream.MemoryStream:
@@ -237,3 +240,26 @@
     server = Server()
     stream = server.connect(head(LIMIT))
     assert stream.sent.startswith(b"HTTP/1.1 413 ")
+
+
+@pytest.mark.parametrize("first", [b"", b"G"])
+def test_a_silent_client_gives_way_to_a_new_one(first: bytes) -> None:
+    """The first ones kept all others out for as long as they stayed."""
+    server = Server(max_connections=5)
+    served = server.connect(head(0))
+    crowd = [server.connect(first) for _ in range(4)]
+    new = server.connect(head(0))
+    assert not new.closed
+    assert [stream.closed for stream in crowd] == [True, False, False, False]
+    assert not served.closed
+
+
+def test_whoever_is_served_keeps_its_place() -> None:
+    """A new client must not end a request that may be running."""
+    server = Server(max_connections=2)
+    served = [server.connect(head(0)) for _ in range(2)]
+    assert server.connect().closed
+    assert not any(stream.closed for stream in served)
+    server.handler.exchanges[1].answer(200, "OK")
+    assert not server.connect().closed
+    assert [stream.closed for stream in served] == [False, True]
--- a/libs/daemon/tests/test_link_memory.py
+++ b/libs/daemon/tests/test_link_memory.py
@@ -2,6 +2,8 @@
 
 import typing
 
+import pytest
+
 from trefoil_daemon import hub as hubs
 from trefoil_daemon import transport as transports
 from trefoil_emulator import memory_stream
@@ -51,7 +53,7 @@
 class Host:
     """A hub with little memory and the peers that connect to it."""
 
-    def __init__(self) -> None:
+    def __init__(self, max_incoming: int = 100) -> None:
         self.clock = clocks.PausedClock()
         self.owner = Owner()
         self.memory = held_memory.HeldMemory(LIMIT)
@@ -60,6 +62,7 @@
             typing.cast(hubs.Owner, self.owner),
             self.clock,
             self.memory,
+            max_incoming,
         )
 
     def connect(self, data: bytes = HELLO) -> memory_stream.MemoryStream:
@@ -166,3 +169,22 @@
     host.hub.close_answered()
     assert [item.request_id for item in sent_answers(stream)] == [1, 2]
     assert stream.closing
+
+
+@pytest.mark.parametrize("first", [b"", HELLO])
+def test_a_silent_peer_gives_way_to_a_new_one(first: bytes) -> None:
+    """Strangers kept the other processes out."""
+    host = Host(max_incoming=3)
+    crowd = [host.connect(first) for _ in range(3)]
+    assert not host.connect().closed
+    assert [stream.closed for stream in crowd] == [True, False, False]
+
+
+def test_a_peer_that_talks_keeps_its_place() -> None:
+    """Whoever has been heard from lately is no silent stranger."""
+    host = Host(max_incoming=2)
+    talks, silent = host.connect(), host.connect()
+    host.clock.advance(1)
+    talks.receive(frames.encode(messages.Ping(1)))
+    host.connect()
+    assert (talks.closed, silent.closed) == (False, True)
--- a/libs/settings/src/trefoil_settings/settings.py
+++ b/libs/settings/src/trefoil_settings/settings.py
@@ -70,6 +70,8 @@
             know of it.
         memory_mb: Memory that the process may use, in units of 10**6 bytes. A
             part of it holds the requests and answers of others.
+        descriptors: Descriptors that the process may open, which bound how
+            many clients have a place at each address; 0 for its own limit.
     """
 
     host: str
@@ -99,6 +101,7 @@
     metrics: str = ""
     advertise: str = ""
     memory_mb: float = DEFAULT_MEMORY_MB
+    descriptors: int = 0
 
     @property
     def known_controls(self) -> dict[str, str]:
@@ -176,6 +179,8 @@
         quota_slack: Requests by which they may exceed it besides.
         memory_mb: Memory that the process may use, in units of 10**6 bytes. A
             part of it holds the requests and answers of others.
+        descriptors: Descriptors that the process may open, which bound how
+            many clients have a place at each address; 0 for its own limit.
     """
 
     host: str
@@ -203,6 +208,7 @@
     quota_overage: float = 0.1
     quota_slack: float = 20.0
     memory_mb: float = DEFAULT_MEMORY_MB
+    descriptors: int = 0
 
     @property
     def known_controls(self) -> dict[str, str]:
@@ -241,6 +247,7 @@
             default=DEFAULT_MEMORY_MB,
         ),
     ),
+    ("descriptors", schema.Field(schema.Number(0, 10_000_000), default=0)),
 )
 
 PROXY = schema.Record(
