Decode small chunks of requests over several turns

Callers saw: beside clients that send chunks of a few bytes, ordinary callers wait: decoding 64 KiB of chunks of 64 bytes takes the loop some 30 ms, and each client of a crowd has that in each turn. Cause: only answers of targets were decoded in slices, by the pools. The reader of requests decoded at once all that came in one read. Change: the decoder itself stops after 1 KiB while chunks are small and keeps the rest; requests, answers and health checks go on in a later turn of the loop, one slice a turn. The pools' own slices are gone.

--- a/libs/daemon/src/trefoil_daemon/_chunked.py
+++ b/libs/daemon/src/trefoil_daemon/_chunked.py
@@ -20,6 +20,9 @@
 DENSE_MEAN_BYTES = 512
 # Few enough bytes that the limits are noticed before many chunks are decoded.
 SLICE_BYTES = 4096
+# How much of a body is decoded at once while its chunks are, or may be, small;
+# chunks of one byte take 2 ms.
+DENSE_SLICE_BYTES = 1024
 
 
 class ChunkedBody:
@@ -27,9 +30,12 @@
 
     Args:
         is_request: Whether the body belongs to a request or to a response.
+
+    ``pending`` is what was received and not decoded yet, ``remainder`` what
+    follows the complete body.
     """
 
-    __slots__ = ("connection", "body", "chunks", "remainder")
+    __slots__ = ("connection", "body", "chunks", "pending", "remainder")
 
     def __init__(self, is_request: bool) -> None:
         # Imported lazily: most processes never receive a chunked body.
@@ -49,6 +55,7 @@
         self.connection.next_event()
         self.body = io.BytesIO()
         self.chunks = 0
+        self.pending = b""
         self.remainder = b""
 
     @property
@@ -70,27 +77,40 @@
     def feed(self, data: bytes, max_size: int) -> bool:
         """Decode bytes; return whether the body is complete.
 
-        Bytes that follow a complete body are then in ``remainder``.
+        Of small chunks only a few are decoded, and the rest is ``pending``
+        until the next call: decoded at once, what is read in one turn of the
+        loop would keep all others waiting.
 
         Args:
-            data: The bytes.
+            data: The bytes; may be empty.
             max_size: Maximum size of the decoded body, in bytes.
 
         Raises:
             ProtocolError: The bytes are not a valid chunked body, or the body
                 is too large or has too many small chunks.
         """
-        for start in range(0, len(data), SLICE_BYTES):
-            end = start + SLICE_BYTES
-            complete = self._decode(data[start:end])
-            if self.size > max_size:
-                raise errors.ProtocolError(413, "the body is too large")
-            if self.chunks > self._max_chunks:
-                raise errors.ProtocolError(400, "too many small chunks")
-            if complete:
-                self.remainder += data[end:]
-                return True
-        return False
+        pending = self.pending + data if self.pending else data
+        start = 0
+        complete = False
+        while start < len(pending) and not complete:
+            size = SLICE_BYTES if start else DENSE_SLICE_BYTES
+            complete = self._decode(pending[start : start + size])
+            start += size
+            self._check_limits(max_size)
+            if self.is_dense:
+                break
+        self.pending = pending[start:]
+        if complete:
+            self.remainder += self.pending
+            self.pending = b""
+        return complete
+
+    def _check_limits(self, max_size: int) -> None:
+        """Raise a ProtocolError if the body exceeds a limit."""
+        if self.size > max_size:
+            raise errors.ProtocolError(413, "the body is too large")
+        if self.chunks > self._max_chunks:
+            raise errors.ProtocolError(400, "too many small chunks")
 
     @property
     def _max_chunks(self) -> int:
--- a/libs/daemon/src/trefoil_daemon/_http.py
+++ b/libs/daemon/src/trefoil_daemon/_http.py
@@ -141,7 +141,8 @@
     def held_bytes(self) -> int:
         """Return how many bytes of an incomplete message are held."""
         if self.chunks is not None:
-            return len(self.buffer) + self.chunks.size
+            pending = len(self.chunks.pending)
+            return len(self.buffer) + pending + self.chunks.size
         return len(self.buffer) + self._received
 
     @property
@@ -163,9 +164,9 @@
         self.chunks = None
 
     @property
-    def is_dense(self) -> bool:
-        """Return whether a body comes in chunks that take long to decode."""
-        return self.chunks is not None and self.chunks.is_dense
+    def is_behind(self) -> bool:
+        """Return whether received bytes are to be decoded in a later turn."""
+        return self.chunks is not None and bool(self.chunks.pending)
 
     def feed_eof(self) -> Message | None:
         """Handle the end of the stream, which ends a body without a length."""
--- a/libs/daemon/src/trefoil_daemon/exchanges.py
+++ b/libs/daemon/src/trefoil_daemon/exchanges.py
@@ -187,11 +187,20 @@
             self.since_ms = self.began_ms = self.server.clock.now_ms()
         self.reader.buffer += data
         self.read_next()
+        if self.reader.is_behind:
+            self.stream.set_paused(True)
+            self.server.transport.defer(self._read_on)
         if len(self.reader.buffer) > MAX_BUFFERED_BYTES and self._is_full:
             self.stream.set_paused(True)
         if self.reader.started or self.memory.incoming.size:
             self._count_incoming(len(data))
 
+    def _read_on(self) -> None:
+        """Decode more of what was received, once others had their turn."""
+        if not self.stream.closed:
+            self.stream.set_paused(False)
+            self.receive(b"")
+
     def _count_incoming(self, received: int) -> None:
         refused = self.memory.claim_incoming(received)
         if refused is not None:
@@ -219,11 +228,17 @@
 
     def read_next(self) -> None:
         """Read the requests that are buffered, and start those that may."""
-        while self.reader.buffer and not self._is_full and not self.ends:
-            if not self._read_one():
-                break
+        while self._may_read and self._read_one():
+            pass
         self.start_due()
 
+    @property
+    def _may_read(self) -> bool:
+        """Return whether bytes wait that may be read now."""
+        if self._is_full or self.ends:
+            return False
+        return bool(self.reader.buffer) or self.reader.is_behind
+
     def _read_one(self) -> bool:
         """Read one request; return False if none is complete."""
         message = self.server.read(self)
--- a/libs/daemon/src/trefoil_daemon/health.py
+++ b/libs/daemon/src/trefoil_daemon/health.py
@@ -114,6 +114,8 @@
 
     def _on_data(self, stream: transports.Stream, data: bytes) -> None:
         check = stream.owner
+        if stream.closed:
+            return
         try:
             message = check.reader.feed(data)
             while message is not None and message.status < 200:
@@ -128,6 +130,8 @@
         if message is not None:
             stream.close()
             self._on_response(check.target, message)
+        elif check.reader.is_behind:
+            self.transport.defer(lambda: self._on_data(stream, b""))
 
     def _on_close(self, stream: transports.Stream) -> None:
         check = stream.owner
--- a/libs/daemon/src/trefoil_daemon/pools.py
+++ b/libs/daemon/src/trefoil_daemon/pools.py
@@ -31,9 +31,6 @@
 # Informational answers and answers to other requests that are discarded while
 # a request waits for its own. A sound target sends one or two.
 MAX_DISCARDED = 8
-# How much of a body in small chunks is decoded in one turn of the loop; chunks
-# of one byte take 2 ms.
-DENSE_SLICE_BYTES = 1024
 
 
 class Owner(typing.Protocol):
@@ -67,8 +64,7 @@
     ``answered_ms`` the time of its last answer, and ``suspect`` tells whether
     it may have gone silent under its request. ``strayed`` is set once it has
     carried an answer that names no request, ``discarded`` counts what was
-    discarded since its request was sent, and ``undecoded`` was received and
-    waits for its turn to be decoded.
+    discarded since its request was sent.
     """
 
     stream: transports.Stream
@@ -82,7 +78,6 @@
     suspect: bool = False
     strayed: bool = False
     discarded: int = 0
-    undecoded: bytes = b""
     holding: held_memory.Holding = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
@@ -284,42 +279,14 @@
             # for the answer to the next request, and reach another caller.
             stream.close()
             return
-        self._decode(connection, data)
+        self._feed(connection, data)
 
-    def _decode(self, connection: TargetConnection, data: bytes) -> None:
-        """Decode received bytes; defer what would take the loop too long.
-
-        A target in trouble may send chunks of a byte without end. Decoded at
-        once, what is read in one turn would keep all other callers waiting.
-        """
-        connection.undecoded = data
-        is_short = len(data) <= DENSE_SLICE_BYTES
-        if is_short or not connection.reader.is_dense:
-            self._decode_slice(connection)
-        if connection.undecoded and connection.reader.is_dense:
-            connection.stream.set_paused(True)
-            self.transport.defer(lambda: self._decode_deferred(connection))
-
-    def _decode_slice(self, connection: TargetConnection) -> None:
-        """Decode one slice, and the rest if that takes no longer."""
-        request = connection.request
-        data = connection.undecoded
-        connection.undecoded = data[DENSE_SLICE_BYTES:]
-        self._feed(connection, data[:DENSE_SLICE_BYTES])
-        rest = connection.undecoded
-        still_waits = connection.request is request
-        if rest and still_waits and not connection.reader.is_dense:
-            connection.undecoded = b""
-            self._feed(connection, rest)
-
-    def _decode_deferred(self, connection: TargetConnection) -> None:
+    def _feed_deferred(self, connection: TargetConnection) -> None:
+        """Decode more of what was received, once others had their turn."""
         if connection.request is None or connection.stream.closed:
             return
-        self._decode_slice(connection)
-        if connection.undecoded and not connection.stream.closed:
-            self.transport.defer(lambda: self._decode_deferred(connection))
-        else:
-            connection.stream.set_paused(False)
+        connection.stream.set_paused(False)
+        self._feed(connection, b"")
 
     def _feed(self, connection: TargetConnection, data: bytes) -> None:
         try:
@@ -335,6 +302,9 @@
             return
         if message is not None:
             self._on_answer(connection, message)
+        elif connection.reader.is_behind:
+            connection.stream.set_paused(True)
+            self.transport.defer(lambda: self._feed_deferred(connection))
 
     def _discard(self, connection: TargetConnection) -> None:
         """Count a message that is not the answer that is waited for.
@@ -417,11 +387,7 @@
         self.memory.drop(connection.holding)
         detector = self._detector(connection.port, request)
         detector.answered(request.request_id, now_ms)
-        is_clean = not (
-            connection.reader.started
-            or connection.undecoded
-            or connection.strayed
-        )
+        is_clean = not (connection.reader.started or connection.strayed)
         connection.answered_ms = now_ms
         if message.keep_alive and is_clean and not connection.stream.closed:
             connection.idle_until_ms = now_ms + _idle_ms(message)
--- a/libs/daemon/tests/test_connection_memory.py
+++ b/libs/daemon/tests/test_connection_memory.py
@@ -48,6 +48,7 @@
         self.handler = Handler()
         self.memory = held_memory.HeldMemory(LIMIT)
         self.refused: list[str] = []
+        self.deferred: list[typing.Callable[[], None]] = []
         self.server = http_server.HttpServer(
             typing.cast(transports.Transport, self),
             self.handler,
@@ -59,6 +60,10 @@
             max_connections=max_connections,
         )
 
+    def defer(self, function: typing.Callable[[], None]) -> None:
+        """Keep a function that the test calls."""
+        self.deferred.append(function)
+
     def connect(self, data: bytes = b"") -> memory_stream.MemoryStream:
         """Return the connection of a new client that has sent bytes."""
         stream = memory_stream.MemoryStream()
@@ -242,6 +247,26 @@
     assert stream.sent.startswith(b"HTTP/1.1 413 ")
 
 
+def test_a_body_in_small_chunks_is_decoded_over_several_turns() -> None:
+    """Chunks of a byte kept the loop from all other clients."""
+    server = Server()
+    start = (
+        b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+    )
+    stream = server.connect(start)
+    stream.receive(b"4\r\nfour\r\n" * 900)
+    assert not stream.reading
+    sizes = [stream.owner.reader.chunks.size]
+    while server.deferred:
+        server.deferred.pop(0)()
+        sizes.append(stream.owner.reader.chunks.size)
+    assert max(b - a for a, b in zip(sizes, sizes[1:])) < 1024
+    assert stream.reading
+    stream.receive(b"0\r\n\r\n")
+    (exchange,) = server.handler.exchanges
+    assert exchange.request.body == b"four" * 900
+
+
 @pytest.mark.parametrize("first", [b"", b"G"])
 def test_a_silent_client_gives_way_to_a_new_one(first: bytes) -> None:
     """The first ones kept all others out for as long as they stayed."""
--- a/libs/daemon/tests/test_edges.py
+++ b/libs/daemon/tests/test_edges.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from trefoil_daemon import _chunked
 from trefoil_daemon import _http
 from trefoil_daemon import dialect as dialects
 from trefoil_daemon import exposition
@@ -699,7 +700,7 @@
         assert not stream.reading
         decoded.append(reader.chunks.size)
         target.transport.deferred.pop(0)()
-    assert decoded[-1] - decoded[-2] <= pools.DENSE_SLICE_BYTES
+    assert decoded[-1] - decoded[-2] <= _chunked.DENSE_SLICE_BYTES
     assert stream.reading
     stream.peer_sends(b"0\r\n\r\n")
     assert target.owner.answers[0].body == b"four" * 300
