Bound the length of a logged value

Cause: callers choose the ids of their requests, up to the length of a head. Lines are limited to twenty a second for each event, but not in length, so a crowd could write megabytes of log a second. Change: a value is cut after 2,000 characters, longer than any that a process writes itself.

--- a/libs/daemon/src/trefoil_daemon/logs.py
+++ b/libs/daemon/src/trefoil_daemon/logs.py
@@ -26,6 +26,8 @@
 # its cause.
 MAX_LINES_PER_SECOND = 20
 WINDOW_S = 1.0
+# Callers choose some of the values, such as the ids of their requests.
+MAX_VALUE_CHARS = 2000
 
 
 quote = lines.quote
@@ -158,5 +160,13 @@
     ) -> None:
         pairs = [f"event={quote(event)}", f"process={self.process}"]
         for key, value in fields.items():
-            pairs.append(f"{key}={quote(value)}")
+            pairs.append(f"{key}={quote(_cut(value))}")
         self.logger.log(level, " ".join(pairs).replace("{", "{{"))
+
+
+def _cut(value: object) -> str:
+    """Return a value as text of bounded length."""
+    text = str(value)
+    if len(text) > MAX_VALUE_CHARS:
+        return text[:MAX_VALUE_CHARS] + "..."
+    return text
--- a/libs/daemon/tests/test_logs.py
+++ b/libs/daemon/tests/test_logs.py
@@ -79,3 +79,13 @@
     assert "config.in_force" in names
     (summary,) = [e for e in events if e["event"] == "log.left_out"]
     assert summary["request.refused"] == str(1000 - logs.MAX_LINES_PER_SECOND)
+
+
+def test_a_value_of_any_length_makes_a_line_of_bounded_length() -> None:
+    """Callers name their requests, and a crowd of them filled the log."""
+    pipe = Pipe()
+    log = logs.EventLog("p", stream=logs.DroppingStream(pipe.writer))
+    log.note(common.Note("request.refused", {"id": "x" * 30_000, "last": 1}))
+    event = logs.parse(pipe.read().splitlines()[0])
+    assert len(event["id"]) <= logs.MAX_VALUE_CHARS + 3
+    assert event["last"] == "1"
