Refuse documents of too many values unread

Callers saw: one document within its limit, of 3 MiB, ended a control process. Cause: a list of empty lists takes a hundred times its length while it is composed, and nothing bounded the number of its values. At proxies the same held for documents on their way to a control host and, as JSON, for announcements. Change: the values of a text are counted before it is composed; 150,000 are read, which is room for 13,000 routes. Announcements have 64 KiB at most, a line of the operators' language 4,096 characters. Ruled out: depth; libyaml ends at 1,000 levels. Four cases in libs/settings fail without the change. Not covered: a sound document that takes long to be checked keeps the loop of a control process meanwhile.

--- a/libs/daemon/src/trefoil_daemon/admin.py
+++ b/libs/daemon/src/trefoil_daemon/admin.py
@@ -19,6 +19,8 @@
 COMMAND_PATH = "/v1/command"
 TARGETS_PATH = "/v1/targets"
 HEALTH_PATH = "/v1/health"
+# The longest statement names a few things.
+MAX_LINE_CHARS = 4096
 JSON_HEADER = b"Content-Type: application/json\r\n"
 
 
@@ -198,6 +200,8 @@
         raise errors.ProtocolError(400, f"not a command: {error!r}")
     if not isinstance(line, str):
         raise errors.ProtocolError(400, "line must be text")
+    if len(line) > MAX_LINE_CHARS:
+        raise errors.ProtocolError(400, "the line is too long")
     return line, envelope
 
 
--- a/libs/daemon/src/trefoil_daemon/announcements.py
+++ b/libs/daemon/src/trefoil_daemon/announcements.py
@@ -20,6 +20,8 @@
 MAX_DEREGISTRATIONS = 256
 MAX_FLOORS = 64
 MAX_RESOURCES = 256
+# As many resources as are allowed take a third of it.
+MAX_ANNOUNCEMENT_BYTES = 64 * 1024
 # A delayed announcement arrives within seconds.
 MAX_ANNOUNCEMENT_DELAY_MS = 15_000
 # Above the sequence of any announcement.
@@ -73,6 +75,8 @@
     Raises:
         ProtocolError: It is malformed; the reason lists every finding.
     """
+    if len(body) > MAX_ANNOUNCEMENT_BYTES:
+        raise errors.ProtocolError(400, "the announcement is too long")
     try:
         text = body.decode("utf-8")
         fields = json.loads(text)
--- a/libs/daemon/src/trefoil_daemon/connection_memory.py
+++ b/libs/daemon/src/trefoil_daemon/connection_memory.py
@@ -74,7 +74,8 @@
         """
         connection = self.connection
         now_ms = connection.server.clock.now_ms()
-        self.memory.drop(self.incoming)
+        if self.incoming.size:
+            self.memory.drop(self.incoming)
         return self._claim(self.waiting, connection.request_bytes, now_ms)
 
     def count_waiting(self) -> None:
--- a/libs/daemon/tests/test_announcements.py
+++ b/libs/daemon/tests/test_announcements.py
@@ -109,6 +109,7 @@
         '"slots": 2, "port": ' + "[" * 900 + "]" * 900,
         '"slots": 2, "port": ' + "[" * 100_000,
         '"slots": 1e300, "port": 80',
+        '"slots": 2, "port": 80' + " " * 70_000,
     ],
     ids=lambda fields: fields[:26],
 )
--- a/libs/settings/src/trefoil_settings/schema.py
+++ b/libs/settings/src/trefoil_settings/schema.py
@@ -23,6 +23,9 @@
 # libyaml reads a file of a hundred thousand keys in seconds instead of half a
 # minute; it is missing on some platforms.
 LOADER = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
+# Scalars, lists and mappings in one text. Each takes some 400 bytes while it
+# is read: a list of empty lists takes a hundred times its length.
+MAX_NODES = 150_000
 FLAG_VALUES = {"true": True, "false": False}
 
 
@@ -154,6 +157,10 @@
             kind: Kind of its value.
         """
         try:
+            if _has_too_many_nodes(text):
+                place = finding_store.Place(self.file, 1, 1)
+                self.findings.add(place, f"more than {MAX_NODES} values")
+                return None
             node = yaml.compose(text, Loader=LOADER)
         except yaml.YAMLError as error:
             mark = getattr(error, "problem_mark", None)
@@ -196,6 +203,20 @@
         return None
 
 
+def _has_too_many_nodes(text: str) -> bool:
+    """Return whether a text has more nodes than are read.
+
+    Raises:
+        YAMLError: The text is malformed before it has too many.
+    """
+    nodes = 0
+    for event in yaml.parse(text, Loader=LOADER):
+        nodes += isinstance(event, yaml.NodeEvent)
+        if nodes > MAX_NODES:
+            return True
+    return False
+
+
 @functools.singledispatch
 def read(kind: typing.Any, reader: Reader, node: yaml.Node) -> typing.Any:
     """Return a node's value, or None after a finding.
--- a/libs/settings/tests/test_settings.py
+++ b/libs/settings/tests/test_settings.py
@@ -1,9 +1,12 @@
 """Parsing of settings and configuration: defaults, findings and places."""
 
+import tracemalloc
+
 import pytest
 
 from trefoil_model import keys
 from trefoil_settings import configuration
+from trefoil_settings import schema
 from trefoil_settings import settings
 
 PROXY = """\
@@ -178,6 +181,19 @@
     assert sum(len(account.key_digests) for account in accounts) == 100_000
 
 
+@pytest.mark.parametrize("value", ["[]", "{}", "a", "*x"])
+def test_a_text_with_too_many_values_is_refused_unread(value: str) -> None:
+    """A list of empty lists took a hundred times its length."""
+    count = schema.MAX_NODES
+    text = "services: [&x a, " + ", ".join([value] * count) + "]"
+    tracemalloc.start()
+    found = str(configuration.parse(text).error)
+    peak = tracemalloc.get_traced_memory()[1]
+    tracemalloc.stop()
+    assert f"more than {count} values" in found
+    assert peak < 3 * len(text)
+
+
 def test_a_forwarded_port_is_advertised() -> None:
     parsed = settings.parse(PROXY + "advertise: 10.0.0.9:77\n", "proxy").ok
     assert (parsed.peers, parsed.advertise) == ("127.0.0.1:2", "10.0.0.9:77")
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -6,6 +6,7 @@
 
 import collections.abc
 import concurrent.futures
+import json
 import time
 
 import pytest
@@ -280,6 +281,24 @@
         check(fleet)
 
 
+@pytest.mark.parametrize("host", ["near", "control1"])
+def test_documents_of_many_values_take_no_more_than_the_host_has(
+    fleet, host: str
+) -> None:
+    """One document within its limit took a hundred times its length."""
+    size = MIB - MIB // 16 if host == "near" else 3 * MIB
+    document = "[" + ",".join(["[]"] * (size // 3)) + "]"
+    line = {"line": "apply x.yaml", "id": "1-1", "document": document}
+    text = json.dumps(line).encode()
+    length = f"Content-Length: {len(text)}"
+    script = hostile_crowd.Script(
+        hostile_crowd.head("/v1/command", length) + text
+    )
+    with crowd_of(fleet, [script] * 12, at=host, port="admin") as crowd:
+        crowd.listen(within_s=60)
+        check(fleet)
+
+
 @pytest.mark.parametrize("greets", [False, True])
 @pytest.mark.parametrize("host", ["near", "control1"])
 def test_frames_that_stop_short_take_no_more_than_the_host_has(
