Count the fields of heads of waiting requests

Callers saw: many requests that wait, each with thousands of short fields, took a proxy beyond what its host has. Cause: a field of five bytes takes some 160 more as a pair of objects in a table, and only bytes were counted. Change: each field counts with 160 bytes; the objects of a request count with 1 KiB instead of 2, since the fields are counted on their own now.

--- a/libs/daemon/src/trefoil_daemon/exchanges.py
+++ b/libs/daemon/src/trefoil_daemon/exchanges.py
@@ -30,8 +30,9 @@
 MAX_BUFFERED_BYTES = 256 * 1024
 # A head is kept as it came, as fields, and as what is sent on.
 HEAD_COPIES = 3
-# The objects of one request.
-REQUEST_BYTES = 2048
+# The objects of one request, and of each field of its head.
+REQUEST_BYTES = 1024
+FIELD_BYTES = 160
 TOO_LITTLE_MEMORY = "too little memory for this request now"
 
 
@@ -430,4 +431,5 @@
 def _request_bytes(message: _http.Message) -> int:
     """Return what a request takes in memory until it is answered."""
     head_bytes = HEAD_COPIES * (len(message.headers) + len(message.path))
+    head_bytes += FIELD_BYTES * len(message.fields)
     return len(message.body) + head_bytes + REQUEST_BYTES
