--- a/review/standins_2/client.py
+++ b/review/standins_2/client.py
@@ -50,6 +50,7 @@
         *,
         method: str = "GET",
         deadline_s: float = 5.0,
+        fields: dict[str, str] | None = None,
     ) -> Attempt:
         """Send one request on a new connection."""
         number = next(self.numbers)
@@ -66,7 +67,8 @@
                 "Request-Id": attempt.id,
                 "Deadline-Ms": str(int(deadline_s * 1000)),
                 "Connection": "close",
-            },
+            }
+            | (fields or {}),
         )
         if response is not None:
             attempt.status = response.status
