--- a/review/4/case.py
+++ b/review/4/case.py
@@ -22,9 +22,7 @@
 class Reads:
     """Reads configurations and keeps those that were too old."""
 
-    def __init__(
-        self, deployment: fleet.Fleet, record: case.Record
-    ) -> None:
+    def __init__(self, deployment: fleet.Fleet, record: case.Record) -> None:
         self.operator = operator.Operator(deployment)
         self.record = record
         self.acked = 0
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -135,9 +135,7 @@
         RuntimeError: It was not taken back.
     """
     record.add(f"upstreams of {NEW} start; they are bad")
-    servers = await start_upstreams(
-        deployment, machines, NEW, "1", work_badly
-    )
+    servers = await start_upstreams(deployment, machines, NEW, "1", work_badly)
     if not await rollouts.order():
         raise RuntimeError("the first order was not acknowledged")
     state = await rollouts.follow(DURATION_S + SLACK_S)
--- a/review/standins_2/fleet.py
+++ b/review/standins_2/fleet.py
@@ -149,8 +149,7 @@
             "region": "region-1",
             "internalPortRange": [self.ports["inner"], self.ports["inner"]],
             "seeds": [
-                f"{core.ip}:{self.ports['control']}"
-                for core in self.cores[:3]
+                f"{core.ip}:{self.ports['control']}" for core in self.cores[:3]
             ],
             "bootstrap": first_start,
             "bounds": self.bounds,
--- a/review/standins_2/template.py
+++ b/review/standins_2/template.py
@@ -37,9 +37,7 @@
     return "".join(parts)
 
 
-def _section(
-    kind: str, name: str, body: str, scopes: list[typing.Any]
-) -> str:
+def _section(kind: str, name: str, body: str, scopes: list[typing.Any]) -> str:
     value = _look_up(name, scopes)
     if kind == "^":
         return "" if value else _render(body, scopes, "", False)
@@ -57,9 +55,7 @@
     )
 
 
-def _value(
-    name: str, scopes: list[typing.Any], key: str, last: bool
-) -> str:
+def _value(name: str, scopes: list[typing.Any], key: str, last: bool) -> str:
     if name == ",":
         return "" if last else ","
     if name == "@":
