--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,131 +1,119 @@
-"""A restarted core machine answers a read with an older configuration."""
+"""The key of a tenant that was taken away is honoured for good."""
 
 import asyncio
-import json
-import signal
 import sys
-import time
+import typing
 
 from standins_2 import case
+from standins_2 import client
 from standins_2 import fleet
 from standins_2 import operator
-
-# More than a snapshot covers, so that a restarted process has to catch up.
-FIRST_VERSIONS = 18
-APPLY_S = 2.0
-CALM_S = 4.0
-FREEZE_S = 0.47
-READ_WAIT_S = 1.0
-ROUNDS_UNTIL_S = 100
-
-
-class Reads:
-    """Reads configurations and keeps those that were too old."""
+from standins_2 import upstream
+
+SERVICE = "preview"
+ROUTE = "open"
+# The tenant's own routes, which go with it. ``big_config`` adds up to 1,764.
+OWN_ROUTES = 600
+REVOKE_S = 5
+BOUNDS = {"strictRevoke": True, "revokeS": REVOKE_S}
+STAYS = {"name": "studio-stays", "apiKeys": ["key-that-stays-0123456789"]}
+LEAVES = {"name": "studio-leaves", "apiKeys": ["key-that-leaves-0123456789"]}
+# The old key is tried this often, a second apart.
+TRIES = 10
+
+
+def config(
+    version: int, base: int, tenants: list[typing.Any], own_routes: int
+) -> operator.Config:
+    """Return a configuration with tenants and the leaving one's routes."""
+    routes = [operator.route(ROUTE, SERVICE)]
+    routes += [
+        operator.route(f"own{number}", SERVICE) for number in range(own_routes)
+    ]
+    value = operator.config(version, base, routes, [SERVICE])
+    return value | {"tenants": tenants}
+
+
+class Keys:
+    """Sends requests with keys.
+
+    Args:
+        deployment: The deployment.
+        record: The record of the case.
+    """
 
     def __init__(self, deployment: fleet.Fleet, record: case.Record) -> None:
-        self.operator = operator.Operator(deployment)
+        self.clients = client.Clients(deployment)
+        self.sides = deployment.sides
         self.record = record
-        self.acked = 0
-        self.acked_s = 0.0
-        self.broken: list[str] = []
-
-    async def put_next(self) -> None:
-        """Put one more configuration in force."""
-        version = self.acked + 1
-        routes = [operator.route("list", "beds", timeoutS=1 + version / 10)]
-        value = operator.config(version, self.acked, routes, ["beds"])
-        if not await self.operator.put_config(value):
-            raise RuntimeError(f"version {version} was not acknowledged")
-        self.acked = version
-        self.acked_s = time.monotonic()
-        self.record.add(f"version {version} acknowledged")
 
-    async def read(self, core: fleet.Machine) -> None:
-        """Read at a machine, and check what it answers."""
-        sent_s = time.monotonic()
-        must = self.acked if sent_s - self.acked_s > APPLY_S else 0
-        response = await self.operator.read_config(core, READ_WAIT_S)
-        if response is None or response.status != 200:
-            status = response.status if response is not None else "no answer"
-            self.record.add(f"read at {core.name}: {status}")
-            return
-        version = json.loads(response.body)["version"]
-        self.record.add(f"read at {core.name}: 200, version {version}")
-        if version < must:
-            age_s = sent_s - self.acked_s
-            self.broken.append(
-                f"{core.name} answered version {version}; version {must} "
-                f"had been acknowledged {age_s:.1f} s before the read"
+    async def send(self, tenant: dict[str, typing.Any]) -> list[int]:
+        """Send a request of a tenant at each machine; return the statuses."""
+        key = f"Token {tenant['apiKeys'][0]}"
+        statuses = []
+        for side in self.sides:
+            attempt = await self.clients.send(
+                side, ROUTE, fields={"Authorization": key}
             )
-
-
-async def choose(
-    deployment: fleet.Fleet, record: case.Record
-) -> tuple[fleet.Machine, fleet.Machine]:
-    """Return the leader and a follower that opens the link to it."""
-    follower = deployment.cores[0]
-    leader = deployment.leader()
-    while leader is follower:
-        record.add(f"{leader.name} leads; it is restarted as planned work")
-        await restart(deployment, leader)
-        await asyncio.sleep(1)
-        leader = deployment.leader()
-    return leader, follower
-
-
-async def restart(deployment: fleet.Fleet, core: fleet.Machine) -> None:
-    """Stop a process with SIGTERM and start it again."""
-    deployment.signal(core, signal.SIGTERM)
-    core.process.wait()
-    await asyncio.sleep(0.8)
-    deployment.start(core)
-    deployment.wait_listening(deployment.control(core))
-
-
-async def play_round(
-    deployment: fleet.Fleet, record: case.Record, reads: Reads, trouble: bool
-) -> None:
-    """Read at a follower that is killed while the leader is frozen."""
-    leader, follower = await choose(deployment, record)
-    await restart(deployment, follower)
-    record.add(f"{follower.name} was stopped and started")
-    await reads.put_next()
-    await asyncio.sleep(CALM_S)
-    began_s = time.monotonic()
-    if trouble:
-        deployment.signal(leader, signal.SIGSTOP)
-        record.add(f"{leader.name}, the leader, is frozen")
-    first = asyncio.create_task(reads.read(follower))
-    await asyncio.sleep(0.02)
-    if trouble:
-        deployment.kill(follower)
-        deployment.start(follower)
-        record.add(f"{follower.name} is killed and starts again")
-        await asyncio.to_thread(
-            deployment.wait_listening, deployment.control(follower)
-        )
-    second = asyncio.create_task(reads.read(follower))
-    await asyncio.sleep(max(began_s + FREEZE_S - time.monotonic(), 0))
-    if trouble:
-        deployment.signal(leader, signal.SIGCONT)
-        record.add(f"{leader.name} wakes after {FREEZE_S} s")
-    await first
-    await second
+            statuses.append(attempt.status)
+        self.record.add(f"requests of {tenant['name']}: {statuses}")
+        return statuses
 
 
 async def check(
     deployment: fleet.Fleet, record: case.Record, trouble: bool
 ) -> list[str]:
-    """Play rounds until one breaks the rule or the time is up."""
+    """Take a tenant away, with trouble together with its many routes."""
     deployment.start_all()
-    reads = Reads(deployment, record)
-    for _ in range(FIRST_VERSIONS):
-        await reads.put_next()
-    while not reads.broken and record.now_s < ROUNDS_UNTIL_S:
-        await play_round(deployment, record, reads, trouble)
-    return reads.broken
+    servers = [
+        upstream.Upstream(
+            deployment, side, service=SERVICE, id=f"i-{side.name}"
+        )
+        for side in deployment.sides
+    ]
+    for server in servers:
+        await server.start()
+    head = operator.Operator(deployment)
+    own_routes = OWN_ROUTES if trouble else 0
+    value = config(3, 0, [STAYS, LEAVES], own_routes)
+    if not await head.put_config(value):
+        raise RuntimeError("the first configuration was not acknowledged")
+    record.add(f"version 3 acknowledged: two tenants, {own_routes} own routes")
+    await asyncio.sleep(4)
+    keys = Keys(deployment, record)
+    for tenant in (STAYS, LEAVES):
+        if await keys.send(tenant) != [200] * len(deployment.sides):
+            raise RuntimeError("a sound key was not served")
+    if not await head.put_config(config(5, 3, [STAYS], 0)):
+        raise RuntimeError("the second configuration was not acknowledged")
+    record.add("version 5 acknowledged: one tenant, no own routes")
+    await asyncio.sleep(REVOKE_S + 1)
+    runs_before = [len(server.runs) for server in servers]
+    served = 0
+    for _ in range(TRIES):
+        served += (await keys.send(LEAVES)).count(200)
+        await asyncio.sleep(1)
+    runs = sum(len(server.runs) for server in servers) - sum(runs_before)
+    tenants = {
+        request.fields.get("tenant-id", "")
+        for server, before in zip(servers, runs_before)
+        for request in server.runs[before:]
+    }
+    record.add(f"after that, upstreams ran {runs} requests, as {tenants}")
+    if await keys.send(STAYS) != [200] * len(deployment.sides):
+        record.add("the key that stays is not served everywhere")
+    if not runs:
+        return []
+    return [
+        f"{runs} requests with the key that version 5 took away ran, "
+        f"{REVOKE_S + 1} s and more after its acknowledgement; {served} of "
+        f"them were answered with 200"
+    ]
 
 
 if __name__ == "__main__":
-    case.run(__file__, fleet.Fleet(["za", "zb", "zc"], []), check)
+    services = [SERVICE] * 3
+    case.run(
+        __file__, fleet.Fleet(["za", "zb", "zc"], services, BOUNDS), check
+    )
     sys.exit(case.COULD_NOT_RUN)
