--- a/review/5/case.py
+++ b/review/5/case.py
@@ -14,7 +14,8 @@
 FIRST_VERSIONS = 18
 APPLY_S = 2.0
 CALM_S = 4.0
-FREEZE_S = 0.47
+# A process that listens has opened its links after this time.
+LINKED_S = 0.07
 READ_WAIT_S = 1.0
 ROUNDS_UNTIL_S = 100
 
@@ -75,8 +76,7 @@
 
 async def restart(deployment: fleet.Fleet, core: fleet.Machine) -> None:
     """Stop a process with SIGTERM and start it again."""
-    deployment.signal(core, signal.SIGTERM)
-    core.process.wait()
+    deployment.stop(core)
     await asyncio.sleep(0.8)
     deployment.start(core)
     deployment.wait_listening(deployment.control(core))
@@ -85,7 +85,7 @@
 async def play_round(
     deployment: fleet.Fleet, record: case.Record, reads: Reads, trouble: bool
 ) -> None:
-    """Read at a follower that is killed while the leader is frozen."""
+    """Read at a follower that is restarted while the leader is frozen."""
     leader, follower = await choose(deployment, record)
     await restart(deployment, follower)
     record.add(f"{follower.name} was stopped and started")
@@ -97,18 +97,18 @@
         record.add(f"{leader.name}, the leader, is frozen")
     first = asyncio.create_task(reads.read(follower))
     await asyncio.sleep(0.02)
-    if trouble:
-        deployment.kill(follower)
-        deployment.start(follower)
-        record.add(f"{follower.name} is killed and starts again")
-        await asyncio.to_thread(
-            deployment.wait_listening, deployment.control(follower)
-        )
+    deployment.stop(follower)
+    deployment.start(follower)
+    record.add(f"{follower.name} gets SIGTERM and starts again")
+    await asyncio.to_thread(
+        deployment.wait_listening, deployment.control(follower)
+    )
     second = asyncio.create_task(reads.read(follower))
-    await asyncio.sleep(max(began_s + FREEZE_S - time.monotonic(), 0))
+    await asyncio.sleep(LINKED_S)
     if trouble:
         deployment.signal(leader, signal.SIGCONT)
-        record.add(f"{leader.name} wakes after {FREEZE_S} s")
+        frozen_s = time.monotonic() - began_s
+        record.add(f"{leader.name} wakes after {frozen_s:.2f} s")
     await first
     await second
 
--- a/review/standins_2/fleet.py
+++ b/review/standins_2/fleet.py
@@ -222,6 +222,12 @@
         if machine.process is not None:
             machine.process.wait()
 
+    def stop(self, machine: Machine) -> None:
+        """Stop the process of a machine as planned, and wait for its end."""
+        self.signal(machine, signal.SIGTERM)
+        if machine.process is not None:
+            machine.process.wait()
+
     def leads(self, machine: Machine) -> bool:
         """Return whether a core machine says that it leads."""
         with contextlib.suppress(OSError):
