--- a/review/5/case.py
+++ b/review/5/case.py
@@ -17,7 +17,7 @@
 # A process that listens has opened its links after this time.
 LINKED_S = 0.07
 READ_WAIT_S = 1.0
-ROUNDS_UNTIL_S = 100
+ROUNDS_UNTIL_S = 95
 
 
 class Reads:
--- a/review/standins_2/case.py
+++ b/review/standins_2/case.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import pathlib
+import signal
 import sys
 import time
 import traceback
@@ -52,6 +53,7 @@
         deployment: The deployment, not started yet.
         check: Returns what broke the rule.
     """
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     record = Record(pathlib.Path(path).resolve().parent)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.add(f"trouble: {trouble}")
