Notice accounts that left with a configuration sent whole

Cause: Directory.from_items kept the accounts of before if the newest revision among the account items was unchanged. A deleted account shows there only as a tombstone; a configuration that is sent whole has none, and it is sent whole where one version deletes over 512 items. Keepers of quotas on control hosts drop the tombstone too, as the oldest of 513.

Change: Items keeps a digest of each kind of item, and accounts are read again unless the digest of accounts and access policy is equal. It covers what is gone as well as what is new, however the configuration came.

--- a/libs/accounts/src/trefoil_accounts/directory.py
+++ b/libs/accounts/src/trefoil_accounts/directory.py
@@ -14,19 +14,19 @@
         keys_required: Whether callers need the key of an account, except on
             open routes.
         accounts: The accounts.
-        revision: The revision that last changed any of this.
+        digest: Identifies what it was read from.
     """
 
-    __slots__ = ("keys_required", "by_name", "name_by_digest", "revision")
+    __slots__ = ("keys_required", "by_name", "name_by_digest", "digest")
 
     def __init__(
         self,
         keys_required: bool = False,
         accounts: typing.Iterable[messages.Account] = (),
-        revision: int = 0,
+        digest: int = 0,
     ) -> None:
         self.keys_required = keys_required
-        self.revision = revision
+        self.digest = digest
         self.by_name = {account.name: account for account in accounts}
         self.name_by_digest = {
             digest: account.name
@@ -45,15 +45,13 @@
             previous: The accounts of an earlier one, returned if no account
                 has changed since.
         """
-        revision = items.newest_revision(
-            (item_store.ACCOUNT, item_store.ACCESS_POLICY)
-        )
-        if previous is not None and previous.revision == revision:
+        digest = items.digest_of_kinds((item_store.ACCOUNT, item_store.ACCESS))
+        if previous is not None and previous.digest == digest:
             return previous
         policy = items.get(item_store.ACCESS_POLICY)
         if policy is None or not policy.keys_required:
-            return cls(revision=revision)
-        return cls(True, items.all(item_store.ACCOUNT), revision)
+            return cls(digest=digest)
+        return cls(True, items.all(item_store.ACCOUNT), digest)
 
     def weights(self) -> dict[str, float]:
         """Return the weight of each account that has a limit: its rate."""
--- a/libs/fleet/src/trefoil_fleet/items.py
+++ b/libs/fleet/src/trefoil_fleet/items.py
@@ -17,8 +17,10 @@
 SHARES = "shares/"
 DRAIN = "drain/"
 EVACUATION = "evacuation/"
+CALLER_LIMITS = "limits/"
 LIMITS = "limits/callers"
 ACCOUNT = "account/"
+ACCESS = "access/"
 ACCESS_POLICY = "access/policy"
 KINDS: dict[str, type] = {
     SERVICE: messages.Service,
@@ -26,23 +28,28 @@
     SHARES: messages.Shares,
     DRAIN: messages.Drain,
     EVACUATION: messages.Evacuation,
-    "limits/": messages.CallerLimits,
+    CALLER_LIMITS: messages.CallerLimits,
     ACCOUNT: messages.Account,
-    "access/": messages.AccessPolicy,
+    ACCESS: messages.AccessPolicy,
 }
 # Key prefixes of the items that a configuration document sets. Other commands
 # set the rest.
-DOCUMENT_PREFIXES = (SERVICE, ROUTE, "limits/", ACCOUNT, "access/")
+DOCUMENT_PREFIXES = (SERVICE, ROUTE, CALLER_LIMITS, ACCOUNT, ACCESS)
 MAX_TOMBSTONES = 512
 
 
+def prefix_of(key: str) -> str:
+    """Return the prefix that a key shares with all items of its kind."""
+    return key.partition("/")[0] + "/"
+
+
 def kind_of(key: str) -> type:
     """Return the type of the struct stored under a key.
 
     Raises:
         KeyError: No kind of item has such a key.
     """
-    return KINDS[key[: key.index("/") + 1]]
+    return KINDS[prefix_of(key)]
 
 
 def digest_of(item: messages.Item) -> int:
@@ -60,12 +67,20 @@
         revision: The revision; 0 is the empty configuration.
     """
 
-    __slots__ = ("revision", "by_key", "digest", "oldest_base", "decoded")
+    __slots__ = (
+        "revision",
+        "by_key",
+        "digest",
+        "digests",
+        "oldest_base",
+        "decoded",
+    )
 
     def __init__(self, revision: int = 0) -> None:
         self.revision = revision
         self.by_key: dict[str, messages.Item] = {}
         self.digest = 0
+        self.digests: dict[str, int] = {}
         self.oldest_base = 0
         self.decoded: dict[str, typing.Any] = {}
 
@@ -84,6 +99,7 @@
         items = Items(self.revision)
         items.by_key = dict(self.by_key)
         items.digest = self.digest
+        items.digests = dict(self.digests)
         items.oldest_base = self.oldest_base
         items.decoded = dict(self.decoded)
         return items
@@ -126,6 +142,20 @@
             default=0,
         )
 
+    def digest_of_kinds(self, prefixes: tuple[str, ...]) -> int:
+        """Return a digest of the items of some kinds that are not deleted.
+
+        It tells whether anything changed between two configurations, also
+        where one was sent whole, without a trace of what it lacks.
+
+        Args:
+            prefixes: The key prefixes of the kinds, of ``KINDS``.
+        """
+        digest = 0
+        for prefix in prefixes:
+            digest ^= self.digests.get(prefix, 0)
+        return digest
+
     def all(self, prefix: str) -> list[typing.Any]:
         """Return the records whose keys have a prefix, sorted by key."""
         keys = sorted(
@@ -181,10 +211,17 @@
         if old is not None:
             if old.revision > item.revision:
                 return
-            self.digest ^= digest_of(old)
+            self._toggle(old)
         self.by_key[item.key] = item
         self.decoded.pop(item.key, None)
-        self.digest ^= digest_of(item)
+        self._toggle(item)
+
+    def _toggle(self, item: messages.Item) -> None:
+        """Add an item to the digests, or take it out again."""
+        part = digest_of(item)
+        prefix = prefix_of(item.key)
+        self.digest ^= part
+        self.digests[prefix] = self.digests.get(prefix, 0) ^ part
 
     def _drop_tombstones(self) -> None:
         # Tombstones of evacuations are kept: they distinguish a delayed
