Keep the newest deletion of each kind for writers

Operators: a writer that names the revision in force was told "expected revision 2, but 1 is in force" and refused, once 513 newer items of other kinds, such as drains that ended, had been deleted.

Cause: configuration_revision is the newest revision among the items of the document, and the document's last change may have been a deletion. Tombstones beyond 512 are dropped, the oldest first, whatever they are of.

The state machine asks it after each step now.

--- a/libs/daemon/tests/test_configuration_views.py
+++ b/libs/daemon/tests/test_configuration_views.py
@@ -10,6 +10,7 @@
 from trefoil_accounts import quota_terms
 from trefoil_fleet import items as item_store
 from trefoil_model import keys
+from trefoil_moves import command_results
 from trefoil_moves import state as states
 from trefoil_requests import routing
 from trefoil_wire import frames
@@ -63,6 +64,15 @@
     )
 
 
+def document_of(state: states.State) -> dict[str, bytes]:
+    """Return the items that a configuration document sets."""
+    return {
+        key: item.value
+        for key, item in state.items.by_key.items()
+        if key.startswith(item_store.DOCUMENT_PREFIXES) and not item.deleted
+    }
+
+
 def view(accounts: directory.Directory) -> tuple[object, ...]:
     """Return all that a directory answers."""
     return accounts.keys_required, accounts.by_name, accounts.name_by_digest
@@ -106,6 +116,7 @@
         self.patch.setattr(item_store, "MAX_TOMBSTONES", FEW_TOMBSTONES)
         self.state = states.State()
         self.index = 0
+        self.changed_at = 0
         self.proxies = [Proxy(), Proxy()]
         self.keeper = Keeper()
 
@@ -131,8 +142,11 @@
         if accounts is not None:
             listed = [account(n, k, q) for n, (k, q) in accounts.items()]
         routes = [route(name) for name in route_names]
+        before = document_of(self.state)
         self.index += 1
         apply(self.state, self.index, version(routes, listed, services))
+        if document_of(self.state) != before:
+            self.changed_at = self.index
         self.keeper.read(self.state.items)
 
     @stateful.rule(host=st.sampled_from(NAMES), draining=st.booleans())
@@ -182,6 +196,11 @@
         fresh = directory.Directory.from_items(self.state.items)
         assert self.keeper.core.accounts == fresh.by_name
 
+    @stateful.invariant()
+    def writers_are_told_when_the_configuration_changed(self) -> None:
+        told = command_results.configuration_revision(self.state.items)
+        assert told == self.changed_at
+
 
 ConfigurationViews.TestCase.settings = hypothesis.settings(
     derandomize=True, max_examples=150, stateful_step_count=30, deadline=None
@@ -216,3 +235,18 @@
     apply(state, 3, version([], [stays]))
     keeper.read(state.items)
     assert list(keeper.core.accounts) == ["stays"]
+
+
+def test_a_writer_is_not_refused_once_deletions_are_forgotten() -> None:
+    """Newer deletions of other items hid when the document had changed."""
+    state = states.State()
+    apply(state, 1, version([route("a"), route("b")], None))
+    apply(state, 2, version([route("a")], None))
+    index = 2
+    for number in range(item_store.MAX_TOMBSTONES + 1):
+        for draining in (True, False):
+            index += 1
+            apply(state, index, messages.DrainHost(f"h{number}", draining))
+    body = version([], None)
+    body.expected_revision = 2
+    assert apply(state, index + 1, body) == messages.Outcome.DONE
--- a/libs/fleet/src/trefoil_fleet/items.py
+++ b/libs/fleet/src/trefoil_fleet/items.py
@@ -132,7 +132,14 @@
         return item.revision if item is not None else 0
 
     def newest_revision(self, prefixes: tuple[str, ...]) -> int:
-        """Return the revision that last changed a key with one of prefixes."""
+        """Return the revision that last changed an item of some kinds.
+
+        A configuration that was sent whole does not know it: it has no
+        tombstones.
+
+        Args:
+            prefixes: The key prefixes of the kinds, of ``KINDS``.
+        """
         return max(
             (
                 item.revision
@@ -234,6 +241,10 @@
         if len(tombstones) <= MAX_TOMBSTONES:
             return
         tombstones.sort(key=lambda item: item.revision)
+        # The newest of each kind is kept for ``newest_revision``.
+        newest = {prefix_of(item.key): item.key for item in tombstones}
         for item in tombstones[: len(tombstones) - MAX_TOMBSTONES]:
+            if newest[prefix_of(item.key)] == item.key:
+                continue
             del self.by_key[item.key]
             self.oldest_base = max(self.oldest_base, item.revision)
