Send a restored configuration whole to those behind it

Proxies: a control process that was restarted answered a proxy that was behind with a delta that lacked deletions. The digest refused it, and the proxy asked once more for the whole; until then it stayed at the old version.

Evidence: test_a_restored_control_process_sends_no_delta_without_deletions failed before (with_delta returned None); in the state machine each delta must apply now.

Change: a configuration built from a list of items counts all deletions before its revision as dropped. Proxies at or beyond it still get deltas, all others the whole at once.

After: the test and the state machine pass.

--- a/libs/daemon/tests/test_configuration_views.py
+++ b/libs/daemon/tests/test_configuration_views.py
@@ -86,10 +86,9 @@
         self.table = routing.RouteTable(self.items)
 
     def receive(self, delta: messages.ConfigDelta) -> None:
-        """Apply a delta as a proxy does, unless its digest differs."""
+        """Apply a delta as a proxy does."""
         items = self.items.with_delta(delta)
-        if items is None:
-            return
+        assert items is not None
         self.items = items
         self.table = routing.RouteTable(items, self.table)
 
@@ -250,3 +249,16 @@
     body = version([], None)
     body.expected_revision = 2
     assert apply(state, index + 1, body) == messages.Outcome.DONE
+
+
+def test_a_restored_control_process_sends_no_delta_without_deletions() -> None:
+    """A proxy refused it by its digest, and asked once more for the whole."""
+    state = states.State()
+    many = [route(f"r{n}") for n in range(item_store.MAX_TOMBSTONES + 1)]
+    apply(state, 1, version(many, None))
+    proxy = Proxy()
+    proxy.receive(state.items.delta_since(0))
+    apply(state, 2, version([], None))
+    restored = states.State.from_bytes(state.to_bytes())
+    proxy.receive(restored.items.delta_since(1))
+    assert not proxy.table.routes
--- a/libs/fleet/src/trefoil_fleet/items.py
+++ b/libs/fleet/src/trefoil_fleet/items.py
@@ -88,8 +88,13 @@
     def from_list(
         cls, revision: int, items: collections.abc.Iterable[messages.Item]
     ) -> typing.Self:
-        """Build a configuration from all of its items."""
+        """Build a configuration from all of its items.
+
+        Which tombstones were dropped before is not known: it is sent whole to
+        peers whose revision is older.
+        """
         configuration = cls(revision)
+        configuration.oldest_base = revision
         for item in items:
             configuration._put(item)
         return configuration
