Take no late answer for one to a newer question

Cause: questions were numbered from 1 in each lifetime of a process.

Change: ids of questions bear 64 random bits that are drawn at the start, on both interfaces. The product's own began at the time of day, which a clock that is set back repeats (by reading).

--- a/libs/daemon/src/trefoil_daemon/admin.py
+++ b/libs/daemon/src/trefoil_daemon/admin.py
@@ -1,11 +1,9 @@
 """The HTTP admin interface for targets and operators."""
 
-import itertools
 import json
 import typing
 
 from trefoil_language import statements
-from trefoil_model import clock as clocks
 from trefoil_model import errors
 from trefoil_wire import messages
 
@@ -41,35 +39,33 @@
 
     Args:
         process: The process engine.
-        clock: The runtime's clock.
         metrics: The process's metrics, for queries answered locally.
         bytes_out: Control bytes sent, by message kind, for the same queries.
         name: Name of the process.
+        query_ids: The ids of its queries.
     """
 
     __slots__ = (
         "process",
-        "clock",
         "metrics",
         "bytes_out",
         "name",
-        "query_numbers",
+        "query_ids",
     )
 
     def __init__(
         self,
         process: Process,
-        clock: clocks.Clock,
         metrics: metric_store.Metrics,
         bytes_out: dict[str, int],
         name: str,
+        query_ids: operators.QueryIds,
     ) -> None:
         self.process = process
-        self.clock = clock
         self.metrics = metrics
         self.bytes_out = bytes_out
         self.name = name
-        self.query_numbers = itertools.count(clock.wall_ms())
+        self.query_ids = query_ids
 
     def handle_request(
         self,
@@ -160,9 +156,9 @@
                 command, lambda reply: _answer_reply(exchange, reply)
             )
             return
-        query_id = f"{self.name}-{next(self.query_numbers)}"
+        query = messages.Query(self.query_ids.next(), line, 0)
         self.process.ask(
-            sendable.checked(messages.Query(query_id, line, 0)),
+            sendable.checked(query),
             lambda reply: _answer_query(exchange, reply),
         )
 
--- a/libs/daemon/src/trefoil_daemon/operators.py
+++ b/libs/daemon/src/trefoil_daemon/operators.py
@@ -3,7 +3,9 @@
 import collections.abc
 import dataclasses
 import datetime
+import itertools
 import json
+import random
 import typing
 
 from trefoil_language import statements
@@ -19,6 +21,7 @@
 RETRY_AFTER_MS = 500
 QUERY_TIMEOUT_MS = 1500
 MAX_WAITING_IDS = 1024
+NONCE_BITS = 64
 
 OnReply = collections.abc.Callable[[typing.Any], None]
 
@@ -83,6 +86,29 @@
         return expired
 
 
+class QueryIds:
+    """Ids of the queries of one process.
+
+    The leader may still hold questions of the process that ran here before.
+    Were ids used again, its answers to them would be taken for answers to the
+    questions of this process.
+
+    Args:
+        name: Name of the process.
+        rng: Draws what tells this process from earlier ones.
+    """
+
+    __slots__ = ("prefix", "numbers")
+
+    def __init__(self, name: str, rng: random.Random) -> None:
+        self.prefix = f"{name}-{rng.getrandbits(NONCE_BITS):x}"
+        self.numbers = itertools.count(1)
+
+    def next(self) -> str:
+        """Return an id that no query has used."""
+        return f"{self.prefix}-{next(self.numbers)}"
+
+
 def pending(command_id: str, why: str) -> messages.CommandReply:
     """Return the reply to a command whose outcome is not known yet."""
     return messages.CommandReply(
--- a/libs/daemon/src/trefoil_daemon/runtime.py
+++ b/libs/daemon/src/trefoil_daemon/runtime.py
@@ -28,6 +28,7 @@
 from . import hub as hubs
 from . import logs
 from . import metrics as metric_store
+from . import operators
 from . import reload
 from . import transport as transports
 
@@ -106,10 +107,10 @@
         """Return the handler of the admin listener."""
         return admin.Admin(
             self.engine,
-            self.system_clock,
             self.metrics,
             self.hub.bytes_out,
             self.process_name,
+            operators.QueryIds(self.process_name, self.rng),
         )
 
     def serve_admin(self, address: str, max_body: int) -> int:
