End reads that a full disk took the document from

Operators: a read could be answered with an older configuration, marked as confirmed, at a control host whose disk had refused a write while the read was under way. Seen in a test with real cores only.

Cause: the host offers the leader the document that it holds, and the leader confirms it without a body. The ids of questions are the same, it is one lifetime.

Change: where the state that is loaded again holds another document, the questions that wait are answered as unconfirmed: 503, and the caller asks again.

--- a/libs/daemon/src/trefoil_daemon/control_process.py
+++ b/libs/daemon/src/trefoil_daemon/control_process.py
@@ -619,10 +619,23 @@
         self.routed_to = {}
         self._reset_leader_state()
 
+    def _reopen_agreement(self, now_ms: int) -> None:
+        """Load the agreement core and the state once more.
+
+        The leader may still confirm the document that was held until then,
+        and the reply would be filled in with the older one of the snapshot.
+        """
+        held = self.state.document_tag()
+        self._open_agreement(self.driver, now_ms)
+        if self.state.document_tag() == held:
+            return
+        for waiter in self.queries.take_all():
+            waiter.reply(self._query_reply(waiter.request, False))
+
     def _retry_disk(self, now_ms: int) -> None:
         """Resume from the state on disk if it accepts writes again."""
         try:
-            self._open_agreement(self.driver, now_ms)
+            self._reopen_agreement(now_ms)
             self.store.save_hard_state(self.store.hard_state)
         except OSError:
             # The first failure was logged; retries are not.
--- a/libs/daemon/src/trefoil_daemon/operators.py
+++ b/libs/daemon/src/trefoil_daemon/operators.py
@@ -73,6 +73,12 @@
         """Remove and return the pending requests of an id."""
         return self.by_id.pop(key, [])
 
+    def take_all(self) -> list[Waiter]:
+        """Remove and return all pending requests."""
+        taken = [waiter for group in self.by_id.values() for waiter in group]
+        self.by_id = {}
+        return taken
+
     def expired(self, now_ms: int) -> list[Waiter]:
         """Remove and return the pending requests that have expired."""
         expired = []
