Take no loan of tokens for an earlier keeper

Callers: the limit of an account could be exceeded after a keeper of quotas was restarted while another was slow. By reading and tests of the core; no process showed it.

Cause: a keeper's questions for loans were numbered from 1. The answer to one of the keeper that ran here before, late by any time, counted as the loan for a question of the new keeper with that number.

Change: a keeper's numbers begin at random, like those of entry proxies.

--- a/libs/accounts/src/trefoil_accounts/quota_keeper.py
+++ b/libs/accounts/src/trefoil_accounts/quota_keeper.py
@@ -147,6 +147,9 @@
 
     Args:
         terms: How far limits may be exceeded.
+        first_ask_id: Where the ids of its questions begin. Drawn at random, it
+            keeps loans for an earlier keeper of this host from being taken
+            for new ones: they may be of any age.
     """
 
     __slots__ = (
@@ -158,7 +161,9 @@
         "last_ask_id",
     )
 
-    def __init__(self, terms: quota_terms.QuotaTerms) -> None:
+    def __init__(
+        self, terms: quota_terms.QuotaTerms, first_ask_id: int = 0
+    ) -> None:
         self.terms = terms
         self.accounts: dict[str, messages.Account] = {}
         self.shares = 1
@@ -166,7 +171,7 @@
         self.purses: collections.OrderedDict[str, Purse] = (
             collections.OrderedDict()
         )
-        self.last_ask_id = 0
+        self.last_ask_id = first_ask_id
 
     def put_in_force(
         self, accounts: typing.Mapping[str, messages.Account], now_ms: int
--- a/libs/accounts/tests/test_quotas.py
+++ b/libs/accounts/tests/test_quotas.py
@@ -468,3 +468,18 @@
     derandomize=True, max_examples=100, stateful_step_count=50, deadline=None
 )
 TestQuotas = Quotas.TestCase
+
+
+def test_a_loan_of_an_earlier_keeper_adds_nothing() -> None:
+    """Its tokens, of any age, were added to those of the new keeper."""
+    lender = keeper_of(limited(10, 10), ("d1",))
+    earlier = keeper_of(limited(10, 10), ("d2",))
+    (question,) = earlier.on_ask("h1", ask(1000), START_MS)
+    (lent,) = lender.on_ask("d1", question.message, START_MS)
+    restarted = quota_keeper.QuotaKeeper(TERMS, first_ask_id=1 << 40)
+    restarted.put_in_force({"alice": limited(10, 10)}, START_MS)
+    restarted.set_keepers(["d2"], 2, START_MS)
+    restarted.on_ask("h1", ask(1000), START_MS)
+    left = restarted.purses["alice"].bucket.refill(START_MS)
+    assert restarted.on_reply("d2", lent.message, START_MS) == []
+    assert restarted.purses["alice"].bucket.refill(START_MS) == left
--- a/libs/daemon/src/trefoil_daemon/quota_keepers.py
+++ b/libs/daemon/src/trefoil_daemon/quota_keepers.py
@@ -14,6 +14,7 @@
 # A keeper that replaces another one in its failure domain waits until that one
 # has received the list without it.
 HANDOVER_MS = 1000
+ASK_ID_BITS = 48
 
 
 def keepers_by_domain(
@@ -57,7 +58,8 @@
                 settings.quota_window_ms,
                 settings.quota_overage,
                 settings.quota_slack,
-            )
+            ),
+            process.rng.getrandbits(ASK_ID_BITS),
         )
         self.accounts = directory.Directory()
         self.list_number = 0
