Grant no tokens before the newest quotas are known

With real cores of three control hosts, test_a_keeper_that_has_just_started_grants_nothing failed before (1,000 tokens granted).

Change: Raft.caught_up tells whether this process has applied what its leader had committed when it was first heard, in a term of which something is committed. Keepers answer nobody before that, and take no accounts from an older state when a full disk accepts writes again.

--- a/libs/daemon/src/trefoil_daemon/control_process.py
+++ b/libs/daemon/src/trefoil_daemon/control_process.py
@@ -134,7 +134,6 @@
         self.confirmations = floor_confirmations.FloorConfirmations(self)
         self.revision_answers = revision_answers.RevisionAnswers(self)
         self.quotas = quota_keepers.QuotaKeepers(self)
-        self.quotas.put_in_force()
         self.loads = load_reports.LoadRelay(self)
         self.unpublished = False
 
--- a/libs/daemon/src/trefoil_daemon/quota_keepers.py
+++ b/libs/daemon/src/trefoil_daemon/quota_keepers.py
@@ -44,6 +44,7 @@
         "process",
         "keeper",
         "accounts",
+        "knows_accounts",
         "list_number",
         "is_keeper",
         "active_from_ms",
@@ -62,13 +63,21 @@
             process.rng.getrandbits(ASK_ID_BITS),
         )
         self.accounts = directory.Directory()
+        self.knows_accounts = False
         self.list_number = 0
         self.is_keeper = False
         self.active_from_ms = 0
         self.limited: set[str] = set()
 
     def put_in_force(self) -> None:
-        """Apply the accounts of the newest agreed configuration."""
+        """Apply the accounts of the newest agreed configuration.
+
+        The state of a process that has just started is that of its last
+        snapshot. By its quotas, more would be granted than is allowed now.
+        """
+        if not self.process.raft.caught_up:
+            return
+        self.knows_accounts = True
         accounts = directory.Directory.from_items(
             self.process.state.items, self.accounts
         )
@@ -79,8 +88,10 @@
 
     def on_ask(self, sender: str, ask: messages.TokenAsk) -> None:
         """Handle the question of a proxy or of another keeper."""
+        if not self.is_keeper or not self.knows_accounts:
+            return
         now_ms = self.process.clock.boot_ms()
-        if self.is_keeper and now_ms >= self.active_from_ms:
+        if now_ms >= self.active_from_ms:
             self._send(self.keeper.on_ask(sender, ask, now_ms))
 
     def on_reply(self, lender: str, reply: messages.TokenReply) -> None:
@@ -89,7 +100,8 @@
         self._send(self.keeper.on_reply(lender, reply, now_ms))
 
     def tick(self) -> None:
-        """Follow the list of control hosts, and end late loans."""
+        """Follow accounts and the list of control hosts, and end loans."""
+        self.put_in_force()
         if not self.accounts.keys_required:
             return
         now_ms = self.process.clock.boot_ms()
--- a/libs/daemon/tests/test_quota_keepers.py
+++ b/libs/daemon/tests/test_quota_keepers.py
@@ -1,5 +1,8 @@
 """Keepers of quotas in control processes that were restarted."""
 
+import typing
+
+from trefoil_daemon import control_process
 from trefoil_emulator import control_net
 from trefoil_wire import frames
 from trefoil_wire import messages
@@ -53,6 +56,26 @@
     return min(control_net.FOUNDERS)
 
 
+def record_replies(
+    process: control_process.ControlProcess,
+) -> list[messages.TokenReply]:
+    """Return the list that the process's replies to proxies go to."""
+    replies: list[typing.Any] = []
+    process.driver.reply = lambda origin, message: replies.append(message)
+    return replies
+
+
+def ask(process: control_process.ControlProcess, wanted: int) -> None:
+    """Ask the keeper for tokens as an entry proxy does."""
+    wish = messages.TokenWish("alice", wanted, wanted, wanted)
+    process.quotas.on_ask(PROXY, messages.TokenAsk(1, [wish]))
+
+
+def granted(replies: list[messages.TokenReply]) -> float:
+    """Return how many tokens some replies grant."""
+    return sum(grant.granted for r in replies for grant in r.grants)
+
+
 def test_a_loan_for_an_earlier_keeper_is_void() -> None:
     """Tokens of any age were spent: numbers began anew at each start."""
     net = network_with_a_quota()
@@ -60,3 +83,46 @@
     before = net.processes[name].quotas.keeper.last_ask_id
     restart(net, name)
     assert net.processes[name].quotas.keeper.last_ask_id != before
+
+
+def test_a_keeper_that_has_just_started_grants_nothing() -> None:
+    """It granted all that was asked, by the quotas of its last snapshot."""
+    net = network_with_a_quota()
+    name = keeper_of(net)
+    restart(net, *control_net.FOUNDERS)
+    for other in set(control_net.FOUNDERS) - {name}:
+        net.stop(other)
+    net.run(1000)
+    process = net.processes[name]
+    assert process.state.items.get("account/alice").rate_per_s == 0
+    replies = record_replies(process)
+    ask(process, 1000)
+    assert granted(replies) == 0
+
+
+def test_a_keeper_grants_by_the_newest_quotas_once_it_knows_them() -> None:
+    """All control processes were killed together."""
+    net = network_with_a_quota()
+    name = keeper_of(net)
+    restart(net, *control_net.FOUNDERS)
+    process = net.processes[name]
+    replies = record_replies(process)
+    for _ in range(40):
+        net.run(control_net.STEP_MS)
+        ask(process, 1000)
+    assert 0 < granted(replies) <= process.quotas.keeper.terms.allowed(5, 5)
+
+
+def test_a_keeper_whose_disk_was_full_goes_on_by_the_quotas_it_knew() -> None:
+    """Its state falls back to the last snapshot within one lifetime."""
+    net = network_with_a_quota()
+    name = keeper_of(net)
+    process = net.processes[name]
+    net.partition(set(control_net.FOUNDERS) - {name}, {name, PROXY})
+    process._suspend("No space left on device")
+    process._retry_disk(net.clock.now_ms())
+    net.run(500)
+    assert process.state.items.get("account/alice").rate_per_s == 0
+    replies = record_replies(process)
+    ask(process, 1000)
+    assert 0 < granted(replies) <= process.quotas.keeper.terms.allowed(5, 5)
--- a/libs/quorum/src/trefoil_quorum/raft.py
+++ b/libs/quorum/src/trefoil_quorum/raft.py
@@ -109,6 +109,12 @@
         election_ms: Minimum election timeout; the maximum is twice that.
         min_voters: Silent voters are removed only while more than this many
             voters remain. 0 disables removal.
+
+    Attributes:
+        leader_commit: Commit index in the newest message of a leader, -1
+            before the first one.
+        caught_up: Whether the applied state has been, since the start, as new
+            as that of a leader. Until then it is that of the last snapshot.
     """
 
     __slots__ = (
@@ -126,6 +132,8 @@
         "leader",
         "commit",
         "applied",
+        "leader_commit",
+        "caught_up",
         "voters",
         "learners",
         "config_index",
@@ -170,6 +178,8 @@
         self.leader = ""
         self.commit = self.log.base_index
         self.applied = self.log.base_index
+        self.leader_commit = -1
+        self.caught_up = False
         self.voters: list[str] = []
         self.learners: list[str] = []
         self.config_index = 0
@@ -634,6 +644,7 @@
         # never received it (figure 8 of the Raft paper).
         if matched > self.commit and self.log.term_at(matched) == self.term:
             self.commit = matched
+            self.caught_up = True
             self.pacing.failed_elections = 0
             self._apply()
             self._step_down_if_removed()
@@ -681,6 +692,7 @@
             self._reply_append(request.leader, False, 0, request.round)
             return
         self._follow_leader(request.term, request.leader)
+        self.leader_commit = request.commit
         covered = request.prev_index < self.log.base_index
         known_term = self.log.term_at(request.prev_index)
         if not covered and known_term != request.prev_term:
@@ -695,6 +707,7 @@
             if not self._own_term_uncommitted():
                 self.pacing.failed_elections = 0
             self._apply()
+        self._check_caught_up()
         self._reply_append(request.leader, True, matched, request.round)
 
     def _follow_leader(self, term: int, leader: str) -> None:
@@ -727,6 +740,17 @@
             request.prev_index + len(request.entries), self.log.base_index
         )
 
+    def _check_caught_up(self) -> None:
+        """Record whether all that was agreed before the start is applied.
+
+        A leader whose own term has nothing committed may itself not know yet
+        what is, and a message of a leader tells where its commit stands.
+        """
+        if self.leader_commit < 0 or self._own_term_uncommitted():
+            return
+        if self.commit >= self.leader_commit:
+            self.caught_up = True
+
     def _reply_append(
         self, leader: str, success: bool, match_index: int, round_number: int
     ) -> None:
@@ -762,6 +786,7 @@
             self.commit = snapshot.last_index
             self.applied = snapshot.last_index
             self._update_config()
+            self._check_caught_up()
         self._reply_append(
             request.leader, True, max(self.commit, snapshot.last_index), 0
         )
--- a/libs/quorum/tests/test_raft.py
+++ b/libs/quorum/tests/test_raft.py
@@ -596,3 +596,48 @@
     assert len(stored) < 0.6 * len(zlib.compress(text, 1))
     entry = messages.Entry(1, 1, stored)
     assert log_commands.decode(entry.command).command.body == text
+
+
+def restarted_follower(term: int) -> rafts.Raft:
+    """Return a process that starts with a snapshot of entries 1 to 10."""
+    snapshot = messages.Snapshot(10, 3, INITIAL_VOTERS, [], b"[]")
+    return rafts.Raft(
+        "a#first",
+        voters=INITIAL_VOTERS,
+        hard_state=messages.HardState(term, "", "a#first"),
+        snapshot=snapshot,
+        rng=random.Random(1),
+    )
+
+
+def append(
+    raft: rafts.Raft, term: int, commit: int, *indexes: int, prev_term: int = 3
+) -> None:
+    """Send entries of a term to a process."""
+    noop = log_commands.encode(messages.Noop(term=term))
+    entries = [messages.Entry(index, term, noop) for index in indexes]
+    previous = indexes[0] - 1 if indexes else raft.log.last_index
+    request = messages.AppendRequest(
+        term, "b#first", previous, prev_term, entries, commit, 1
+    )
+    raft.receive("b", request, 10)
+
+
+def test_a_process_has_caught_up_once_it_applied_what_its_leader_did() -> None:
+    """Keepers of quotas granted by the state of the last snapshot."""
+    raft = restarted_follower(3)
+    assert not raft.caught_up
+    append(raft, 3, 14, 11, 12)
+    assert raft.applied == 12
+    assert not raft.caught_up
+    append(raft, 3, 14, 13, 14)
+    assert raft.caught_up
+
+
+def test_a_leader_that_has_just_started_tells_nobody_what_is_newest() -> None:
+    """All were killed: its own commit index is that of its snapshot."""
+    raft = restarted_follower(3)
+    append(raft, 4, 10, 11)
+    assert not raft.caught_up
+    append(raft, 4, 11, prev_term=4)
+    assert raft.caught_up
