Write the next answer when those before it are taken

Cause: answers behind a slow one are held back and were all written in one turn; a stream closes its connection when more is to be sent while 8 MiB wait.

Change: the next answer is written once the kernel has taken the one before. The bound of 8 MiB then meets only a client that does not read. Such a client is closed after the idle time as before, also with answers waiting behind.

--- a/libs/daemon/src/trefoil_daemon/exchanges.py
+++ b/libs/daemon/src/trefoil_daemon/exchanges.py
@@ -3,7 +3,8 @@
 A client may send further requests before the first one is answered. Those
 that may be repeated start at once; another one starts when all before it are
 answered, and holds up those behind it. Answers that are ready early wait for
-the ones before them.
+the ones before them, and until the kernel has taken those: they would else be
+buffered without a bound for a client that reads as fast as its link bears.
 """
 
 import collections
@@ -313,14 +314,14 @@
             self._send_all_ready()
             while not (self.stream.closed or self.stream.closing):
                 self._go_on()
-                if not self._is_first_ready:
+                if not self._may_send:
                     return
                 self._send_all_ready()
         finally:
             self.sending = False
 
     def _send_all_ready(self) -> None:
-        while self._is_first_ready:
+        while self._may_send:
             if self.server.closing and len(self.exchanges) == 1:
                 # What has been received is answered before the close.
                 self.read_next()
@@ -328,6 +329,16 @@
             if self.stream.closed or self.stream.closing:
                 return
 
+    @property
+    def _may_send(self) -> bool:
+        """Return whether the next answer is there, and its turn has come."""
+        return self._is_first_ready and not self.stream.unsent
+
+    @property
+    def waits_for_reader(self) -> bool:
+        """Return whether the next answer waits until the client has read."""
+        return self._is_first_ready and bool(self.stream.unsent)
+
     @property
     def _is_first_ready(self) -> bool:
         """Return whether the answer that is to be sent next is there."""
--- a/libs/daemon/src/trefoil_daemon/http_server.py
+++ b/libs/daemon/src/trefoil_daemon/http_server.py
@@ -138,6 +138,7 @@
         stream.owner = connection
         stream.on_data = self._on_data
         stream.on_close = self._on_close
+        stream.on_drained = self._on_drained
         self.connections.add(connection)
 
     def _has_place(self) -> bool:
@@ -161,6 +162,9 @@
     def _on_data(self, stream: transports.Stream, data: bytes) -> None:
         stream.owner.receive(data)
 
+    def _on_drained(self, stream: transports.Stream) -> None:
+        stream.owner.send_ready()
+
     def read(
         self, connection: exchanges.ServerConnection
     ) -> _http.Message | None:
@@ -235,9 +239,11 @@
         now_ms = self.clock.now_ms()
         for connection in list(self.connections):
             connection.recount()
-            if connection.exchanges:
+            if connection.waits_for_reader:
+                self._close_if_idle(connection, now_ms)
+            elif connection.exchanges:
                 continue
-            if connection.reader.started and not connection.stream.closing:
+            elif connection.reader.started and not connection.stream.closing:
                 self._close_slow(connection, now_ms)
             else:
                 self._close_if_idle(connection, now_ms)
--- a/libs/daemon/tests/test_pipelining.py
+++ b/libs/daemon/tests/test_pipelining.py
@@ -184,6 +184,38 @@
     assert "/read/3" in client.handler.ran
 
 
+def test_answers_behind_a_slow_one_wait_for_their_client() -> None:
+    """They were written at once, and lost with their connection at 8 MiB."""
+    client = Client()
+    client.stream.is_slow = True
+    paths = [f"/read/{number}" for number in range(exchanges.MAX_EXCHANGES)]
+    client.send(*paths)
+    for path in reversed(paths):
+        client.handler.answer(path, 1 << 20)
+    while client.stream.queued:
+        client.stream.take(1 << 19)
+    assert client.answers == paths
+    assert not client.stream.closed
+
+
+def test_a_client_that_reads_none_of_its_answers_is_closed() -> None:
+    """The answers behind the first one kept it open."""
+    client = Client()
+    client.server.limits.idle_ms = 15_000
+    client.stream.is_slow = True
+    client.send("/read/1", "/read/2")
+    client.handler.answer("/read/1", 1 << 20)
+    client.handler.answer("/read/2", 1 << 20)
+    client.stream.take(1)
+    client.server.tick()
+    client.clock.advance(15_000)
+    client.server.tick()
+    assert not client.stream.closed
+    client.clock.advance(1)
+    client.server.tick()
+    assert client.stream.closed
+
+
 def test_a_sender_that_is_ahead_is_stopped_and_goes_on() -> None:
     client = Client()
     client.send("/pay/1")
@@ -301,6 +333,14 @@
         self.answered[path] += 1
         self.client.handler.answer(path, size)
 
+    @stateful.rule(is_slow=strategies.booleans())
+    def the_client_reads(self, is_slow: bool) -> None:
+        """Read all that waits, and read on or stop to."""
+        stream = self.client.stream
+        while stream.queued and not stream.closed:
+            stream.take(len(stream.queued))
+        stream.is_slow = is_slow
+
     @stateful.rule()
     def time_passes(self) -> None:
         self.client.clock.advance(100)
@@ -345,6 +385,7 @@
             return
         if self.pending and not stream.closing:
             stream.on_data(stream, self.pending)
+        self.the_client_reads(is_slow=False)
         while self.client.handler.running:
             self.client.handler.answer(min(self.client.handler.running))
         if not stream.closing or self.ended:
--- a/libs/emulator/src/trefoil_emulator/memory_stream.py
+++ b/libs/emulator/src/trefoil_emulator/memory_stream.py
@@ -2,12 +2,15 @@
 
 import typing
 
+from trefoil_daemon import transport
+
 
 class MemoryStream:
     """Records what is sent, and delivers what the test sends.
 
     ``unsent`` and ``unacknowledged`` are what the test sets them to: the
-    bytes of answers that the peer has not read.
+    bytes of answers that the peer has not read. A peer that ``is_slow`` takes
+    bytes only where the test says so.
     """
 
     def __init__(self) -> None:
@@ -21,15 +24,33 @@
         self.unread = 0
         self.unacknowledged = 0
         self.sent = b""
+        self.is_slow = False
+        self.queued = b""
         self.owner: typing.Any = None
         self.on_data: typing.Any = None
         self.on_close: typing.Any = None
         self.on_open: typing.Any = None
+        self.on_drained: typing.Any = None
 
     def write(self, data: bytes) -> None:
-        """Record sent data."""
-        if not self.closed and not self.closing:
+        """Record sent data, or queue it for a slow peer."""
+        if self.closed or self.closing:
+            return
+        if not self.is_slow:
             self.sent += data
+        elif self.unsent > transport.MAX_BUFFERED_BYTES:
+            self.close()
+        else:
+            self.queued += data
+            self.unsent = len(self.queued)
+
+    def take(self, count: int) -> None:
+        """Let a slow peer take bytes."""
+        self.sent += self.queued[:count]
+        self.queued = self.queued[count:]
+        self.unsent = len(self.queued)
+        if not self.unsent and not self.closing and self.on_drained:
+            self.on_drained(self)
 
     def set_paused(self, paused: bool) -> None:
         """Record whether the stream is read."""
