Test streams whose callers leave, and requests late in the grace

Two reports of other operators: a target's bytes without end were all kept until the machine that had called it ran out of memory; and requests that came late in the grace of a planned stop were passed on and cut without an answer.

Neither was shown here, on paths that had no test: drips without end whose callers leave, near and far, at routes with ten minutes; and 48 kept connections used once more at 0 to 6 s after SIGTERM, half of them for requests that may not be repeated, calm and beside eight changes of the configuration. Each request that ran was answered, and the memory stayed below its bound. By reading, health checks, links and answers to other hosts bound what they hold of a stream.

--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import socket
 import threading
 import time
 
@@ -20,6 +21,8 @@
      repeat: any}
   - {name: endless, prefix: /endless, service: troubled, tenant: t,
      timeout: 2s, repeat: once}
+  - {name: patient, prefix: /patient, service: troubled, tenant: t,
+     timeout: 10m, repeat: once}
 """
 TROUBLED = "t-troubled"
 CALLS = 8
@@ -146,6 +149,38 @@
     assert fleet.members["near"].rss_mb < MAX_RSS_MB
 
 
+def call_and_leave(fleet: fleets.LocalFleet, host: str) -> socket.socket:
+    """Return a connection whose request waits for the troubled target."""
+    address, _, port = fleet.members[host].address("callers").rpartition(":")
+    connection = socket.create_connection((address, int(port)))
+    connection.sendall(b"POST /patient HTTP/1.1\r\nHost: h\r\n\r\n")
+    return connection
+
+
+@pytest.mark.parametrize("host", ["near", "far"])
+@pytest.mark.parametrize(
+    "name", ["a head line", "a body without a length", "chunks of one byte"]
+)
+def test_drips_without_end_end_when_their_callers_leave(
+    fleet, name: str, host: str
+) -> None:
+    """The proxy read on for callers that were gone, and kept it all."""
+    with Troubled(fleet, name, 0.05) as target:
+        wait_until_known(fleet, host)
+        before = target.requests
+        callers = [call_and_leave(fleet, host) for _ in range(CALLS)]
+        fleets.wait_for(
+            "the requests", lambda: target.requests == before + CALLS
+        )
+        for caller in callers:
+            caller.close()
+        fleets.wait_for(
+            "the proxy to close", lambda: target.closed == target.requests
+        )
+        assert fleet.call(host, "/sound").status == 200
+    assert fleet.members["near"].rss_mb < MAX_RSS_MB
+
+
 def call_beside_others(
     fleet: fleets.LocalFleet, host: str
 ) -> tuple[list[int], set[int]]:
--- a/tests/test_shutdown_processes.py
+++ b/tests/test_shutdown_processes.py
@@ -2,6 +2,9 @@
 
 import collections.abc
 import concurrent.futures
+import contextlib
+import http.client
+import time
 
 import pytest
 
@@ -127,3 +130,67 @@
         assert all(a.path == f"/files/{a.name}" for a in served)
         unanswered = set(caller.sent) & ran - {a.name for a in caller.answers}
         assert not unanswered, caller.name
+
+
+class KeptConnection:
+    """A connection that has served a request and is used once more.
+
+    Attributes:
+        status: Status of the second answer; 0 if none came.
+    """
+
+    def __init__(self, name: str, address: str, path: str) -> None:
+        self.name = name
+        self.path = path
+        self.status = 0
+        self.connection = http.client.HTTPConnection(address, timeout=20)
+        self._ask("/files/warm-up", f"{name}-first")
+
+    def send(self, after_s: float) -> None:
+        """Send the second request some time from now."""
+        time.sleep(after_s)
+        with contextlib.suppress(OSError, http.client.HTTPException):
+            self.status = self._ask(f"{self.path}/{self.name}", self.name)
+
+    def _ask(self, path: str, name: str) -> int:
+        connection = self.connection
+        # It would open another connection by itself.
+        connection.auto_open = connection.sock is None
+        connection.request("POST", path, headers={"X-Request-Name": name})
+        response = connection.getresponse()
+        response.read()
+        return response.status
+
+
+@pytest.mark.parametrize("changes", [False, True])
+def test_no_request_late_in_the_grace_is_cut_without_an_answer(
+    fleet, changes: bool
+) -> None:
+    """What came late was passed on, and cut when the proxy exited."""
+    address = fleet.members["h1"].address("callers")
+    paths = ["/orders", "/files"]
+    kept = [
+        KeptConnection(f"k{number}", address, paths[number % 2])
+        for number in range(48)
+    ]
+    for host in HOSTS:
+        fleet.behave(f"t-{host}", delay_ms=1200, jitter=0.9)
+    fleet.terminate("h1")
+    with concurrent.futures.ThreadPoolExecutor(len(kept)) as pool:
+        for number, connection in enumerate(kept):
+            pool.submit(connection.send, number * 0.13)
+        for version in range(8 if changes else 0):
+            timeout_s = 20 + version
+            document = DOCUMENT.replace("20s", f"{timeout_s}s")
+            fleet.execute(f"apply files-{version}.yaml", document=document)
+            time.sleep(0.6)
+    wait_for_exit(fleet, "h1")
+    ran = runs(fleet)
+    by_name = {connection.name: connection.status for connection in kept}
+    refused = {name for name, status in by_name.items() if status == 503}
+    cut = {name for name, status in by_name.items() if not status}
+    assert set(by_name.values()) <= {0, 200, 503, OUTCOME_UNKNOWN}
+    # Some came in time and some too late, or nothing was tried.
+    assert 200 in by_name.values()
+    assert refused | cut
+    assert not (refused | cut) & ran
