Draw the ids of evacuation calls for each process

Operators: an evacuation call could be taken for one of the process that ran on the host before, where the clock had been set back to the same millisecond. By reading; far less likely than a lost machine, and of the same kind as the questions that were numbered anew at each start.

Cause: the id was the time of day and a counter from 1.

Evidence: test_a_restarted_process_uses_no_id_of_the_one_before holds now; the ids of before had no source of their own to ask, so it could not run on them.

--- a/libs/daemon/src/trefoil_daemon/admin.py
+++ b/libs/daemon/src/trefoil_daemon/admin.py
@@ -59,7 +59,7 @@
         metrics: metric_store.Metrics,
         bytes_out: dict[str, int],
         name: str,
-        query_ids: operators.QueryIds,
+        query_ids: operators.UniqueIds,
     ) -> None:
         self.process = process
         self.metrics = metrics
--- a/libs/daemon/src/trefoil_daemon/evacuations.py
+++ b/libs/daemon/src/trefoil_daemon/evacuations.py
@@ -7,7 +7,6 @@
 """
 
 import dataclasses
-import itertools
 import typing
 
 from trefoil_wire import frames
@@ -61,11 +60,12 @@
         process: The control process.
     """
 
-    __slots__ = ("process", "counter", "held")
+    __slots__ = ("process", "ids", "held")
 
     def __init__(self, process: "control_process.ControlProcess") -> None:
         self.process = process
-        self.counter = itertools.count(1)
+        name = f"evacuation-{process.settings.host}"
+        self.ids = operators.UniqueIds(name, process.rng)
         self.held: list[EvacuationCall] = []
 
     def ask(self, call: EvacuationCall) -> None:
@@ -106,12 +106,10 @@
 
     def _command(self, call: EvacuationCall) -> messages.Command:
         kind, data = frames.pack_any(call.request)
-        wall_ms = self.process.clock.wall_ms()
-        host = self.process.settings.host
         return messages.Command(
-            command_id=f"evacuation-{host}-{wall_ms}-{next(self.counter)}",
+            command_id=self.ids.next(),
             operator_name=call.operator,
-            issued_ms=wall_ms,
+            issued_ms=self.process.clock.wall_ms(),
             kind=kind,
             body=data,
         )
--- a/libs/daemon/src/trefoil_daemon/operators.py
+++ b/libs/daemon/src/trefoil_daemon/operators.py
@@ -92,15 +92,15 @@
         return expired
 
 
-class QueryIds:
-    """Ids of the queries of one process.
+class UniqueIds:
+    """Ids that no process has used before.
 
     The leader may still hold questions of the process that ran here before.
     Were ids used again, its answers to them would be taken for answers to the
     questions of this process.
 
     Args:
-        name: Name of the process.
+        name: How the ids begin.
         rng: Draws what tells this process from earlier ones.
     """
 
@@ -111,7 +111,7 @@
         self.numbers = itertools.count(1)
 
     def next(self) -> str:
-        """Return an id that no query has used."""
+        """Return the next id."""
         return f"{self.prefix}-{next(self.numbers)}"
 
 
--- a/libs/daemon/src/trefoil_daemon/runtime.py
+++ b/libs/daemon/src/trefoil_daemon/runtime.py
@@ -110,7 +110,7 @@
             self.metrics,
             self.hub.bytes_out,
             self.process_name,
-            operators.QueryIds(self.process_name, self.rng),
+            operators.UniqueIds(self.process_name, self.rng),
         )
 
     def serve_admin(self, address: str, max_body: int) -> int:
--- a/libs/daemon/tests/test_evacuations.py
+++ b/libs/daemon/tests/test_evacuations.py
@@ -159,3 +159,13 @@
     (row,) = queries.answer(statements.ShowEvacuations(), context)
     assert (row["domain"], row["by"]) == (DOMAIN, "ann")
     assert row["since"].endswith("Z")
+
+
+def test_a_restarted_process_uses_no_id_of_the_one_before() -> None:
+    """With the clock set back, its call was taken for one of then."""
+    net = control_net.founded_network()
+    at = follower_of(net)
+    before = net.processes[at].evacuations.ids.next()
+    net.stop(at)
+    net.start(at, found=False)
+    assert net.processes[at].evacuations.ids.next() != before
