Keep each byte of a request's path

Callers: a path that ends with the byte A0 or 85, as raw UTF-8 of "à" and "Å" does, was passed on without it: POST /book/voilà ran as another path. In the middle of a path the request got 400.

Cause: circuits.web strips the start line as text, and both bytes are blanks in Latin-1.

Evidence: test_each_byte_of_a_path_is_kept failed before in its three places, and passes.

Change: method, target and version are told apart where the line is checked, and the parser is given the line without the target.

--- a/libs/daemon/src/trefoil_daemon/_heads.py
+++ b/libs/daemon/src/trefoil_daemon/_heads.py
@@ -16,7 +16,9 @@
 # A tab is no control character here: it may stand wherever a space may.
 TEXT = rb"[^\x00-\x08\x0a-\x1f\x7f]*+"
 FIELD_LINES = re.compile(rb"(?:" + TOKEN + rb":" + TEXT + rb"\r\n)*+")
-REQUEST_LINE = re.compile(TOKEN + rb" [^\x00-\x20\x7f]+ HTTP/([0-9]\.[0-9])")
+REQUEST_LINE = re.compile(
+    rb"(" + TOKEN + rb") ([^\x00-\x20\x7f]+) (HTTP/([0-9]\.[0-9]))"
+)
 # Statuses above 599 have no class; a client would take them for a 5xx, and a
 # proxy cannot tell whether the request ran.
 STATUS_LINE = re.compile(
@@ -25,17 +27,20 @@
 VERSIONS = (b"1.0", b"1.1")
 
 
-def check_request_line(line: bytes) -> None:
-    """Check the first line of a request.
+def split_request_line(line: bytes) -> tuple[bytes, str]:
+    """Return a request line without its target, and the target.
+
+    circuits.web takes some bytes of a target for white space and drops them.
 
     Raises:
-        ProtocolError: It is malformed or of another version.
+        ProtocolError: The line is malformed or of another version.
     """
     matched = REQUEST_LINE.fullmatch(line)
     if matched is None:
         raise errors.ProtocolError(400, "bad request line")
-    if matched[1] not in VERSIONS:
+    if matched[4] not in VERSIONS:
         raise errors.ProtocolError(505, "only HTTP/1.0 and HTTP/1.1")
+    return matched[1] + b" / " + matched[3], matched[2].decode("latin-1")
 
 
 def split_status_line(line: bytes) -> tuple[bytes, str]:
--- a/libs/daemon/src/trefoil_daemon/_http.py
+++ b/libs/daemon/src/trefoil_daemon/_http.py
@@ -196,7 +196,7 @@
         if self.kind == RESPONSE:
             start_line, message.reason = _heads.split_status_line(start_line)
         else:
-            _heads.check_request_line(start_line)
+            start_line, message.path = _heads.split_request_line(start_line)
         _heads.check_field_lines(field_lines.removesuffix(b"\r\n"))
         parser = parsers.HttpParser(self.kind)
         # The parser interprets backslash escapes: a value with the two
@@ -228,7 +228,6 @@
             raise errors.ProtocolError(505, "only HTTP/1.0 and HTTP/1.1")
         if self.kind == REQUEST:
             message.method = parser.get_method()
-            message.path = parser.get_url()
             if not message.path.startswith("/"):
                 raise errors.ProtocolError(400, "the path must start with /")
             return
--- a/libs/daemon/tests/test_heads.py
+++ b/libs/daemon/tests/test_heads.py
@@ -162,3 +162,14 @@
     """A request was routed by one host and run by its target as another."""
     with pytest.raises(errors.ProtocolError):
         read_field(_http.REQUEST, b"Host: y")
+
+
+@pytest.mark.parametrize("path", [b"/a%c", b"/%c/a", b"/a%cb?c=%%20"])
+def test_each_byte_of_a_path_is_kept(path: bytes) -> None:
+    """A last byte that is a blank in Latin-1 was dropped: another path ran."""
+    for byte in [*range(0x21, 0x7F), *range(0x80, 0x100)]:
+        target = path % byte
+        head = b"GET " + target + b" HTTP/1.1\r\nHost: x\r\n\r\n"
+        message = read(_http.REQUEST, head)
+        assert message.path.encode("latin-1") == target
+        assert message.method == "GET"
