--- a/libs/daemon/src/trefoil_daemon/_heads.py
+++ b/libs/daemon/src/trefoil_daemon/_heads.py
@@ -17,7 +17,8 @@
 TEXT = rb"[^\x00-\x08\x0a-\x1f\x7f]*+"
 FIELD_LINES = re.compile(rb"(?:" + TOKEN + rb":" + TEXT + rb"\r\n)*+")
 REQUEST_LINE = re.compile(
-    rb"(" + TOKEN + rb") ([^\x00-\x20\x7f]+) (HTTP/([0-9]\.[0-9]))"
+    rb"(?P<method>" + TOKEN + rb") (?P<target>[^\x00-\x20\x7f]+) "
+    rb"HTTP/(?P<version>[0-9]\.[0-9])"
 )
 # Statuses above 599 have no class; a client would take them for a 5xx, and a
 # proxy cannot tell whether the request ran.
@@ -38,9 +39,10 @@
     matched = REQUEST_LINE.fullmatch(line)
     if matched is None:
         raise errors.ProtocolError(400, "bad request line")
-    if matched[4] not in VERSIONS:
+    if matched["version"] not in VERSIONS:
         raise errors.ProtocolError(505, "only HTTP/1.0 and HTTP/1.1")
-    return matched[1] + b" / " + matched[3], matched[2].decode("latin-1")
+    rest = b"%s / HTTP/%s" % (matched["method"], matched["version"])
+    return rest, matched["target"].decode("latin-1")
 
 
 def split_status_line(line: bytes) -> tuple[bytes, str]:
--- a/libs/daemon/src/trefoil_daemon/quota_keepers.py
+++ b/libs/daemon/src/trefoil_daemon/quota_keepers.py
@@ -75,15 +75,16 @@
         The state of a process that has just started is that of its last
         snapshot. By its quotas, more would be granted than is allowed now.
         """
-        if not self.process.raft.caught_up:
+        process = self.process
+        if not process.raft.caught_up or process.durability.failed:
             return
         self.knows_accounts = True
         accounts = directory.Directory.from_items(
-            self.process.state.items, self.accounts
+            process.state.items, self.accounts
         )
         if accounts is not self.accounts:
             self.accounts = accounts
-            now_ms = self.process.clock.boot_ms()
+            now_ms = process.clock.boot_ms()
             self.keeper.put_in_force(accounts.by_name, now_ms)
 
     def on_ask(self, sender: str, ask: messages.TokenAsk) -> None:
