--- a/libs/emulator/src/trefoil_emulator/fleet.py
+++ b/libs/emulator/src/trefoil_emulator/fleet.py
@@ -28,6 +28,8 @@
 
 LOOPBACK = "127.0.0.1"
 STOP_TIMEOUT_S = 10.0
+# A target that sends hundreds of long answers is late with these.
+STATS_TIMEOUT_S = 60.0
 RETRY_INTERVAL_S = 0.05
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
@@ -526,8 +528,8 @@
 
     def stats(self, target: str) -> dict[str, typing.Any]:
         """Return the counters of an emulated target."""
-        address = self.members[target].address("http")
-        return json.loads(http(f"http://{address}/-/stats").body)
+        url = f"http://{self.members[target].address('http')}/-/stats"
+        return json.loads(http(url, timeout_s=STATS_TIMEOUT_S).body)
 
     def call(
         self, host: str, path: str, **options: typing.Any
