--- a/libs/daemon/tests/test_joining.py
+++ b/libs/daemon/tests/test_joining.py
@@ -6,6 +6,7 @@
 
 from trefoil_daemon import control_process
 from trefoil_emulator import control_net
+from trefoil_emulator import full_disk
 from trefoil_model import effects as common
 from trefoil_quorum import raft as rafts
 from trefoil_settings import configuration
@@ -166,20 +167,6 @@
     assert "old" in replies[0].body and "older" not in replies[0].body
 
 
-class FullDisk(disks.MemoryDisk):
-    """A full disk: reads work and every write fails."""
-
-    def __init__(self, files: dict[str, bytes]) -> None:
-        super().__init__()
-        self.files = files
-
-    def append(self, name: str, data: bytes) -> None:
-        """Fail as a full disk does."""
-        raise OSError(28, "No space left on device")
-
-    replace = append
-
-
 def test_a_process_with_a_full_disk_acknowledges_nothing() -> None:
     """A follower's disk refuses the entry that the leader sends.
 
@@ -191,7 +178,7 @@
     (leader,) = net.leaders()
     follower = next(name for name in FOUNDERS if name != leader)
     process = net.processes[follower]
-    process.store.disk = FullDisk(net.disks[follower].files)
+    process.store.disk = full_disk.FullDisk(net.disks[follower].files)
     raft = net.processes[leader].raft
     index, found = raft.propose(messages.Noop(term=raft.term), 0)
     (request,) = [
@@ -215,7 +202,9 @@
 def fill_disk(net: Network, name: str) -> None:
     """Make the disk of a process full."""
     process = net.processes[name]
-    process.disk = process.store.disk = FullDisk(net.disks[name].files)
+    process.disk = process.store.disk = full_disk.FullDisk(
+        net.disks[name].files
+    )
 
 
 def free_disk(net: Network, name: str) -> None:
